--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Tools are built once into TOOLS and shared by all checkouts on a machine.
+TOOLS ?= $(or $(XDG_CACHE_HOME),$(HOME)/.cache)/medlargrade/tools
+GOLANGCI_VERSION := v2.15.0
+GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: build test race lint fmt demo bench matrix policy tools generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race ./...
+
+$(GOLANGCI):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(GOLANGCI)
+
+tools: $(GOLANGCI)
+
+lint: $(GOLANGCI)
+	$(GOLANGCI) fmt --diff
+	go vet ./...
+	$(GOLANGCI) run ./...
+
+fmt: $(GOLANGCI)
+	$(GOLANGCI) fmt
+
+demo: build
+	bash scripts/demo.sh
+
+# Needs protoc 3.21, protoc-gen-go v1.36.12 and protoc-gen-go-drpc v1.1.0 on the
+# PATH. The generated code is committed, so that a build needs none of them.
+generate:
+	protoc --go_out=. --go_opt=paths=source_relative --go-drpc_out=. --go-drpc_opt=paths=source_relative \
+		protocol/targetrpc/target.proto protocol/entryrpc/entry.proto
--- /dev/null
+++ b/coordination/outcome/outcome_test.go
@@ -0,0 +1,33 @@
+package outcome
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a step error that hides its cause or its peer.
+func TestStep(t *testing.T) {
+	cause := errors.New("connection reset")
+	tests := []struct {
+		name string
+		err  error
+		want string
+		step string
+	}{
+		{name: "direct", err: Step("reserve", "t1", cause), want: "reserve t1: connection reset", step: "reserve"},
+		{name: "wrapped", err: fmt.Errorf("job j: %w", Step("release", "t2", cause)), want: "job j: release t2: connection reset", step: "release"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Assert(t, tt.err, qt.ErrorIs, cause)
+			qt.Assert(t, tt.err.Error(), qt.Equals, tt.want)
+			step, _, ok := StepOf(tt.err)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, step, qt.Equals, tt.step)
+		})
+	}
+	qt.Assert(t, Step("reserve", "t1", nil), qt.IsNil)
+}
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,20 @@
+// Package operator builds the configuration of a medlargrade site.
+//
+// Operators write a small program that builds a Config from immutable values
+// and prints it as JSON. The output is reviewed like any other change and then
+// applied with "medlargrade config apply".
+//
+// # Usage
+//
+//	site := operator.NewSite("north").
+//		WithDataCentre(operator.NewDataCentre("dc1").WithRack("r1", 3)).
+//		WithSlotsPerWorker(8)
+//	cfg := operator.NewConfig(site).
+//		WithWorkspace(operator.NewWorkspace("web").
+//			WithGuarantee(operator.NewShape(2, 8).WithAdjacency(operator.AdjacentRack))).
+//		WithKind(operator.NewKind("web", "render", operator.ClassLong).WithIdempotent(true))
+//	if problems := cfg.Check(); len(problems) > 0 {
+//		log.Fatal(problems)
+//	}
+//	os.Stdout.Write(cfg.JSON())
+package operator
--- /dev/null
+++ b/operator/shape.go
@@ -0,0 +1,43 @@
+package operator
+
+// Adjacency says how close the tasks of a gang must be.
+type Adjacency string
+
+// Adjacencies, from the loosest to the tightest.
+const (
+	AdjacentNone   Adjacency = "none"   // any workers of the site
+	AdjacentRack   Adjacency = "rack"   // workers of one rack
+	AdjacentWorker Adjacency = "worker" // a single worker
+)
+
+// Shape is an amount of capacity: a number of workers and the accelerators on
+// each of them. The zero Shape is empty.
+type Shape struct {
+	workers      int
+	accelerators int
+	adjacency    Adjacency
+}
+
+// NewShape returns a shape of the given number of workers with the given number
+// of accelerators each, without a demand on adjacency.
+func NewShape(workers, accelerators int) Shape {
+	return Shape{workers: workers, accelerators: accelerators, adjacency: AdjacentNone}
+}
+
+// WithAdjacency returns a copy of s whose tasks must be that close.
+func (s Shape) WithAdjacency(a Adjacency) Shape {
+	s.adjacency = a
+	return s
+}
+
+// Workers returns the number of workers.
+func (s Shape) Workers() int { return s.workers }
+
+// Accelerators returns the number of accelerators on each worker.
+func (s Shape) Accelerators() int { return s.accelerators }
+
+// Adjacency returns how close the tasks must be.
+func (s Shape) Adjacency() Adjacency { return s.adjacency }
+
+// Slots returns the number of slots in total.
+func (s Shape) Slots() int { return s.workers * s.accelerators }
