Add pipenet, an in-memory network with faults for tests

Cause: the failure cases of the design (partitions in one direction, open connections that go silent, refused dials, delay) need a network whose time is that of a synctest bubble, for net/http and drpc alike. Change: named hosts and addresses, Dial and Listen, and the faults cut, refuse, delay, freeze and reset. Ruled out: net.Pipe, whose writes wait for the reader, so that a delay or a silent peer would block the sender at its first byte.

--- /dev/null
+++ b/standin/pipenet/network.go
@@ -0,0 +1,372 @@
+package pipenet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Any stands for every host in the methods that switch faults.
+const Any = "*"
+
+// backlog is the number of connections that wait for Accept.
+const backlog = 128
+
+// Network is a set of hosts that reach each other by address. The zero value
+// is a network without faults, ready to use. Methods are safe for concurrent
+// use.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cuts      map[link]struct{}
+	refusals  map[link]struct{}
+	delays    map[link]time.Duration
+	conns     map[*conn]struct{} // dialling ends of open connections
+	changed   chan struct{}      // closed when a cut is healed; nil if nobody waits
+	ports     int
+}
+
+// link is one direction between two hosts, either of which may be Any.
+type link struct{ from, to string }
+
+func (l link) matches(from, to string) bool {
+	return (l.from == Any || l.from == from) && (l.to == Any || l.to == to)
+}
+
+// Host returns the host of the given name. Hosts need no registration.
+func (n *Network) Host(name string) *Host { return &Host{n: n, name: name} }
+
+// Cut stops the delivery from one host to another until it is healed. Dials in
+// either direction wait.
+func (n *Network) Cut(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cuts == nil {
+		n.cuts = make(map[link]struct{})
+	}
+	n.cuts[link{from, to}] = struct{}{}
+	n.applyLocked()
+}
+
+// CutBoth cuts both directions between two hosts.
+func (n *Network) CutBoth(a, b string) {
+	n.Cut(a, b)
+	n.Cut(b, a)
+}
+
+// Heal removes the cuts that were made from a matching host to a matching
+// host. Heal(Any, Any) removes all cuts; a cut that was made with Any is
+// removed only by Heal with Any in the same place.
+func (n *Network) Heal(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l := range n.cuts {
+		if (link{from, to}).matches(l.from, l.to) {
+			delete(n.cuts, l)
+		}
+	}
+	n.applyLocked()
+	if n.changed != nil {
+		close(n.changed)
+		n.changed = nil
+	}
+}
+
+// HealBoth heals both directions between two hosts.
+func (n *Network) HealBoth(a, b string) {
+	n.Heal(a, b)
+	n.Heal(b, a)
+}
+
+// SetRefuse makes dials from one host to another fail at once, or stops doing
+// so. Open connections are not affected.
+func (n *Network) SetRefuse(from, to string, refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refusals == nil {
+		n.refusals = make(map[link]struct{})
+	}
+	if refuse {
+		n.refusals[link{from, to}] = struct{}{}
+	} else {
+		delete(n.refusals, link{from, to})
+	}
+}
+
+// SetDelay sets the one-way delay from one host to another; 0 removes it. It
+// holds for what is written from now on. Of several matching delays the
+// longest holds.
+func (n *Network) SetDelay(from, to string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.delays == nil {
+		n.delays = make(map[link]time.Duration)
+	}
+	if d > 0 {
+		n.delays[link{from, to}] = d
+	} else {
+		delete(n.delays, link{from, to})
+	}
+	n.applyLocked()
+}
+
+// Freeze silences the connections that are open between two hosts for good, in
+// both directions. Neither end sees the other end close.
+func (n *Network) Freeze(a, b string) {
+	n.eachConn(a, b, func(c *conn) {
+		c.in.freeze()
+		c.out.freeze()
+	})
+}
+
+// Reset ends the connections that are open between two hosts. Both ends see
+// ECONNRESET at once, even across a cut.
+func (n *Network) Reset(a, b string) {
+	n.eachConn(a, b, func(c *conn) {
+		c.in.reset()
+		c.out.reset()
+	})
+}
+
+// Conns returns the number of connections between two hosts that neither end
+// has closed.
+func (n *Network) Conns(a, b string) int {
+	count := 0
+	n.eachConn(a, b, func(c *conn) {
+		if c.closedEnds == 0 {
+			count++
+		}
+	})
+	return count
+}
+
+func (n *Network) eachConn(a, b string, f func(*conn)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if (link{a, b}).matches(c.out.from, c.out.to) || (link{a, b}).matches(c.out.to, c.out.from) {
+			f(c)
+		}
+	}
+}
+
+func (n *Network) cutLocked(from, to string) bool { return matchAny(n.cuts, from, to) }
+
+func matchAny(links map[link]struct{}, from, to string) bool {
+	for l := range links {
+		if l.matches(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Network) delayLocked(from, to string) time.Duration {
+	var d time.Duration
+	for l, v := range n.delays {
+		if l.matches(from, to) {
+			d = max(d, v)
+		}
+	}
+	return d
+}
+
+// applyLocked brings the streams of all open connections up to date.
+func (n *Network) applyLocked() {
+	for c := range n.conns {
+		n.applyStreamLocked(c.in)
+		n.applyStreamLocked(c.out)
+	}
+}
+
+func (n *Network) applyStreamLocked(s *stream) {
+	s.setFaults(n.cutLocked(s.from, s.to), n.cutLocked(s.to, s.from), n.delayLocked(s.from, s.to))
+}
+
+// endClosed counts the closed ends of a connection, given by its dialling end.
+// With one end closed the other still reads what was written before, so faults
+// go on applying to it.
+func (n *Network) endClosed(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.closedEnds++; c.closedEnds == 2 {
+		delete(n.conns, c)
+	}
+}
+
+// Host is a named machine of a Network.
+type Host struct {
+	n    *Network
+	name string
+}
+
+// Name returns the name of the host.
+func (h *Host) Name() string { return h.name }
+
+// Listen opens a listener at an address of the host, such as "platform:80".
+func (h *Host) Listen(address string) (net.Listener, error) {
+	if host, _, ok := strings.Cut(address, ":"); !ok || host != h.name {
+		return nil, opError("listen", addr(address), fmt.Errorf("no address of host %s", h.name))
+	}
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	if h.n.listeners[address] != nil {
+		return nil, opError("listen", addr(address), syscall.EADDRINUSE)
+	}
+	if h.n.listeners == nil {
+		h.n.listeners = make(map[string]*listener)
+	}
+	l := &listener{n: h.n, addr: addr(address), accept: make(chan *conn, backlog), done: make(chan struct{})}
+	h.n.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to an address.
+func (h *Host) Dial(ctx context.Context, address string) (net.Conn, error) {
+	peer, _, _ := strings.Cut(address, ":")
+	if err := h.sleepRoundTrip(ctx, peer); err != nil {
+		return nil, opError("dial", addr(address), err)
+	}
+	for {
+		c, l, healed, err := h.connect(peer, address)
+		if err != nil {
+			return nil, opError("dial", addr(address), err)
+		}
+		if c == nil {
+			select {
+			case <-healed:
+				continue
+			case <-ctx.Done():
+				return nil, opError("dial", addr(address), ctx.Err())
+			}
+		}
+		select {
+		case l.accept <- c.peer:
+			return c, nil
+		case <-l.done:
+			err = syscall.ECONNREFUSED
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		_ = c.Close()
+		return nil, opError("dial", addr(address), err)
+	}
+}
+
+// DialContext is Dial in the form that http.Transport takes; the network's
+// name is ignored.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	return h.Dial(ctx, address)
+}
+
+func (h *Host) sleepRoundTrip(ctx context.Context, peer string) error {
+	h.n.mu.Lock()
+	d := h.n.delayLocked(h.name, peer) + h.n.delayLocked(peer, h.name)
+	h.n.mu.Unlock()
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// connect makes the two ends of a connection. Across a cut it returns no
+// connection and a channel that is closed when a cut is healed.
+func (h *Host) connect(peer, address string) (*conn, *listener, <-chan struct{}, error) {
+	n := h.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if matchAny(n.refusals, h.name, peer) {
+		return nil, nil, nil, syscall.ECONNREFUSED
+	}
+	if n.cutLocked(h.name, peer) || n.cutLocked(peer, h.name) {
+		if n.changed == nil {
+			n.changed = make(chan struct{})
+		}
+		return nil, nil, n.changed, nil
+	}
+	l := n.listeners[address]
+	if l == nil {
+		return nil, nil, nil, syscall.ECONNREFUSED
+	}
+	n.ports++
+	local := addr(fmt.Sprintf("%s:e%d", h.name, n.ports))
+	out, in := newStream(h.name, peer), newStream(peer, h.name)
+	c := &conn{n: n, in: in, out: out, local: local, remote: l.addr}
+	c.peer = &conn{n: n, in: out, out: in, local: l.addr, remote: local, peer: c}
+	c.dialled, c.peer.dialled = c, c
+	if n.conns == nil {
+		n.conns = make(map[*conn]struct{})
+	}
+	n.conns[c] = struct{}{}
+	n.applyStreamLocked(in)
+	n.applyStreamLocked(out)
+	return c, l, nil, nil
+}
+
+type listener struct {
+	n      *Network
+	addr   addr
+	accept chan *conn
+	done   chan struct{}
+	once   sync.Once
+}
+
+// Accept returns the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case <-l.done:
+		return nil, opError("accept", l.addr, net.ErrClosed)
+	default:
+	}
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.done:
+		return nil, opError("accept", l.addr, net.ErrClosed)
+	}
+}
+
+// Close frees the address and resets the connections that wait for Accept.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.n.mu.Lock()
+		delete(l.n.listeners, string(l.addr))
+		l.n.mu.Unlock()
+		close(l.done)
+	})
+	for {
+		select {
+		case c := <-l.accept:
+			c.in.reset()
+			c.out.reset()
+			_ = c.Close()
+		default:
+			return nil
+		}
+	}
+}
+
+// Addr returns the listener's address.
+func (l *listener) Addr() net.Addr { return l.addr }
+
+type addr string
+
+// Network returns the name of the network.
+func (addr) Network() string { return "pipe" }
+
+func (a addr) String() string { return string(a) }
+
+func opError(op string, a addr, err error) error {
+	return &net.OpError{Op: op, Net: a.Network(), Addr: a, Err: err}
+}
