--- /dev/null
+++ b/transport/httpcall/httpcall.go
@@ -0,0 +1,86 @@
+package httpcall
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Request is one call.
+type Request struct {
+	Method  string
+	URL     string
+	Header  http.Header
+	Body    []byte
+	Timeout time.Duration // of the whole call, including the reply's body; 0 for none but ctx
+	MaxBody int64         // largest body of the reply, in bytes
+}
+
+// Reply is the whole reply to a call.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Error reports a call without a whole reply.
+type Error struct {
+	Sent bool // the server may have received the request
+	Err  error
+}
+
+func (e *Error) Error() string {
+	if e.Sent {
+		return fmt.Sprintf("no reply: %v", e.Err)
+	}
+	return fmt.Sprintf("not sent: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Do makes one call and reads the whole reply, whatever its status. It follows
+// no redirects, because following one would send the request a second time.
+// All errors are of type *Error.
+func Do(ctx context.Context, client *http.Client, r Request) (Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return Reply{}, &Error{Err: err}
+	}
+	if r.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.Timeout)
+		defer cancel()
+	}
+	// waiting is true from the request for a connection until it is obtained.
+	var waiting atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { waiting.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { waiting.Store(false) },
+	})
+	req, err := http.NewRequestWithContext(ctx, r.Method, r.URL, bytes.NewReader(r.Body))
+	if err != nil {
+		return Reply{}, &Error{Err: err}
+	}
+	for k, v := range r.Header {
+		req.Header[k] = v
+	}
+	c := *client
+	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	resp, err := c.Do(req)
+	if err != nil {
+		return Reply{}, &Error{Sent: !waiting.Load(), Err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, r.MaxBody+1))
+	if err == nil && int64(len(body)) > r.MaxBody {
+		err = fmt.Errorf("reply exceeds %d bytes", r.MaxBody)
+	}
+	if err != nil {
+		return Reply{}, &Error{Sent: true, Err: err}
+	}
+	return Reply{Status: resp.StatusCode, Body: body}, nil
+}
