--- /dev/null
+++ b/standin/pipenet/drpc_test.go
@@ -0,0 +1,59 @@
+package pipenet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+)
+
+type pinger struct {
+	targetrpc.DRPCTargetUnimplementedServer
+}
+
+func (*pinger) Ping(_ context.Context, r *targetrpc.PingRequest) (*targetrpc.PingReply, error) {
+	return &targetrpc.PingReply{Generation: r.Generation + 1}, nil
+}
+
+// Guards against a network on which drpc does not work, or on which a call
+// over a silent connection outlives its deadline.
+func TestDRPC(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n Network
+		l, err := n.Host("t1").Listen("t1:7000")
+		qt.Assert(t, err, qt.IsNil)
+		mux := drpcmux.New()
+		qt.Assert(t, targetrpc.DRPCRegisterTarget(mux, &pinger{}), qt.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		served := make(chan error)
+		go func() { served <- drpcserver.New(mux).Serve(ctx, l) }()
+
+		raw, err := n.Host("e1").Dial(ctx, "t1:7000")
+		qt.Assert(t, err, qt.IsNil)
+		conn := drpcconn.New(raw)
+		client := targetrpc.NewDRPCTargetClient(conn)
+		n.SetDelay(Any, Any, 3*time.Millisecond)
+		start := time.Now()
+		reply, err := client.Ping(ctx, &targetrpc.PingRequest{Generation: 7})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, reply.Generation, qt.Equals, uint64(8))
+		qt.Check(t, time.Since(start), qt.Equals, 6*time.Millisecond)
+
+		n.Freeze("e1", "t1")
+		callCtx, stop := context.WithTimeout(ctx, 2*time.Second)
+		_, err = client.Ping(callCtx, &targetrpc.PingRequest{})
+		stop()
+		qt.Check(t, err, qt.ErrorIs, context.DeadlineExceeded)
+		qt.Check(t, time.Since(start), qt.Equals, 2006*time.Millisecond)
+		_ = conn.Close()
+		cancel()
+		qt.Check(t, <-served, qt.IsNil)
+	})
+}
--- a/standin/pipenet/http.go
+++ b/standin/pipenet/http.go
@@ -2,8 +2,27 @@
 
 import (
 	"net/http"
+	"strings"
+	"testing"
 )
 
+// TestHTTP serves HTTP at an address for the time of a test, and returns a
+// client on another host. Called inside a bubble, it ends with the bubble.
+func (n *Network) TestHTTP(t testing.TB, from, address string, handler http.Handler) *http.Client {
+	t.Helper()
+	host, _, _ := strings.Cut(address, ":")
+	stop, err := n.Host(host).ServeHTTP(address, handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := n.Host(from).HTTPClient()
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		stop()
+	})
+	return client
+}
+
 // HTTPClient returns a client whose connections start at the host. It uses no
 // proxy.
 func (h *Host) HTTPClient() *http.Client {
@@ -18,7 +37,6 @@
 	if err != nil {
 		return nil, err
 	}
-	// The owner of the network is a test, which sets its own time limits.
 	srv := &http.Server{Handler: handler}
 	done := make(chan struct{})
 	go func() {
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -31,14 +31,7 @@
 	t.Helper()
 	var n pipenet.Network
 	s := New(settings, zerolog.Nop())
-	stop, err := n.Host("platform").ServeHTTP("platform:80", s)
-	qt.Assert(t, err, qt.IsNil)
-	hc := n.Host("entry").HTTPClient()
-	t.Cleanup(func() {
-		hc.CloseIdleConnections()
-		stop()
-	})
-	return s, hc
+	return s, n.TestHTTP(t, "entry", "platform:80", s)
 }
 
 // Guards against rates above or below the stated ones, and against errors
--- a/transport/platform/client_test.go
+++ b/transport/platform/client_test.go
@@ -28,14 +28,8 @@
 func newSite(t *testing.T) *site {
 	t.Helper()
 	s := &site{server: standin.New(standin.Settings{}, zerolog.Nop())}
-	stop, err := s.net.Host("platform").ServeHTTP("platform:80", s.server)
-	qt.Assert(t, err, qt.IsNil)
-	hc := s.net.Host("entry").HTTPClient()
+	hc := s.net.TestHTTP(t, "entry", "platform:80", s.server)
 	s.store = platform.New(hc, platform.Settings{Address: "http://platform:80"})
-	t.Cleanup(func() {
-		hc.CloseIdleConnections()
-		stop()
-	})
 	return s
 }
 
@@ -183,18 +177,14 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var n pipenet.Network
 			calls := 0
-			stop, err := n.Host("platform").ServeHTTP("platform:80", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			hc := n.TestHTTP(t, "entry", "platform:80", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				calls++
 				w.Header().Set("Location", "/again")
 				w.WriteHeader(tt.status)
 				_, _ = w.Write([]byte(tt.body))
 			}))
-			qt.Assert(t, err, qt.IsNil)
-			defer stop()
-			hc := n.Host("entry").HTTPClient()
-			defer hc.CloseIdleConnections()
 			store := platform.New(hc, platform.Settings{Address: "http://platform:80/"})
-			_, err = store.Read(t.Context(), "Job", "k")
+			_, err := store.Read(t.Context(), "Job", "k")
 			qt.Check(t, errorType(err), qt.Equals, tt.read)
 			err = store.Write(t.Context(), rows.Insert("Job", "k", nil))
 			qt.Check(t, errorType(err), qt.Equals, tt.write)
