Refuse dials that race with the close of a pipenet listener

Cause: a dial could queue its connection after Close had emptied the queue, because select picks among ready cases at random; its end then waited for a peer that never accepts. Change: queueing and closing hold the listener's lock; a dial to a closed listener or to one with 1,024 waiting connections is refused. Ruled out: resetting the connection when the listener turns out closed after the queueing: it may have been accepted just before. Measured: found by reading, not by a failing test; go test -race -count=20 of pipenet passes, as do make lint and go test -race ./... Conclusion: dials end in a connection, a refusal or the end of their context.

--- a/standin/pipenet/network.go
+++ b/standin/pipenet/network.go
@@ -13,8 +13,9 @@
 // Any stands for every host in the methods that switch faults.
 const Any = "*"
 
-// backlog is the number of connections that wait for Accept.
-const backlog = 128
+// backlog is the number of connections that may wait for Accept; further dials
+// are refused.
+const backlog = 1024
 
 // Network is a set of hosts that reach each other by address. The zero value
 // is a network without faults, ready to use. Methods are safe for concurrent
@@ -244,16 +245,11 @@
 				return nil, opError("dial", addr(address), ctx.Err())
 			}
 		}
-		select {
-		case l.accept <- c.peer:
-			return c, nil
-		case <-l.done:
-			err = syscall.ECONNREFUSED
-		case <-ctx.Done():
-			err = ctx.Err()
+		if !l.push(c.peer) {
+			_ = c.Close()
+			return nil, opError("dial", addr(address), syscall.ECONNREFUSED)
 		}
-		_ = c.Close()
-		return nil, opError("dial", addr(address), err)
+		return c, nil
 	}
 }
 
@@ -319,7 +315,25 @@
 	addr   addr
 	accept chan *conn
 	done   chan struct{}
-	once   sync.Once
+
+	mu     sync.Mutex
+	closed bool
+}
+
+// push queues a connection for Accept. The lock keeps it from being queued
+// after Close has emptied the queue, where its dialler would wait forever.
+func (l *listener) push(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	select {
+	case l.accept <- c:
+		return true
+	default:
+		return false
+	}
 }
 
 // Accept returns the next connection.
@@ -339,12 +353,16 @@
 
 // Close frees the address and resets the connections that wait for Accept.
 func (l *listener) Close() error {
-	l.once.Do(func() {
-		l.n.mu.Lock()
-		delete(l.n.listeners, string(l.addr))
-		l.n.mu.Unlock()
-		close(l.done)
-	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	l.n.mu.Lock()
+	delete(l.n.listeners, string(l.addr))
+	l.n.mu.Unlock()
+	close(l.done)
 	for {
 		select {
 		case c := <-l.accept:
