--- /dev/null
+++ b/operator/check.go
@@ -0,0 +1,253 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Limits of names and numbers. The numbers keep sums within an int and the
+// time of a check within a second.
+const (
+	MaxNameLength     = 128    // bytes
+	MaxSlotsPerWorker = 1024   // slots
+	MaxRackWorkers    = 10_000 // workers
+	MaxShapeWorkers   = 100_000
+)
+
+// Problem is one thing that is wrong with a configuration.
+type Problem struct {
+	Path    string // for example Workspaces[2].Guarantees[0].Workers
+	Message string
+}
+
+// String returns the path and the message.
+func (p Problem) String() string { return p.Path + ": " + p.Message }
+
+// Check returns everything that is wrong with c, in the order of its JSON form.
+// A configuration with a problem can't be applied.
+func (c Config) Check() []Problem {
+	var k checker
+	k.site(c.site)
+	k.workspaces(c.workspaces)
+	k.kinds(c)
+	if k.sizesValid {
+		k.capacity(c)
+	}
+	return k.problems
+}
+
+// Warnings returns what is allowed but probably not intended. It returns nil
+// for a configuration with problems.
+func (c Config) Warnings() []Problem {
+	if len(c.Check()) > 0 {
+		return nil
+	}
+	var k checker
+	for i, d := range c.site.dataCentres {
+		if len(d.racks) == 0 {
+			k.add(fmt.Sprintf("Site.DataCentres[%d]", i), "data centre %s has no racks", d.name)
+		}
+	}
+	k.rackLoss(c)
+	for i, w := range c.workspaces {
+		if !slices.ContainsFunc(c.kinds, func(x Kind) bool { return x.workspace == w.name }) {
+			k.add(fmt.Sprintf("Workspaces[%d]", i), "workspace %s has no kinds, so it can submit nothing", w.name)
+		}
+	}
+	return k.problems
+}
+
+// checker collects problems.
+type checker struct {
+	problems   []Problem
+	sizesValid bool // all numbers and adjacencies that packing needs are valid
+}
+
+func (k *checker) add(path, format string, args ...any) {
+	k.problems = append(k.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (k *checker) name(path, name string) {
+	if !ValidName(name) {
+		k.add(path+".Name", "%q must have 1 to %d characters of A-Z, a-z, 0-9, '.', '_' and '-'", name, MaxNameLength)
+	}
+}
+
+// unique reports a name that was seen before.
+func (k *checker) unique(seen map[string]string, path, name string) {
+	if first, ok := seen[name]; ok {
+		k.add(path+".Name", "%q is already the name of %s", name, first)
+		return
+	}
+	seen[name] = path
+}
+
+// upTo reports whether n is positive and within the limit.
+func (k *checker) upTo(path string, n, high int) bool {
+	if n < 1 || n > high {
+		k.add(path, "%d must be between 1 and %d", n, high)
+		return false
+	}
+	return true
+}
+
+// ValidName reports whether name has 1 to MaxNameLength characters of
+// [A-Za-z0-9._-].
+func ValidName(name string) bool {
+	if name == "" || len(name) > MaxNameLength {
+		return false
+	}
+	for _, r := range []byte(name) {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '.', r == '_', r == '-':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+func (k *checker) site(s Site) {
+	k.name("Site", s.name)
+	k.sizesValid = k.upTo("Site.SlotsPerWorker", s.slotsPerWorker, MaxSlotsPerWorker)
+	dataCentres, racks := make(map[string]string), make(map[string]string)
+	for i, d := range s.dataCentres {
+		path := fmt.Sprintf("Site.DataCentres[%d]", i)
+		k.name(path, d.name)
+		k.unique(dataCentres, path, d.name)
+		for j, r := range d.racks {
+			path := fmt.Sprintf("%s.Racks[%d]", path, j)
+			k.name(path, r.name)
+			k.unique(racks, path, r.name)
+			k.sizesValid = k.upTo(path+".Workers", r.workers, MaxRackWorkers) && k.sizesValid
+		}
+	}
+	if len(racks) == 0 {
+		k.add("Site.DataCentres", "the site has no racks")
+	}
+}
+
+func (k *checker) workspaces(workspaces []Workspace) {
+	seen := make(map[string]string)
+	for i, w := range workspaces {
+		path := fmt.Sprintf("Workspaces[%d]", i)
+		k.name(path, w.name)
+		k.unique(seen, path, w.name)
+		if w.queueLimit <= 0 {
+			k.add(path+".QueueLimit", "%d must be positive", w.queueLimit)
+		}
+		for j, s := range w.guarantees {
+			path := fmt.Sprintf("%s.Guarantees[%d]", path, j)
+			k.sizesValid = k.upTo(path+".Workers", s.workers, MaxShapeWorkers) && k.sizesValid
+			k.sizesValid = k.upTo(path+".Accelerators", s.accelerators, MaxSlotsPerWorker) && k.sizesValid
+			switch s.adjacency {
+			case AdjacentNone, AdjacentRack, AdjacentWorker:
+			default:
+				k.add(path+".Adjacent", "%q must be none, rack or worker", s.adjacency)
+				k.sizesValid = false
+			}
+		}
+	}
+}
+
+func (k *checker) kinds(c Config) {
+	seen := make(map[string]string)
+	for i, x := range c.kinds {
+		path := fmt.Sprintf("Kinds[%d]", i)
+		if _, ok := c.Workspace(x.workspace); !ok {
+			k.add(path+".Workspace", "unknown workspace %q", x.workspace)
+		}
+		k.name(path, x.name)
+		if first, ok := seen[x.workspace+"/"+x.name]; ok {
+			k.add(path+".Name", "%q is already the name of %s", x.name, first)
+		} else {
+			seen[x.workspace+"/"+x.name] = path
+		}
+		switch x.class {
+		case ClassShort, ClassLong, ClassFill:
+		default:
+			k.add(path+".Class", "%q must be short, long or fill", x.class)
+		}
+		if x.limit < 0 {
+			k.add(path+".Limit", "%s must not be negative", x.limit)
+		}
+	}
+}
+
+// capacity checks that the site holds all guaranteed shapes at the same time.
+func (k *checker) capacity(c Config) {
+	if !k.sizesValid {
+		return
+	}
+	single := true
+	var shapes []Shape
+	slots := 0
+	for i, w := range c.workspaces {
+		for j, s := range w.guarantees {
+			path := fmt.Sprintf("Workspaces[%d].Guarantees[%d]", i, j)
+			if !c.site.Fits(s) {
+				single = false
+				k.add(path, "%s is larger than the site: %s", s, c.site.whyNoFit(s))
+			}
+			shapes = append(shapes, s)
+			slots += s.Slots()
+		}
+	}
+	switch {
+	case slots > c.site.Slots():
+		k.add("Workspaces", "the guarantees need %d slots, the site has %d", slots, c.site.Slots())
+	case !single:
+	default:
+		switch pack(c.site, shapes) {
+		case packed:
+		case unpacked:
+			k.add("Workspaces", "the guarantees need %d of %d slots, but can't be placed at the same time with their adjacency", slots, c.site.Slots())
+		case undecided:
+			k.add("Workspaces", "no simultaneous placement of the guarantees (%d of %d slots) was found within the limits of the search", slots, c.site.Slots())
+		}
+	}
+}
+
+// rackLoss warns if the guarantees don't fit without one rack. Racks with the
+// same number of workers are interchangeable, so one of each size is tried.
+func (k *checker) rackLoss(c Config) {
+	var racks []int
+	var paths []string
+	for i, d := range c.site.dataCentres {
+		for j, r := range d.racks {
+			racks = append(racks, r.workers)
+			paths = append(paths, fmt.Sprintf("Site.DataCentres[%d].Racks[%d]", i, j))
+		}
+	}
+	var shapes []Shape
+	for _, w := range c.workspaces {
+		shapes = append(shapes, w.guarantees...)
+	}
+	tried := make(map[int]bool)
+	for i, n := range racks {
+		if tried[n] {
+			continue
+		}
+		tried[n] = true
+		rest := slices.Delete(slices.Clone(racks), i, i+1)
+		if packRacks(rest, c.site.slotsPerWorker, shapes) != packed {
+			k.add(paths[i], "the guarantees no longer fit when this or another rack of %d workers is lost", n)
+		}
+	}
+}
+
+// whyNoFit explains why an empty site can't hold the shape.
+func (s Site) whyNoFit(shape Shape) string {
+	if shape.accelerators > s.slotsPerWorker {
+		return fmt.Sprintf("a worker has %d slots", s.slotsPerWorker)
+	}
+	perWorker := s.slotsPerWorker / max(shape.accelerators, 1)
+	switch shape.adjacency {
+	case AdjacentWorker:
+		return fmt.Sprintf("a worker holds %d such tasks", perWorker)
+	case AdjacentRack:
+		return fmt.Sprintf("the largest rack holds %d such tasks", perWorker*s.largestRack())
+	case AdjacentNone:
+	}
+	return fmt.Sprintf("it holds %d such tasks", perWorker*s.Workers())
+}
--- /dev/null
+++ b/operator/diff.go
@@ -0,0 +1,235 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// ChangeOp says what a Change did.
+type ChangeOp string
+
+// Operations of a Change.
+const (
+	OpAdded     ChangeOp = "added"
+	OpRemoved   ChangeOp = "removed"
+	OpChanged   ChangeOp = "changed"
+	OpReordered ChangeOp = "reordered"
+)
+
+// Change is one difference between two configurations, for a reader. Delta is
+// the form for programs.
+type Change struct {
+	Op   ChangeOp
+	Path string // by name, for example Workspaces[web].QueueLimit
+	Old  string // empty if added
+	New  string // empty if removed
+}
+
+// String returns the change as one line.
+func (c Change) String() string {
+	switch c.Op {
+	case OpAdded:
+		return fmt.Sprintf("+ %s: %s", c.Path, c.New)
+	case OpRemoved:
+		return fmt.Sprintf("- %s: %s", c.Path, c.Old)
+	case OpChanged:
+		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
+	case OpReordered:
+		return fmt.Sprintf("~ %s: order %s -> %s", c.Path, c.Old, c.New)
+	}
+	return fmt.Sprintf("%s %s: %s -> %s", c.Op, c.Path, c.Old, c.New)
+}
+
+// Diff returns the differences between two configurations: the site, then the
+// workspaces, then the kinds; in each, removed, changed, added and reordered
+// parts. Equal configurations have none.
+func Diff(old, updated Config) []Change {
+	var d differ
+	d.field("Site.Name", strconv.Quote(old.site.name), strconv.Quote(updated.site.name))
+	d.field("Site.SlotsPerWorker", strconv.Itoa(old.site.slotsPerWorker), strconv.Itoa(updated.site.slotsPerWorker))
+	d.dataCentres(old.site.dataCentres, updated.site.dataCentres)
+	d.workspaces(old.workspaces, updated.workspaces)
+	d.kinds(old.kinds, updated.kinds)
+	return d.changes
+}
+
+// differ collects changes. Parts are matched by their keys, so names differ only
+// between lists with duplicate names, which Check refuses but Parse reads.
+type differ struct {
+	changes []Change
+}
+
+func (d *differ) field(path, old, updated string) {
+	if old != updated {
+		d.changes = append(d.changes, Change{Op: OpChanged, Path: path, Old: old, New: updated})
+	}
+}
+
+func (d *differ) added(path, s string) {
+	d.changes = append(d.changes, Change{Op: OpAdded, Path: path, New: s})
+}
+
+func (d *differ) removed(path, s string) {
+	d.changes = append(d.changes, Change{Op: OpRemoved, Path: path, Old: s})
+}
+
+func (d *differ) reordered(path string, old, updated []string) {
+	d.changes = append(d.changes, Change{
+		Op: OpReordered, Path: path,
+		Old: strings.Join(old, ", "), New: strings.Join(updated, ", "),
+	})
+}
+
+// order reports a list whose remaining parts have changed places.
+func (d *differ) order(path string, old, updated []string) {
+	if l := newListDelta(old, updated, func(int, int) bool { return true }); l.Order != nil {
+		d.reordered(path, old, updated)
+	}
+}
+
+func (d *differ) dataCentres(old, updated []DataCentre) {
+	oldKeys, newKeys := dataCentreKeys(old), dataCentreKeys(updated)
+	for i, key := range oldKeys {
+		path := fmt.Sprintf("Site.DataCentres[%s]", key)
+		j := slices.Index(newKeys, key)
+		if j < 0 {
+			d.removed(path, describeDataCentre(old[i]))
+			continue
+		}
+		d.field(path+".Name", old[i].name, updated[j].name)
+		d.racks(path+".Racks", old[i].racks, updated[j].racks)
+	}
+	for j, key := range newKeys {
+		if !slices.Contains(oldKeys, key) {
+			d.added(fmt.Sprintf("Site.DataCentres[%s]", key), describeDataCentre(updated[j]))
+		}
+	}
+	d.order("Site.DataCentres", oldKeys, newKeys)
+}
+
+func (d *differ) racks(path string, old, updated []Rack) {
+	oldKeys, newKeys := rackKeys(old), rackKeys(updated)
+	index := indexKeys(newKeys)
+	for i, key := range oldKeys {
+		rackPath := fmt.Sprintf("%s[%s]", path, key)
+		j, ok := index[key]
+		if !ok {
+			d.removed(rackPath, describeRack(old[i]))
+			continue
+		}
+		d.field(rackPath+".Name", old[i].name, updated[j].name)
+		d.field(rackPath+".Workers", strconv.Itoa(old[i].workers), strconv.Itoa(updated[j].workers))
+	}
+	index = indexKeys(oldKeys)
+	for j, key := range newKeys {
+		if _, ok := index[key]; !ok {
+			d.added(fmt.Sprintf("%s[%s]", path, key), describeRack(updated[j]))
+		}
+	}
+	d.order(path, oldKeys, newKeys)
+}
+
+func (d *differ) workspaces(old, updated []Workspace) {
+	oldKeys, newKeys := workspaceKeys(old), workspaceKeys(updated)
+	for i, key := range oldKeys {
+		path := fmt.Sprintf("Workspaces[%s]", key)
+		j := slices.Index(newKeys, key)
+		if j < 0 {
+			d.removed(path, describeWorkspace(old[i]))
+			continue
+		}
+		d.field(path+".Name", old[i].name, updated[j].name)
+		d.field(path+".QueueLimit", strconv.Itoa(old[i].queueLimit), strconv.Itoa(updated[j].queueLimit))
+		d.guarantees(path+".Guarantees", old[i].guarantees, updated[j].guarantees)
+	}
+	for j, key := range newKeys {
+		if !slices.Contains(oldKeys, key) {
+			d.added(fmt.Sprintf("Workspaces[%s]", key), describeWorkspace(updated[j]))
+		}
+	}
+	d.order("Workspaces", oldKeys, newKeys)
+}
+
+// guarantees compares shapes, which have no names. One shape removed and one
+// added are shown as a change.
+func (d *differ) guarantees(path string, old, updated []Shape) {
+	removed, added := slices.Clone(old), []Shape(nil)
+	for _, s := range updated {
+		if i := slices.Index(removed, s); i >= 0 {
+			removed = slices.Delete(removed, i, i+1)
+		} else {
+			added = append(added, s)
+		}
+	}
+	switch {
+	case len(removed) == 1 && len(added) == 1:
+		d.field(path, removed[0].String(), added[0].String())
+	case len(removed) == 0 && len(added) == 0 && !slices.Equal(old, updated):
+		d.reordered(path, shapeNames(old), shapeNames(updated))
+	default:
+		for _, s := range removed {
+			d.removed(path, s.String())
+		}
+		for _, s := range added {
+			d.added(path, s.String())
+		}
+	}
+}
+
+func (d *differ) kinds(old, updated []Kind) {
+	oldKeys, newKeys := kindKeys(old), kindKeys(updated)
+	for i, key := range oldKeys {
+		path := fmt.Sprintf("Kinds[%s]", key)
+		j := slices.Index(newKeys, key)
+		if j < 0 {
+			d.removed(path, describeKind(old[i]))
+			continue
+		}
+		d.field(path+".Workspace", old[i].workspace, updated[j].workspace)
+		d.field(path+".Name", old[i].name, updated[j].name)
+		d.field(path+".Class", string(old[i].class), string(updated[j].class))
+		d.field(path+".Idempotent", strconv.FormatBool(old[i].idempotent), strconv.FormatBool(updated[j].idempotent))
+		d.field(path+".Limit", old[i].limit.String(), updated[j].limit.String())
+	}
+	for j, key := range newKeys {
+		if !slices.Contains(oldKeys, key) {
+			d.added(fmt.Sprintf("Kinds[%s]", key), describeKind(updated[j]))
+		}
+	}
+	d.order("Kinds", oldKeys, newKeys)
+}
+
+func describeDataCentre(d DataCentre) string {
+	racks := make([]string, 0, len(d.racks))
+	for _, r := range d.racks {
+		racks = append(racks, fmt.Sprintf("%s (%s)", r.name, describeRack(r)))
+	}
+	return "racks " + listOrNone(racks)
+}
+
+func describeRack(r Rack) string { return fmt.Sprintf("%d workers", r.workers) }
+
+func describeWorkspace(w Workspace) string {
+	return fmt.Sprintf("queue limit %d, guarantees %s", w.queueLimit, listOrNone(shapeNames(w.guarantees)))
+}
+
+func describeKind(k Kind) string {
+	return fmt.Sprintf("class %s, idempotent %t, limit %s", k.class, k.idempotent, k.limit)
+}
+
+func shapeNames(shapes []Shape) []string {
+	names := make([]string, 0, len(shapes))
+	for _, s := range shapes {
+		names = append(names, s.String())
+	}
+	return names
+}
+
+func listOrNone(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
--- a/operator/doc.go
+++ b/operator/doc.go
@@ -17,4 +17,12 @@
 //		log.Fatal(problems)
 //	}
 //	os.Stdout.Write(cfg.JSON())
+//
+// Parse reads the printed form back. Check reports everything that is wrong at
+// once, Warnings what is allowed but probably not intended. Diff lists the
+// differences between two configurations for a reviewer; a Delta carries them to
+// the processes, which apply it:
+//
+//	delta := operator.NewDelta(old, cfg)
+//	got, err := delta.Apply(old) // got equals cfg
 package operator
--- /dev/null
+++ b/operator/json.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// The JSON form of a configuration. Every field is always printed, and lists
+// are never null.
+type (
+	configJSON struct {
+		Site       siteJSON
+		Workspaces []workspaceJSON
+		Kinds      []kindJSON
+	}
+	siteJSON struct {
+		Name           string
+		SlotsPerWorker int
+		DataCentres    []dataCentreJSON
+	}
+	dataCentreJSON struct {
+		Name  string
+		Racks []rackJSON
+	}
+	rackJSON struct {
+		Name    string
+		Workers int
+	}
+	workspaceJSON struct {
+		Name       string
+		QueueLimit int
+		Guarantees []shapeJSON
+	}
+	shapeJSON struct {
+		Workers      int
+		Accelerators int
+		Adjacent     Adjacency
+	}
+	kindJSON struct {
+		Workspace  string
+		Name       string
+		Class      Class
+		Idempotent bool
+		Limit      string // as printed by time.Duration
+	}
+)
+
+// JSON returns the indented JSON form of c with a final newline. Equal
+// configurations have equal bytes. Names must be valid UTF-8; Check reports
+// others.
+func (c Config) JSON() []byte {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(toConfigJSON(c)); err != nil {
+		// The types above have no value that fails to encode.
+		panic(fmt.Sprintf("operator: encode configuration: %v", err))
+	}
+	return b.Bytes()
+}
+
+// Equal reports whether c and other are the same configuration, including the
+// order of their parts.
+func (c Config) Equal(other Config) bool {
+	return equalSites(c.site, other.site) &&
+		slices.EqualFunc(c.workspaces, other.workspaces, equalWorkspaces) &&
+		slices.Equal(c.kinds, other.kinds)
+}
+
+func equalSites(a, b Site) bool {
+	return a.name == b.name && a.slotsPerWorker == b.slotsPerWorker &&
+		slices.EqualFunc(a.dataCentres, b.dataCentres, func(a, b DataCentre) bool {
+			return a.name == b.name && slices.Equal(a.racks, b.racks)
+		})
+}
+
+func equalWorkspaces(a, b Workspace) bool {
+	return a.name == b.name && a.queueLimit == b.queueLimit && slices.Equal(a.guarantees, b.guarantees)
+}
+
+func toConfigJSON(c Config) configJSON {
+	j := configJSON{
+		Site: siteJSON{
+			Name:           c.site.name,
+			SlotsPerWorker: c.site.slotsPerWorker,
+			DataCentres:    []dataCentreJSON{},
+		},
+		Workspaces: []workspaceJSON{},
+		Kinds:      []kindJSON{},
+	}
+	for _, d := range c.site.dataCentres {
+		dj := dataCentreJSON{Name: d.name, Racks: []rackJSON{}}
+		for _, r := range d.racks {
+			dj.Racks = append(dj.Racks, rackJSON{Name: r.name, Workers: r.workers})
+		}
+		j.Site.DataCentres = append(j.Site.DataCentres, dj)
+	}
+	for _, w := range c.workspaces {
+		j.Workspaces = append(j.Workspaces, toWorkspaceJSON(w))
+	}
+	for _, k := range c.kinds {
+		j.Kinds = append(j.Kinds, toKindJSON(k))
+	}
+	return j
+}
+
+func toWorkspaceJSON(w Workspace) workspaceJSON {
+	j := workspaceJSON{Name: w.name, QueueLimit: w.queueLimit, Guarantees: []shapeJSON{}}
+	for _, s := range w.guarantees {
+		j.Guarantees = append(j.Guarantees, shapeJSON{Workers: s.workers, Accelerators: s.accelerators, Adjacent: s.adjacency})
+	}
+	return j
+}
+
+func toKindJSON(k Kind) kindJSON {
+	return kindJSON{
+		Workspace:  k.workspace,
+		Name:       k.name,
+		Class:      k.class,
+		Idempotent: k.idempotent,
+		Limit:      k.limit.String(),
+	}
+}
+
+func fromWorkspaceJSON(j workspaceJSON) Workspace {
+	w := Workspace{name: j.Name, queueLimit: j.QueueLimit}
+	for _, s := range j.Guarantees {
+		w.guarantees = append(w.guarantees, Shape{workers: s.Workers, accelerators: s.Accelerators, adjacency: s.Adjacent})
+	}
+	return w
+}
+
+func fromKindJSON(j kindJSON) (Kind, error) {
+	d, err := time.ParseDuration(j.Limit)
+	if err != nil {
+		return Kind{}, fmt.Errorf("kind %s/%s: %w", j.Workspace, j.Name, err)
+	}
+	return Kind{workspace: j.Workspace, name: j.Name, class: j.Class, idempotent: j.Idempotent, limit: d}, nil
+}
--- a/operator/shape.go
+++ b/operator/shape.go
@@ -1,5 +1,7 @@
 package operator
 
+import "fmt"
+
 // Adjacency says how close the tasks of a gang must be.
 type Adjacency string
 
@@ -41,3 +43,8 @@
 
 // Slots returns the number of slots in total.
 func (s Shape) Slots() int { return s.workers * s.accelerators }
+
+// String returns the shape in short form, such as "2x8 rack".
+func (s Shape) String() string {
+	return fmt.Sprintf("%dx%d %s", s.workers, s.accelerators, s.adjacency)
+}
