Add the synchronization of the configuration

Cause: an accepted configuration has to reach every process within seconds and must never revert, through outages, lost answers and restarts. Change: coordination/configsync with Holder (lock-free read, keeps the last 1,024 changes), EntrySync (polls the head row, serves FetchConfig), TargetSync (fresh fetch at start, then differences), Apply (one conditional write of head and change) and Read and ReadAt. Events 400-407. Ruled out: judging a lost answer by one read-back alone. If the head is unchanged, the write may still be on its way, so Apply repeats the same conditional write with the same token; at most one copy takes effect. Asking entries one after another: seven silent ones would delay a target by 42 s, so four are asked at a time. One head read for each Fresh call: callers that wait for the same read share it, if it began after they called.

--- /dev/null
+++ b/coordination/configsync/apply_test.go
@@ -0,0 +1,225 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+// testConfig returns a valid configuration that differs by n.
+func testConfig(n int) operator.Config {
+	site := operator.NewSite("north").WithDataCentre(operator.NewDataCentre("dc1").WithRack("r1", 3))
+	return operator.NewConfig(site).
+		WithWorkspace(operator.NewWorkspace("web").WithQueueLimit(n)).
+		WithKind(operator.NewKind("web", "render", operator.ClassLong))
+}
+
+// Guards against changes that are lost, doubled or misreported when the answer
+// of the conditional write gets lost.
+func TestApplyOutcomes(t *testing.T) {
+	tests := []struct {
+		name      string
+		fates     []fate // of the writes in order, then the last one repeats
+		down      bool   // the tables go down with the first write
+		race      bool   // another operator wins with the first write
+		want      string
+		accepted  bool
+		undecided bool
+	}{
+		{name: "acknowledged", fates: []fate{fateNormal}, accepted: true},
+		{name: "lost after the effect", fates: []fate{fateLostAfter}, accepted: true},
+		{name: "lost before the effect, then repeated", fates: []fate{fateLostBefore, fateNormal}, accepted: true},
+		{name: "lost twice", fates: []fate{fateLostBefore, fateLostAfter}, accepted: true},
+		{name: "refused", fates: []fate{fateRefused}, want: `write configuration head store: store unavailable: injected fault`},
+		{name: "lost for good", fates: []fate{fateLostBefore}, undecided: true, want: `change to generation 2 may or may not be accepted: .*`},
+		{name: "lost, then down", fates: []fate{fateLostAfter}, down: true, undecided: true, accepted: true, want: `change to generation 2 may or may not be accepted: .*unavailable.*`},
+		{name: "race", fates: []fate{fateNormal}, race: true, want: `configuration is at generation 2, expected 1`},
+		{name: "race with a lost answer", fates: []fate{fateLostBefore}, race: true, want: `configuration is at generation 2, expected 1`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := t.Context()
+				store := newFakeStore()
+				_, err := Apply(ctx, store, 0, testConfig(1))
+				qt.Assert(t, err, qt.IsNil)
+				n := 0
+				store.onWrite = func() fate {
+					n++
+					if n == 1 && tt.race {
+						store.onWrite = nil
+						_, err := Apply(ctx, store, 1, testConfig(3))
+						qt.Check(t, err, qt.IsNil)
+					}
+					if n == 1 && tt.down {
+						time.AfterFunc(time.Millisecond, func() { store.set(func() { store.tablesDown = true }) })
+					}
+					return tt.fates[min(n, len(tt.fates))-1]
+				}
+				generation, err := Apply(ctx, store, 1, testConfig(2))
+				store.tablesDown, store.onWrite = false, nil
+				if tt.want != "" {
+					qt.Assert(t, err, qt.ErrorMatches, tt.want)
+				} else {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, generation, qt.Equals, uint64(2))
+				}
+				var undecided *UndecidedError
+				qt.Assert(t, errors.As(err, &undecided), qt.Equals, tt.undecided)
+				s, err := Read(ctx, store)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, s.Config.Equal(testConfig(2)), qt.Equals, tt.accepted)
+			})
+		})
+	}
+}
+
+// Guards against a refused change that leaves traces in the tables, and against
+// an unchanged configuration that makes a generation.
+func TestApplyWritesNothing(t *testing.T) {
+	ctx := t.Context()
+	store := newFakeStore()
+	_, err := Apply(ctx, store, 0, testConfig(0))
+	var check *CheckError
+	qt.Assert(t, errors.As(err, &check), qt.IsTrue)
+	qt.Assert(t, err, qt.ErrorMatches, `.*Workspaces\[0\].QueueLimit: 0 must be positive`)
+	for i := range 2 {
+		_, err := Apply(ctx, store, uint64(i), testConfig(1+i))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	before := store.keys()
+	_, err = Apply(ctx, store, 1, testConfig(9))
+	var race *RaceError
+	qt.Assert(t, errors.As(err, &race), qt.IsTrue)
+	qt.Assert(t, *race, qt.Equals, RaceError{Expected: 1, Found: 2})
+	generation, err := Apply(ctx, store, 2, testConfig(2))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, generation, qt.Equals, uint64(2))
+	qt.Assert(t, store.keys(), qt.Equals, before)
+	old, err := ReadAt(ctx, store, 1)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, old.Config.Equal(testConfig(1)), qt.IsTrue)
+	_, err = ReadAt(ctx, store, 3)
+	qt.Assert(t, err, qt.ErrorIs, rows.ErrNotFound)
+}
+
+type applyInput struct {
+	read     bool
+	expected uint64
+	content  int
+}
+
+type applyOutput struct {
+	generation uint64
+	content    int
+	err        error
+}
+
+type configState struct {
+	generation uint64
+	content    int
+}
+
+// configModel is a register that is replaced by compare-and-set.
+var configModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{configState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(configState), input.(applyInput), output.(applyOutput)
+		if in.read {
+			if out.err == nil && s == (configState{out.generation, out.content}) {
+				return []any{s}
+			}
+			return nil
+		}
+		next := configState{in.expected + 1, in.content}
+		var race *RaceError
+		var undecided *UndecidedError
+		switch {
+		case out.err == nil:
+			if s.generation == in.expected && out.generation == next.generation {
+				return []any{next}
+			}
+			return nil
+		case errors.As(out.err, &race):
+			if s.generation == in.expected {
+				return nil
+			}
+		case errors.As(out.err, &undecided):
+			if s.generation == in.expected {
+				return []any{s, next}
+			}
+		}
+		return []any{s}
+	},
+}
+
+// Guards against two racing operators who are both told that their change is
+// accepted, and against an accepted change that disappears.
+func TestApplyIsLinearizable(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.random = rand.New(rand.NewPCG(seed, 1))
+			fates := rand.New(rand.NewPCG(seed, 2))
+			store.onWrite = func() fate {
+				store.mu.Lock()
+				defer store.mu.Unlock()
+				return []fate{fateNormal, fateNormal, fateLostAfter, fateLostBefore, fateRefused}[fates.IntN(5)]
+			}
+			var clock atomic.Int64
+			var mu sync.Mutex
+			var history []porcupine.Operation
+			var wg sync.WaitGroup
+			for client := range 4 {
+				wg.Go(func() {
+					for i := range 6 {
+						ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+						in := applyInput{read: true}
+						call := clock.Add(1)
+						s, err := Read(ctx, store)
+						out := applyOutput{generation: s.Generation, err: err}
+						if w := s.Config.Workspaces(); len(w) > 0 {
+							out.content = w[0].QueueLimit()
+						}
+						mu.Lock()
+						history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: clock.Add(1)})
+						mu.Unlock()
+
+						in = applyInput{expected: s.Generation, content: 100*(client+1) + i}
+						call = clock.Add(1)
+						out = applyOutput{}
+						out.generation, out.err = Apply(ctx, store, in.expected, testConfig(in.content))
+						cancel()
+						end := clock.Add(1)
+						var undecided *UndecidedError
+						if errors.As(out.err, &undecided) {
+							end = 1 << 40 // The write may still take effect.
+						}
+						mu.Lock()
+						history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			history = slices.DeleteFunc(history, func(op porcupine.Operation) bool {
+				return op.Input.(applyInput).read && op.Output.(applyOutput).err != nil
+			})
+			model := configModel.ToModel()
+			qt.Assert(t, porcupine.CheckOperations(model, history), qt.IsTrue, qt.Commentf("seed %d: %s", seed, fmt.Sprint(history)))
+		})
+	}
+}
