Add the shared drpc pool and server

Cause: transport/target and transport/entry both need connections per address and a server that ends gracefully; drpc carries one call at a time on a connection and its own server cancels calls when its context ends. Ruled out: drpcpool, because it does not limit the connections in use and puts a connection back after a failed call; drpcserver.Serve, because the end of its context cancels calls in progress. Measured: go test -race -count=5 ./transport/rpc passes in bubbles of synctest. Without the timer on the wait for a request, the test of "half a request" does not end (stopped after 60 s). Conclusion: the pool and server are ready for the two services.

--- /dev/null
+++ b/transport/rpc/pool.go
@@ -0,0 +1,329 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc"
+)
+
+// Settings of a Pool.
+type Settings struct {
+	// Dial opens a connection and honours its context.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Limit is the number of connections per address; 0 means ConnLimit.
+	Limit int
+	// Generation returns the generation of this process. It may be nil.
+	Generation func() uint64
+	// Learn is called with the generation of a reply that is higher than that of
+	// this process, and with the peer's address. It must not block. It may be nil.
+	Learn func(generation uint64, address string)
+}
+
+// Pool keeps client connections by address. Its methods are safe for concurrent
+// use.
+type Pool struct {
+	cfg  Settings
+	done chan struct{}  // closed by Close
+	wg   sync.WaitGroup // calls in progress, dials and closeIdle
+
+	mu     sync.Mutex
+	closed bool
+	peers  map[string]*peer
+}
+
+// peer holds the connections to one address. Pool.mu guards all but slots.
+type peer struct {
+	slots chan struct{} // holds a token for each call that may use a connection
+	calls int           // calls in progress or waiting for a slot
+	idle  []*conn       // the last one was used most recently
+	busy  map[*conn]struct{}
+}
+
+// NewPool returns a pool without connections. Close releases it.
+func NewPool(cfg Settings) *Pool {
+	if cfg.Limit <= 0 {
+		cfg.Limit = ConnLimit
+	}
+	p := &Pool{cfg: cfg, done: make(chan struct{}), peers: make(map[string]*peer)}
+	p.wg.Go(p.closeIdle)
+	return p
+}
+
+// Close ends calls in progress with ErrClosed, closes all connections and waits.
+// Later calls fail with ErrClosed.
+func (p *Pool) Close() error {
+	var conns []*conn
+	p.mu.Lock()
+	if !p.closed {
+		p.closed = true
+		close(p.done)
+	}
+	for _, pe := range p.peers {
+		conns = append(conns, pe.idle...)
+		pe.idle = nil
+		for c := range pe.busy {
+			conns = append(conns, c)
+		}
+	}
+	p.mu.Unlock()
+	closeAll(conns)
+	p.wg.Wait()
+	return nil
+}
+
+// CloseOpenedBefore closes the connections to an address that were opened before
+// t, also those that carry a call. It is used when a peer is found silent.
+func (p *Pool) CloseOpenedBefore(address string, t time.Time) {
+	var conns []*conn
+	p.mu.Lock()
+	if pe := p.peers[address]; pe != nil {
+		var keep []*conn
+		for _, c := range pe.idle {
+			if c.opened.Before(t) {
+				conns = append(conns, c)
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		pe.idle = keep
+		for c := range pe.busy {
+			if c.opened.Before(t) {
+				conns = append(conns, c)
+			}
+		}
+	}
+	p.mu.Unlock()
+	closeAll(conns)
+}
+
+// call makes one call over a connection to the address, a reused one if possible.
+func (p *Pool) call(ctx context.Context, address, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	pe, err := p.enter(address)
+	if err != nil {
+		return &NotSentError{Err: err}
+	}
+	defer p.leave(pe)
+	select {
+	case pe.slots <- struct{}{}:
+	case <-ctx.Done():
+		return &NotSentError{Err: fmt.Errorf("wait for a connection: %w", ctx.Err())}
+	case <-p.done:
+		return &NotSentError{Err: ErrClosed}
+	}
+	defer func() { <-pe.slots }()
+	for {
+		c, reused, err := p.take(ctx, address, pe)
+		if err != nil {
+			return &NotSentError{Err: err}
+		}
+		again, err := c.invoke(ctx, rpc, enc, in, out)
+		if err == nil {
+			p.put(pe, c)
+			p.learn(address, out)
+			return nil
+		}
+		p.drop(pe, c)
+		if p.isClosed() {
+			var notSent *NotSentError
+			if errors.As(err, &notSent) {
+				return &NotSentError{Err: ErrClosed}
+			}
+			return fmt.Errorf("%w: %w", ErrClosed, err)
+		}
+		// The peer may have closed a reused connection in the meantime. The loop
+		// ends with the idle connections at the latest.
+		if !again || !reused {
+			return err
+		}
+	}
+}
+
+func (p *Pool) isClosed() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// withDeadline adds the default deadline to a context that has none.
+func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, CallTimeout)
+}
+
+// enter registers a call with the pool and its peer.
+func (p *Pool) enter(address string) (*peer, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, ErrClosed
+	}
+	pe := p.peers[address]
+	if pe == nil {
+		pe = &peer{slots: make(chan struct{}, p.cfg.Limit), busy: make(map[*conn]struct{})}
+		p.peers[address] = pe
+	}
+	pe.calls++
+	p.wg.Add(1)
+	return pe, nil
+}
+
+func (p *Pool) leave(pe *peer) {
+	p.mu.Lock()
+	pe.calls--
+	p.mu.Unlock()
+	p.wg.Done()
+}
+
+// take returns an idle connection or dials one. The caller holds a slot.
+func (p *Pool) take(ctx context.Context, address string, pe *peer) (c *conn, reused bool, err error) {
+	if c := p.takeIdle(pe); c != nil {
+		return c, true, nil
+	}
+	c, err = p.dial(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	p.mu.Lock()
+	closed := p.closed
+	if !closed {
+		pe.busy[c] = struct{}{}
+	}
+	p.mu.Unlock()
+	if closed {
+		_ = c.drpc.Close()
+		return nil, false, ErrClosed
+	}
+	return c, false, nil
+}
+
+func (p *Pool) takeIdle(pe *peer) *conn {
+	var dead []*conn
+	defer func() { closeAll(dead) }()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(pe.idle) > 0 {
+		c := pe.idle[len(pe.idle)-1]
+		pe.idle = pe.idle[:len(pe.idle)-1]
+		if c.isClosed() {
+			dead = append(dead, c)
+			continue
+		}
+		pe.busy[c] = struct{}{}
+		return c
+	}
+	return nil
+}
+
+// dial opens a connection. Close ends it too.
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p.wg.Go(func() {
+		select {
+		case <-p.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	nc, err := p.cfg.Dial(ctx, address)
+	if p.isClosed() {
+		if err == nil {
+			_ = nc.Close()
+		}
+		return nil, ErrClosed
+	}
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	return newConn(nc), nil
+}
+
+// put makes a connection available to the next call.
+func (p *Pool) put(pe *peer, c *conn) {
+	c.idle = time.Now()
+	p.mu.Lock()
+	delete(pe.busy, c)
+	keep := !p.closed && !c.isClosed()
+	if keep {
+		pe.idle = append(pe.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = c.drpc.Close()
+	}
+}
+
+// drop closes a connection.
+func (p *Pool) drop(pe *peer, c *conn) {
+	_ = c.drpc.Close()
+	p.mu.Lock()
+	delete(pe.busy, c)
+	p.mu.Unlock()
+}
+
+// learn passes on the generation of a reply if it is news.
+func (p *Pool) learn(address string, out drpc.Message) {
+	if p.cfg.Learn == nil {
+		return
+	}
+	reply, ok := out.(interface{ GetGeneration() uint64 })
+	if !ok {
+		return
+	}
+	g := reply.GetGeneration()
+	if p.cfg.Generation == nil || g > p.cfg.Generation() {
+		p.cfg.Learn(g, address)
+	}
+}
+
+// closeIdle closes connections that were not used for ClientIdle and forgets
+// peers without connections and calls.
+func (p *Pool) closeIdle() {
+	ticker := time.NewTicker(ClientIdle / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.done:
+			return
+		case <-ticker.C:
+			closeAll(p.takeExpired())
+		}
+	}
+}
+
+func (p *Pool) takeExpired() []*conn {
+	var expired []*conn
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, pe := range p.peers {
+		// The list is in the order of use.
+		n := 0
+		for n < len(pe.idle) && time.Since(pe.idle[n].idle) >= ClientIdle {
+			n++
+		}
+		expired = append(expired, pe.idle[:n]...)
+		pe.idle = append([]*conn(nil), pe.idle[n:]...)
+		if len(pe.idle) == 0 && pe.calls == 0 {
+			delete(p.peers, address)
+		}
+	}
+	return expired
+}
+
+func closeAll(conns []*conn) {
+	for _, c := range conns {
+		_ = c.drpc.Close()
+	}
+}
--- /dev/null
+++ b/transport/rpc/rpc_test.go
@@ -0,0 +1,301 @@
+package rpc_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+	"github.com/medlargrade/medlargrade/transport/rpc"
+	"github.com/medlargrade/medlargrade/transport/rpc/rpctest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// server answers Await as the test says.
+type server struct {
+	targetrpc.DRPCTargetUnimplementedServer
+	await func(context.Context, *targetrpc.AwaitRequest) (*targetrpc.AttemptReply, error)
+}
+
+func (s *server) Await(ctx context.Context, r *targetrpc.AwaitRequest) (*targetrpc.AttemptReply, error) {
+	return s.await(ctx, r)
+}
+
+// echo answers after the wait time of the request with its attempt.
+func echo(ctx context.Context, r *targetrpc.AwaitRequest) (*targetrpc.AttemptReply, error) {
+	select {
+	case <-time.After(time.Duration(r.GetWaitMillis()) * time.Millisecond):
+		return &targetrpc.AttemptReply{Attempt: r.GetAttempt(), Generation: 7}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// rig is a server at address "t1" with a pool.
+type rig struct {
+	net    rpctest.Network
+	pool   *rpc.Pool
+	client targetrpc.DRPCTargetClient
+	stop   context.CancelFunc // ends Serve
+	served chan error
+}
+
+func newRig(t *testing.T, srv *server, cfg rpc.Settings) *rig {
+	r := &rig{served: make(chan error, 1)}
+	cfg.Dial = r.net.Dial
+	r.pool = rpc.NewPool(cfg)
+	r.client = targetrpc.NewDRPCTargetClient(r.pool.Conn("t1"))
+	ctx, stop := context.WithCancel(context.Background())
+	r.stop = stop
+	mux := drpcmux.New()
+	qt.Assert(t, targetrpc.DRPCRegisterTarget(mux, srv), qt.IsNil)
+	lis := r.net.Listen("t1")
+	go func() { r.served <- rpc.Serve(ctx, lis, mux) }()
+	return r
+}
+
+// close ends the pool and the server.
+func (r *rig) close(t *testing.T) {
+	qt.Check(t, r.pool.Close(), qt.IsNil)
+	r.stop()
+	qt.Check(t, <-r.served, qt.IsNil)
+}
+
+func await(wait time.Duration) *targetrpc.AwaitRequest {
+	return &targetrpc.AwaitRequest{WaitMillis: uint64(wait.Milliseconds())}
+}
+
+func isNotSent(err error) bool {
+	var e *rpc.NotSentError
+	return errors.As(err, &e)
+}
+
+// Guards against more connections to a target than its share for one entry, and
+// against a call that waits for a connection beyond its context.
+func TestPoolLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var now, most atomic.Int64
+		r := newRig(t, &server{await: func(ctx context.Context, req *targetrpc.AwaitRequest) (*targetrpc.AttemptReply, error) {
+			n := now.Add(1)
+			defer now.Add(-1)
+			for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+			}
+			return echo(ctx, req)
+		}}, rpc.Settings{Limit: 4})
+		defer r.close(t)
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range 12 {
+			wg.Go(func() {
+				_, err := r.client.Await(t.Context(), await(time.Second))
+				qt.Check(t, err, qt.IsNil)
+			})
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second/2)
+		defer cancel()
+		_, err := r.client.Await(ctx, await(0))
+		qt.Check(t, isNotSent(err), qt.IsTrue)
+		qt.Check(t, err, qt.ErrorIs, context.DeadlineExceeded)
+		wg.Wait()
+		qt.Check(t, time.Since(start), qt.Equals, 3*time.Second)
+		qt.Check(t, most.Load(), qt.Equals, int64(4))
+		qt.Check(t, r.net.Dials("t1"), qt.Equals, 4)
+	})
+}
+
+// Guards against a request that was received being reported as not sent, which
+// would allow a second run, and against the opposite, which costs retries.
+func TestNotSent(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(r *rig)
+		address string
+		req     *targetrpc.AwaitRequest
+		notSent bool
+		is      error // nil if any error will do
+		took    time.Duration
+	}{
+		{name: "no listener", address: "t2", req: await(0), notSent: true},
+		{name: "request too large", address: "t1", notSent: true, req: &targetrpc.AwaitRequest{
+			Attempt: &targetrpc.AttemptID{Job: string(make([]byte, rpc.MaxMessage+1))},
+		}},
+		{name: "pool closed", address: "t1", req: await(0), notSent: true, is: rpc.ErrClosed, prepare: func(r *rig) {
+			_ = r.pool.Close()
+		}},
+		{name: "default deadline", address: "t1", req: await(time.Minute), is: context.DeadlineExceeded, took: rpc.CallTimeout},
+		{name: "silent connection", address: "t1", req: await(0), is: context.DeadlineExceeded, took: rpc.CallTimeout, prepare: func(r *rig) {
+			_, _ = r.client.Await(context.Background(), await(0))
+			r.net.Silence("t1")
+		}},
+		{name: "pool closed during the call", address: "t1", req: await(time.Minute), is: rpc.ErrClosed, took: time.Second, prepare: func(r *rig) {
+			time.AfterFunc(time.Second, func() { _ = r.pool.Close() })
+		}},
+		{name: "peer found silent during the call", address: "t1", req: await(time.Minute), took: time.Second, prepare: func(r *rig) {
+			time.AfterFunc(time.Second, func() { r.pool.CloseOpenedBefore("t1", time.Now()) })
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, &server{await: echo}, rpc.Settings{})
+				defer r.close(t)
+				if tt.prepare != nil {
+					tt.prepare(r)
+				}
+				start := time.Now()
+				client := targetrpc.NewDRPCTargetClient(r.pool.Conn(tt.address))
+				_, err := client.Await(context.Background(), tt.req)
+				qt.Assert(t, err, qt.ErrorMatches, "(?s)Await "+tt.address+": .*")
+				qt.Check(t, isNotSent(err), qt.Equals, tt.notSent)
+				if tt.is != nil {
+					qt.Check(t, err, qt.ErrorIs, tt.is)
+				}
+				qt.Check(t, time.Since(start), qt.Equals, tt.took)
+			})
+		})
+	}
+}
+
+// Guards against the reuse of a connection that failed or that the server closed
+// in the meantime, and against a pool that dials for every call.
+func TestReuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		learned := make(map[string]uint64)
+		r := newRig(t, &server{await: echo}, rpc.Settings{
+			Generation: func() uint64 { return 6 },
+			Learn:      func(g uint64, address string) { learned[address] = g },
+		})
+		defer r.close(t)
+		call := func() {
+			_, err := r.client.Await(t.Context(), await(0))
+			qt.Check(t, err, qt.IsNil)
+		}
+		call()
+		call()
+		qt.Check(t, r.net.Dials("t1"), qt.Equals, 1)
+		qt.Check(t, learned, qt.DeepEquals, map[string]uint64{"t1": 7})
+
+		r.net.Silence("t1")
+		_, err := r.client.Await(t.Context(), await(0))
+		qt.Check(t, err, qt.ErrorIs, context.DeadlineExceeded)
+		call()
+		qt.Check(t, r.net.Dials("t1"), qt.Equals, 2)
+
+		time.Sleep(rpc.ServerIdle + rpc.ClientIdle)
+		call()
+		qt.Check(t, r.net.Dials("t1"), qt.Equals, 3)
+	})
+}
+
+// Guards against a reply that reaches another call: calls are abandoned at random
+// while their replies are under way, and their connections would then carry other
+// calls.
+func TestRepliesDoNotCross(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, &server{await: echo}, rpc.Settings{Limit: 8})
+		defer r.close(t)
+		rnd := rand.New(rand.NewPCG(1, 2))
+		var answered, abandoned atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 500 {
+			wait, limit := time.Duration(rnd.IntN(20))*time.Millisecond, time.Duration(rnd.IntN(2000))*time.Millisecond
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				job := fmt.Sprintf("job-%d", i)
+				reply, err := r.client.Await(ctx, &targetrpc.AwaitRequest{
+					Attempt: &targetrpc.AttemptID{Job: job}, WaitMillis: uint64(wait.Milliseconds()),
+				})
+				if err != nil {
+					abandoned.Add(1)
+					return
+				}
+				answered.Add(1)
+				qt.Check(t, reply.GetAttempt().GetJob(), qt.Equals, job)
+			})
+		}
+		wg.Wait()
+		qt.Check(t, answered.Load() > 100 && abandoned.Load() > 20, qt.IsTrue,
+			qt.Commentf("answered %d, abandoned %d", answered.Load(), abandoned.Load()))
+	})
+}
+
+// Guards against a shutdown that cuts a call short or that never ends.
+func TestServeDrain(t *testing.T) {
+	tests := []struct {
+		name  string
+		wait  time.Duration
+		ended bool
+		took  time.Duration
+	}{
+		{name: "call ends in time", wait: 3 * time.Second, ended: true, took: 2 * time.Second},
+		{name: "call is too long", wait: time.Hour, took: rpc.DrainTime},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, &server{await: echo}, rpc.Settings{})
+				defer func() { _ = r.pool.Close() }()
+				_, err := r.client.Await(t.Context(), await(0)) // leaves an idle connection
+				qt.Assert(t, err, qt.IsNil)
+				result := make(chan error, 1)
+				go func() {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					_, err := r.client.Await(ctx, await(tt.wait))
+					result <- err
+				}()
+				time.Sleep(time.Second)
+				start := time.Now()
+				r.stop()
+				qt.Check(t, <-r.served, qt.IsNil)
+				qt.Check(t, time.Since(start), qt.Equals, tt.took)
+				err = <-result
+				qt.Check(t, err == nil, qt.Equals, tt.ended, qt.Commentf("%v", err))
+				_, err = r.client.Await(t.Context(), await(0))
+				qt.Check(t, isNotSent(err), qt.IsTrue)
+			})
+		})
+	}
+}
+
+// Guards against clients that hold connections of a server without using them.
+func TestServerClosesUnused(t *testing.T) {
+	tests := []struct {
+		name string
+		send string
+	}{
+		{name: "nothing sent"},
+		// An invoke frame of stream 1, message 1, without the message that follows.
+		{name: "half a request", send: "\x03\x01\x01\x20/medlargrade.target.Target/Await"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, &server{await: echo}, rpc.Settings{})
+				defer r.close(t)
+				nc, err := r.net.Dial(t.Context(), "t1")
+				qt.Assert(t, err, qt.IsNil)
+				defer func() { _ = nc.Close() }()
+				start := time.Now()
+				_, err = nc.Write([]byte(tt.send))
+				qt.Assert(t, err, qt.IsNil)
+				_, err = nc.Read(make([]byte, 1))
+				qt.Check(t, err, qt.IsNotNil)
+				qt.Check(t, time.Since(start), qt.Equals, rpc.ServerIdle)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/transport/rpc/rpctest/rpctest.go
@@ -0,0 +1,137 @@
+// Package rpctest provides a network of in-memory pipes for tests, also for tests
+// in a bubble of testing/synctest, where sockets do not work.
+//
+// # Usage
+//
+//	var n rpctest.Network
+//	lis := n.Listen("t1")
+//	go serve(lis)
+//	pool := rpc.NewPool(rpc.Settings{Dial: n.Dial})
+//	n.Silence("t1") // Open connections to t1 carry no more data, new ones do.
+package rpctest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Network connects dialers to listeners by address. The zero value is ready.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     []*conn
+}
+
+// Listen returns a listener for the address. It replaces an earlier one.
+func (n *Network) Listen(address string) net.Listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{address: addr(address), accepted: make(chan net.Conn), done: make(chan struct{})}
+	if n.listeners == nil {
+		n.listeners = make(map[string]*listener)
+	}
+	n.listeners[address] = l
+	return l
+}
+
+// Dial connects to a listener. It fails if there is none or it is closed.
+func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, fmt.Errorf("connect to %s: connection refused", address)
+	}
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+	case <-l.done:
+		return nil, fmt.Errorf("connect to %s: connection refused", address)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c := &conn{Conn: near, address: address}
+	n.mu.Lock()
+	n.conns = append(n.conns, c)
+	n.mu.Unlock()
+	return c, nil
+}
+
+// Dials returns how many connections to the address were opened so far.
+func (n *Network) Dials(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for _, c := range n.conns {
+		if c.address == address {
+			count++
+		}
+	}
+	return count
+}
+
+// Silence makes the open connections to the address swallow what is written to
+// them and deliver nothing, without an error, until they are closed.
+func (n *Network) Silence(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		if c.address == address {
+			c.silent.Store(true)
+		}
+	}
+}
+
+// conn is the dialer's end of a connection.
+type conn struct {
+	net.Conn
+	address string
+	silent  atomic.Bool
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	if c.silent.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+type listener struct {
+	address  addr
+	accepted chan net.Conn
+	done     chan struct{}
+	close    sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.close.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return l.address }
+
+type addr string
+
+func (addr) Network() string  { return "pipe" }
+func (a addr) String() string { return string(a) }
--- /dev/null
+++ b/transport/rpc/serve.go
@@ -0,0 +1,137 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"storj.io/drpc"
+)
+
+// acceptPause is the pause after a failed accept, for example when the process
+// has no file descriptors left.
+const acceptPause = 100 * time.Millisecond
+
+// Serve accepts drpc connections and passes their calls to h until ctx ends or
+// the listener fails. It then closes the listener and the connections without a
+// call, waits up to DrainTime for calls in progress, cancels the contexts of the
+// rest and returns once every handler has returned. It returns nil if ctx ended.
+//
+// A handler must return when its context ends. The context also ends when the
+// caller's connection is closed. Serve logs to the zerolog.Logger in ctx.
+func Serve(ctx context.Context, lis net.Listener, h drpc.Handler) error {
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	s := &server{handler: h, log: zerolog.Ctx(ctx), conns: make(map[*serverConn]struct{})}
+	accepting, stopped := context.WithCancel(ctx)
+	s.wg.Go(func() {
+		<-accepting.Done()
+		_ = lis.Close()
+	})
+	err := s.accept(accepting, calls, lis)
+	stopped()
+
+	s.drain()
+	timer := time.AfterFunc(DrainTime, func() {
+		if n := s.inCall(); n > 0 {
+			s.log.Warn().Int("Event", EventCallsCanceled).Int("Calls", n).Msg("drain time is over, calls are canceled")
+		}
+		cancel()
+	})
+	s.wg.Wait()
+	timer.Stop()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// server holds the connections of one Serve.
+type server struct {
+	handler drpc.Handler
+	log     *zerolog.Logger
+	wg      sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+}
+
+func (s *server) accept(ctx, calls context.Context, lis net.Listener) error {
+	for {
+		nc, err := lis.Accept()
+		if err == nil {
+			c := newServerConn(nc)
+			s.mu.Lock()
+			s.conns[c] = struct{}{}
+			s.mu.Unlock()
+			s.wg.Go(func() { s.serveConn(calls, c) })
+			continue
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !isTemporary(err) {
+			return fmt.Errorf("accept on %s: %w", lis.Addr(), err)
+		}
+		s.log.Warn().Int("Event", EventAcceptFailed).Err(err).Msg("accept failed")
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(acceptPause):
+		}
+	}
+}
+
+// isTemporary reports whether a later accept may succeed.
+func isTemporary(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *server) serveConn(calls context.Context, c *serverConn) {
+	err := c.serve(calls, s.handler)
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, context.Canceled) {
+		s.log.Debug().Int("Event", EventConnEnded).Str("Peer", c.tr.RemoteAddr().String()).Err(err).Msg("connection closed")
+	}
+}
+
+// drain lets each connection end after its call in progress.
+func (s *server) drain() {
+	s.mu.Lock()
+	conns := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		c.drain()
+	}
+}
+
+// inCall returns the number of connections with a call in progress.
+func (s *server) inCall() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		if c.isBusy() {
+			n++
+		}
+	}
+	return n
+}
