--- /dev/null
+++ b/protocol/callerapi/response.go
@@ -0,0 +1,113 @@
+package callerapi
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"time"
+	"unicode/utf8"
+)
+
+// Outcome is the end of a request.
+type Outcome string
+
+// Outcomes.
+const (
+	Ran     Outcome = "Ran"
+	NotRun  Outcome = "NotRun"
+	Unknown Outcome = "Unknown"
+)
+
+// State is the state of a job that has not ended.
+type State string
+
+// States.
+const (
+	Queued     State = "Queued"
+	Dispatched State = "Dispatched"
+)
+
+// Response describes a job: Outcome is set if it has ended, otherwise State.
+type Response struct {
+	Outcome    Outcome   `json:",omitempty"`
+	State      State     `json:",omitempty"`
+	Workspace  string    `json:",omitempty"`
+	Key        string    `json:",omitempty"`
+	Job        string    `json:",omitempty"`
+	Answer     *Answer   `json:",omitempty"` // set if Outcome is Ran
+	Reason     string    `json:",omitempty"` // set if Outcome is NotRun; see the reasons of package outcome
+	Detail     string    `json:",omitempty"`
+	RetryAfter Duration  `json:",omitempty"` // when to try again; missing if that is pointless
+	Elapsed    Duration  `json:",omitempty"` // from the release to the end of the last task
+	Errors     []Problem `json:",omitempty"` // set if the request is invalid
+}
+
+// Ended reports whether the response carries an outcome.
+func (r Response) Ended() bool { return r.Outcome != "" }
+
+// Answer is the whole result of a job that ran.
+type Answer struct {
+	Parts  []json.RawMessage // one for each member of the gang, in member order
+	Failed bool              `json:",omitempty"` // a task ended with an error of its own
+	Error  string            `json:",omitempty"` // of the first failed task
+}
+
+// List is a page of jobs in the order of their keys.
+type List struct {
+	Jobs  []Response
+	After string `json:",omitempty"` // pass it to get the next page; missing on the last one
+}
+
+// ErrorBody is the body of a refused request that is no submission.
+type ErrorBody struct {
+	Errors []Problem
+}
+
+// Duration is a time.Duration that JSON shows as a string such as "1.5s".
+type Duration time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration: %w", err)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Base64Prefix starts the JSON string of a part that is neither JSON nor UTF-8.
+const Base64Prefix = "data:;base64,"
+
+// Parts returns the bodies of an answer as JSON values. A body that is not valid
+// JSON becomes a JSON string; if it is not UTF-8 either, the string is its base64
+// encoding after Base64Prefix, because a JSON string can't hold arbitrary bytes.
+func Parts(bodies [][]byte) []json.RawMessage {
+	parts := make([]json.RawMessage, 0, len(bodies))
+	for _, b := range bodies {
+		switch {
+		case utf8.Valid(b) && json.Valid(b):
+			parts = append(parts, b)
+		case utf8.Valid(b):
+			parts = append(parts, quote(string(b)))
+		default:
+			parts = append(parts, quote(Base64Prefix+base64.StdEncoding.EncodeToString(b)))
+		}
+	}
+	return parts
+}
+
+// quote returns s, which is valid UTF-8, as a JSON string.
+func quote(s string) json.RawMessage {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	_ = enc.Encode(s) // A string always encodes.
+	return bytes.TrimSuffix(buf.Bytes(), []byte("\n"))
+}
