Add the core of the target process

Cause: nothing runs tasks yet. The target process must decide what runs on its slots, as member and as hub of gangs, and must prove each "not run".

Change: state/attempts keeps attempts, sessions, fences and slots in shards and takes each decision under the lock of the attempt's shard. coordination/executor implements the Target service over an interface Worker: single tasks, held gang members with a pulse loop, hubs, worker leases, the contact lease of lent work, preemption with holds, drain, heartbeats and a state dump. protocol/targetrpc gets the digest of an answer.

Ruled out: a fence granted by a gang member other than the hub. Once the member may have attached, the hub may have released the others, so the member reports ATTEMPT_STOPPED and never ATTEMPT_NOT_RUN. Ruled out: timers of zero duration in await.

--- /dev/null
+++ b/coordination/executor/gang_test.go
@@ -0,0 +1,182 @@
+package executor
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+)
+
+// gangStopBound is the time from the loss of a member to the stop of all others.
+const gangStopBound = 15 * time.Second
+
+// Guards against a gang that runs in part, an answer without all parts or in the
+// wrong order, and slots that are not given back.
+func TestGangRunsWhole(t *testing.T) {
+	tests := []struct {
+		name   string
+		fail   bool
+		failed bool
+	}{
+		{name: "succeeds"},
+		{name: "one task fails", fail: true, failed: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(s *site) {
+				s.workers[1].fail = tt.fail
+				s.workers[1].runTime = 10 * time.Second
+				s.startGang("j", longTask(8))
+				for i, w := range s.workers {
+					s.pass(100 * time.Millisecond)
+					began, _ := w.ran("j/1")
+					s.Assert(began.IsZero(), qt.IsFalse, qt.Commentf("member %d", i))
+				}
+				r := s.await(0, "j", time.Minute)
+				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
+				s.Assert(r.Answer.Parts, qt.HasLen, 3)
+				s.Assert(r.Answer.Failed, qt.Equals, tt.failed)
+				s.Assert(r.Answer.Parts[1].Failed, qt.Equals, tt.failed)
+				s.stoppedBy("j", time.Now())
+				s.pass(3 * time.Second)
+				for i, e := range s.targets {
+					s.Assert(e.table.FreeSlots(), qt.Equals, 8)
+					s.Assert(e.table.List(isHeld), qt.HasLen, 0, qt.Commentf("target %d", i))
+				}
+			})
+		})
+	}
+}
+
+// Guards against members that run on after a part of their gang was lost, and
+// against an answer of a gang that did not run whole.
+func TestGangLoss(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(s *site)
+		kept int // a target whose process goes on, as the one to ask
+	}{
+		{name: "member killed", lose: func(s *site) { s.targets[2].Close() }},
+		{name: "hub killed", lose: func(s *site) { s.targets[0].Close() }, kept: 1},
+		{name: "member cut off", lose: func(s *site) { s.net.setCut("target-1", true) }},
+		{name: "hub cut off", lose: func(s *site) { s.net.setCut("target-0", true) }},
+		{name: "canceled at the hub", lose: func(s *site) { s.cancel(0) }},
+		{name: "canceled at a member", lose: func(s *site) { s.cancel(2) }},
+		{name: "worker of a member restarts", lose: func(s *site) {
+			s.workers[1].set(func(w *fakeWorker) { clear(w.tasks) })
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(s *site) {
+				for _, w := range s.workers {
+					w.runTime = time.Hour
+				}
+				s.startGang("j", longTask(8))
+				s.pass(7 * time.Second)
+				tt.lose(s)
+				lost := time.Now()
+				r := s.await(tt.kept, "j", time.Minute)
+				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED, qt.Commentf("%v", r))
+				s.stoppedBy("j", lost.Add(gangStopBound))
+				s.Assert(time.Since(lost) <= gangStopBound, qt.IsTrue, qt.Commentf("%v", time.Since(lost)))
+			})
+		})
+	}
+}
+
+// Guards against a member that runs without the verdict, or runs on alone, when
+// the reply that carries the verdict Run is lost or the connection is cut then.
+func TestCutAtRelease(t *testing.T) {
+	tests := []struct {
+		name string
+		lost int  // replies with Run that are lost
+		cut  bool // the connection stays cut from then on
+		end  targetrpc.AttemptState
+	}{
+		{name: "one reply lost", lost: 1, end: targetrpc.AttemptState_ATTEMPT_RAN},
+		{name: "cut", lost: 1, cut: true, end: targetrpc.AttemptState_ATTEMPT_STOPPED},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(s *site) {
+				var mu sync.Mutex
+				lost := 0
+				s.net.onPulse = func(from, _ string, r *targetrpc.PulseReply) error {
+					mu.Lock()
+					defer mu.Unlock()
+					if from != "target-1" || r.Verdict != targetrpc.Verdict_VERDICT_RUN || lost == tt.lost {
+						return nil
+					}
+					lost++
+					s.net.setCut("target-1", tt.cut)
+					return errCut
+				}
+				released := time.Now()
+				s.startGang("j", longTask(4))
+				r := s.await(0, "j", time.Minute)
+				s.Assert(r.State, qt.Equals, tt.end, qt.Commentf("%v", r))
+				if tt.cut {
+					s.stoppedBy("j", released.Add(gangStopBound))
+					began, _ := s.workers[1].ran("j/1")
+					s.Assert(began.IsZero(), qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a release of a gang that is not whole or no longer held, and
+// against members that run after such a release was refused.
+func TestReleaseRefused(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(s *site)
+		code    targetrpc.RefusalCode
+	}{
+		{"lapsed", func(s *site) { s.pass(ReservationTTL + time.Second) }, targetrpc.RefusalCode_REFUSAL_LAPSED},
+		{"fenced", func(s *site) { s.fence(0) }, targetrpc.RefusalCode_REFUSAL_FENCED},
+		{"canceled", func(s *site) { s.cancel(0) }, targetrpc.RefusalCode_REFUSAL_CANCELED},
+		{"member aborted", func(s *site) { s.fence(2); s.pass(time.Second) }, targetrpc.RefusalCode_REFUSAL_MEMBER},
+		{"member killed", func(s *site) { s.targets[1].Close(); s.pass(GangLease) }, targetrpc.RefusalCode_REFUSAL_MEMBER},
+		{"leaving", func(s *site) { s.targets[0].Drain(s.ctx) }, targetrpc.RefusalCode_REFUSAL_LEAVING},
+		{"old generation", func(s *site) { s.generation.Store(6) }, targetrpc.RefusalCode_REFUSAL_GENERATION},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(s *site) {
+				for _, r := range s.reserve("j", longTask(8)) {
+					s.Assert(r.Reserved, qt.IsTrue)
+				}
+				tt.prepare(s)
+				for range 2 {
+					r := s.release("j")
+					s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_NOT_RUN)
+					s.Assert(r.Refusal.Code, qt.Equals, tt.code)
+				}
+				s.pass(time.Minute)
+				s.neverRan("j")
+				for _, e := range s.targets {
+					s.Assert(e.table.FreeSlots() == 8 || e.ctx.Err() != nil, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a member that claims for the whole gang that it did not run.
+func TestMemberProvesNothing(t *testing.T) {
+	inBubble(t, 2, func(s *site) {
+		s.startGang("j", longTask(1))
+		s.Assert(s.fence(1).State, qt.Not(qt.Equals), targetrpc.AttemptState_ATTEMPT_NOT_RUN)
+		s.Assert(s.await(1, "j", time.Minute).State, qt.Not(qt.Equals), targetrpc.AttemptState_ATTEMPT_NOT_RUN)
+	})
+	inBubble(t, 2, func(s *site) {
+		s.reserve("j", longTask(1))
+		s.pass(time.Second)
+		s.Assert(s.fence(1).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
+	})
+}
--- /dev/null
+++ b/coordination/executor/life_test.go
@@ -0,0 +1,168 @@
+package executor
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/protocol/entryrpc"
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+)
+
+func (s *site) preempt(job, claim string) *targetrpc.PreemptReply {
+	r, err := s.targets[0].Preempt(s.ctx, &targetrpc.PreemptRequest{
+		Session: s.sessions[0], Incarnation: s.targets[0].Incarnation(), Generation: 5, GraceMillis: 3000,
+		Attempts: []*targetrpc.AttemptID{attemptID(job)}, Claim: attemptID(claim), Claimant: "owner",
+	})
+	s.Assert(err, qt.IsNil)
+	return r
+}
+
+// Guards against reclaimed slots that go to someone else than the claimant or
+// stay held for ever, and against a preemption without a checkpoint.
+func TestPreempt(t *testing.T) {
+	for _, members := range []int{0, 3} {
+		inBubble(t, max(members, 1), func(s *site) {
+			if members == 0 {
+				s.start("victim", longTask(8))
+			} else {
+				s.startGang("victim", longTask(8))
+			}
+			s.pass(time.Second)
+			began := time.Now()
+			r := s.preempt("victim", "claim").Attempts[0]
+			s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
+			s.Assert(r.Preempted, qt.IsTrue)
+			s.Assert(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			s.stoppedBy("victim", time.Now())
+			s.Assert(s.workers[0].saved, qt.Equals, 1)
+			other := s.start("other", longTask(1))
+			s.Assert(other.GetRefusal().GetCode(), qt.Equals, targetrpc.RefusalCode_REFUSAL_BUSY)
+			s.Assert(s.start("claim", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+		})
+	}
+	inBubble(t, 1, func(s *site) {
+		s.start("victim", longTask(8))
+		s.preempt("victim", "claim")
+		s.pass(ReservationTTL)
+		s.Assert(s.start("other", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+	})
+}
+
+// Guards against lent work that keeps capacity from its guarantee holder on a
+// target that no entry reaches, and against guaranteed work stopped there.
+func TestContactLost(t *testing.T) {
+	inBubble(t, 2, func(s *site) {
+		lent := longTask(2)
+		lent.Lent = true
+		for _, w := range s.workers {
+			w.runTime = time.Minute
+		}
+		s.start("lent", lent)
+		s.startGang("gang", lent)
+		s.start("own", longTask(2))
+		s.pass(10 * time.Second)
+		s.net.setCut("entry", true)
+		cut := time.Now()
+		s.Assert(s.await(0, "lent", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
+		s.Assert(s.await(0, "gang", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
+		s.stoppedBy("lent", cut.Add(12*time.Second))
+		s.stoppedBy("gang", cut.Add(12*time.Second))
+		s.Assert(s.await(0, "own", 2*time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
+		s.pass(time.Second)
+		s.Assert(s.start("late", lent).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_NOT_RUN)
+	})
+}
+
+// Guards against a graceful end that cuts requests short, loses their answers,
+// takes new work or waits beyond the drain time.
+func TestDrain(t *testing.T) {
+	tests := []struct {
+		name string
+		run  time.Duration
+		end  targetrpc.AttemptState
+	}{
+		{"work ends in time", 30 * time.Second, targetrpc.AttemptState_ATTEMPT_RAN},
+		{"drain time over", time.Hour, targetrpc.AttemptState_ATTEMPT_STOPPED},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, 3, func(s *site) {
+				for _, w := range s.workers {
+					w.runTime = tt.run
+				}
+				s.start("j", longTask(1))
+				s.startGang("gang", longTask(1))
+				s.pass(time.Second)
+				s.reserve("held", longTask(1))
+				ctx, cancel := context.WithTimeout(s.ctx, time.Minute)
+				defer cancel()
+				began := time.Now()
+				done := make(chan struct{})
+				go func() {
+					s.targets[0].Drain(ctx)
+					close(done)
+				}()
+				time.Sleep(100 * time.Millisecond)
+				s.net.mu.Lock()
+				beats := s.net.beats["entry"]
+				s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
+				s.net.mu.Unlock()
+				s.Assert(s.start("new", longTask(1)).Refusal.Code, qt.Equals, targetrpc.RefusalCode_REFUSAL_LEAVING)
+				s.Assert(s.await(0, "j", 2*time.Minute).State, qt.Equals, tt.end)
+				s.Assert(s.await(0, "gang", 2*time.Minute).State, qt.Equals, tt.end)
+				<-done
+				s.Assert(time.Since(began) < time.Minute+drainStop, qt.IsTrue)
+				s.neverRan("held")
+			})
+		})
+	}
+}
+
+// Guards against heartbeats that miss a change, repeat what is known, or go on to
+// an entry that is silent, and against too many receivers.
+func TestHeartbeats(t *testing.T) {
+	inBubble(t, 1, func(s *site) {
+		beats := func(entry string) []*entryrpc.HeartbeatRequest {
+			s.net.mu.Lock()
+			defer s.net.mu.Unlock()
+			out := s.net.beats[entry]
+			s.net.beats[entry] = nil
+			return out
+		}
+		time.Sleep(3 * time.Second)
+		s.start("j", longTask(3))
+		beats("entry")
+		time.Sleep(4 * time.Second)
+		got := beats("entry")
+		s.Assert(got, qt.HasLen, 2)
+		s.Assert(got[0].Tasks, qt.HasLen, 1)
+		s.Assert(got[0].Base, qt.Not(qt.Equals), uint64(0))
+		s.Assert(got[0].FreeSlots, qt.Equals, uint32(5))
+		s.Assert(got[1].Tasks, qt.HasLen, 0)
+		s.net.mu.Lock()
+		s.net.reply.NeedFull = true
+		s.net.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		got = beats("entry")
+		s.Assert(got[len(got)-1].Base, qt.Equals, uint64(0))
+		s.Assert(got[len(got)-1].Tasks, qt.HasLen, 1)
+		s.net.mu.Lock()
+		s.net.reply = entryrpc.HeartbeatReply{Entries: []string{"a", "b", "c"}}
+		s.net.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		known := append([]string{"entry"}, "a", "b", "c")
+		chosen := rendezvous("r", known)[:2]
+		time.Sleep(4 * time.Second)
+		for _, a := range chosen {
+			s.Assert(beats(a), qt.Not(qt.HasLen), 0)
+		}
+		s.net.setCut(chosen[0], true)
+		beats(known[2])
+		time.Sleep(5 * time.Second)
+		s.Assert(beats(known[2]), qt.Not(qt.HasLen), 0, qt.Commentf("the next entry takes the place of a silent one"))
+		s.Assert(s.targets[0].Dump().Attempts, qt.HasLen, 1)
+	})
+}
--- /dev/null
+++ b/state/attempts/table.go
@@ -0,0 +1,206 @@
+package attempts
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Limits are the sizes and times of a Table. A zero time means its default.
+type Limits struct {
+	Slots          int
+	SessionExpiry  time.Duration // 10 s
+	ReservationTTL time.Duration // 10 s; also of holds
+	GangLease      time.Duration // 6 s
+	Retention      time.Duration // 10 min
+}
+
+// Defaults of Limits.
+const (
+	DefaultSessionExpiry  = 10 * time.Second
+	DefaultReservationTTL = 10 * time.Second
+	DefaultGangLease      = 6 * time.Second
+	DefaultRetention      = 10 * time.Minute
+)
+
+func (l Limits) withDefaults() Limits {
+	setDefault(&l.SessionExpiry, DefaultSessionExpiry)
+	setDefault(&l.ReservationTTL, DefaultReservationTTL)
+	setDefault(&l.GangLease, DefaultGangLease)
+	setDefault(&l.Retention, DefaultRetention)
+	return l
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+// shardCount spreads the locks. A target serves few requests at once.
+const shardCount = 16
+
+// Table holds the state of one target process. It is safe for concurrent use.
+type Table struct {
+	limits   Limits
+	shards   [shardCount]shard
+	slots    slots
+	sessions sessions
+	leaving  atomic.Bool
+}
+
+type shard struct {
+	mu      sync.Mutex
+	records map[ID]*record
+}
+
+// record is one attempt. Its fields are guarded by the lock of its shard.
+type record struct {
+	st      Status
+	changed chan struct{}
+	claim   ID   // attempt for which the slots are held when they come free
+	shown   bool // the hub may know this member as attached
+	fetched bool // the end was sent to an entry
+	owned   bool // a task of the process still works on it
+	gang    *gang
+}
+
+// NewTable returns an empty Table.
+func NewTable(limits Limits) *Table {
+	limits = limits.withDefaults()
+	t := &Table{limits: limits}
+	t.slots = slots{total: limits.Slots, holds: make(map[ID]hold)}
+	t.sessions = sessions{expiry: limits.SessionExpiry, byID: make(map[uint64]*session)}
+	for i := range t.shards {
+		t.shards[i].records = make(map[ID]*record)
+	}
+	return t
+}
+
+func (t *Table) shard(id ID) *shard {
+	return &t.shards[(xxhash.Sum64String(id.Job)+uint64(id.Number))%shardCount]
+}
+
+// OpenSession returns a new session for an entry.
+func (t *Table) OpenSession(entry string, incarnation uint64) uint64 {
+	return t.sessions.open(entry, incarnation)
+}
+
+// Ping renews a session. It reports false if the session is unknown or expired.
+func (t *Table) Ping(session uint64) bool { return t.sessions.renew(session) }
+
+// HasSession reports whether a session is valid now.
+func (t *Table) HasSession(session uint64) bool { return t.sessions.valid(session) }
+
+// SessionEntry returns the name of the entry of a session, or "".
+func (t *Table) SessionEntry(session uint64) string { return t.sessions.entry(session) }
+
+// Leave makes Admit and Release refuse from now on. Every attempt that was
+// admitted before is visible to a List that follows.
+func (t *Table) Leave() { t.leaving.Store(true) }
+
+// Leaving reports whether Leave was called.
+func (t *Table) Leaving() bool { return t.leaving.Load() }
+
+// FreeSlots returns the number of free slots, without those that are held.
+func (t *Table) FreeSlots() int { return t.slots.free() }
+
+// Holds returns the holds after preemptions.
+func (t *Table) Holds() []Hold { return t.slots.list() }
+
+// Sessions returns the open sessions.
+func (t *Table) Sessions() []Session { return t.sessions.list() }
+
+// Get returns the state of an attempt, with phase None if it is not known.
+func (t *Table) Get(id ID) Status {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statusLocked(id)
+}
+
+// List returns the attempts for which keep returns true. Keep is called under a
+// lock and must not call the Table.
+func (t *Table) List(keep func(*Status) bool) []Status {
+	var out []Status
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, r := range s.records {
+			if keep(&r.st) {
+				out = append(out, r.copyLocked())
+			}
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// Unfetched returns the number of attempts that ended at or after since, whose
+// end is decided here and was not yet sent to an entry.
+func (t *Table) Unfetched(since time.Time) int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, r := range s.records {
+			if r.st.Phase == Ran && !r.fetched && !r.st.Ended.Before(since) {
+				n++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Fetched notes that the end of an attempt was sent to an entry.
+func (t *Table) Fetched(id ID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.records[id]; ok && r.st.Phase.IsEnded() {
+		r.fetched = true
+	}
+}
+
+// Sweep drops what is older than the retention.
+func (t *Table) Sweep() {
+	t.sessions.sweep()
+	now := time.Now()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for id, r := range s.records {
+			if r.st.Phase.IsEnded() && !r.owned && now.Sub(r.st.Ended) >= t.limits.Retention {
+				delete(s.records, id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *shard) statusLocked(id ID) Status {
+	r, ok := s.records[id]
+	if !ok {
+		return Status{Spec: Spec{ID: id}}
+	}
+	return r.copyLocked()
+}
+
+func (r *record) copyLocked() Status {
+	st := r.st
+	st.Changed = r.changed
+	if r.gang != nil {
+		st.Verdict = r.gang.verdict
+		st.Members = append([]MemberStatus(nil), r.gang.members...)
+	}
+	return st
+}
+
+// signalLocked wakes all who wait for a change of the attempt.
+func (r *record) signalLocked() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
