Add the scheduler of the entry and the table of its jobs (not yet run end to end)

Cause: the entry had no core that takes requests, plans and dispatches them. Change: state/jobs, coordination/scheduler (claims, attempts, gangs, fences, take-over, cancellation in batches, planning passes over the policy packages) and the settings of the processes. Ruled out: returning versions from a row write. Each replacement reads the row first, which also settles a lost answer by its token, at one read a write. No end-to-end run yet.

--- /dev/null
+++ b/coordination/scheduler/follow.go
@@ -0,0 +1,200 @@
+package scheduler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+	"github.com/medlargrade/medlargrade/state/jobs"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+const (
+	// dispatchDoubt is how long the row of a job may name an attempt that its
+	// hub has not started before another entry takes the job over.
+	dispatchDoubt = 5 * time.Second
+	// followPoll is how often a follower reads the row.
+	followPoll = 500 * time.Millisecond
+	// followAwait is a follower's long poll at the hub.
+	followAwait = 2 * time.Second
+)
+
+// follower waits for the end of a recorded job that this entry may not own. It
+// takes the job over once its owner is known to have ended, or once its attempt
+// stays unstarted for the dispatch doubt time.
+type follower struct {
+	s         *Scheduler
+	workspace string
+	key       string
+	// resubmitted is set if the caller has sent the request again, so that a
+	// queued job of this entry that is no longer worked on is started anew.
+	resubmitted bool
+
+	token string    // last seen
+	since time.Time // when it was first seen
+}
+
+// wait returns the final record of the job. It reports false if ctx ended first
+// or the job has no row.
+func (f *follower) wait(ctx context.Context) (rows.Job, bool) {
+	for {
+		record, err := f.s.rec.read(ctx, f.workspace, f.key)
+		switch {
+		case errors.Is(err, rows.ErrNotFound):
+			return rows.Job{}, false
+		case err != nil:
+			// The store is out: the local copy, if any, may still end.
+			record = rows.Job{}
+		case record.Final():
+			return f.loaded(ctx, record)
+		}
+		if final, ok := f.step(ctx, record); ok {
+			return final, true
+		}
+		if !f.pause(ctx) {
+			return rows.Job{}, false
+		}
+	}
+}
+
+func (f *follower) loaded(ctx context.Context, record rows.Job) (rows.Job, bool) {
+	record, err := f.s.loadAnswer(ctx, record)
+	return record, err == nil
+}
+
+// pause waits for the next look at the row, or for the end of the local job.
+func (f *follower) pause(ctx context.Context) bool {
+	t := time.NewTimer(followPoll)
+	defer t.Stop()
+	var done <-chan struct{}
+	if j, ok := f.s.jobs.Get(f.workspace, f.key); ok {
+		done = j.Done()
+	}
+	select {
+	case <-t.C:
+	case <-done:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// step looks at the job once. It returns a final record if the job has ended.
+func (f *follower) step(ctx context.Context, record rows.Job) (rows.Job, bool) {
+	if j, ok := f.s.jobs.Get(f.workspace, f.key); ok {
+		local := j.Record()
+		return local, local.Final()
+	}
+	if record.Token == "" {
+		return rows.Job{}, false
+	}
+	if record.Token != f.token {
+		f.token = record.Token
+		f.since = time.Now()
+	}
+	abandoned := f.resubmitted && record.Entry == f.s.set.Entry && record.EntryIncarnation == f.s.set.Incarnation
+	if abandoned || f.s.peers.Members.Silent(record.Entry, record.EntryIncarnation) {
+		f.s.takeOver(ctx, f.workspace, f.key, record)
+		return rows.Job{}, false
+	}
+	if record.State != rows.JobDispatched {
+		return rows.Job{}, false
+	}
+	return f.askHub(ctx, record)
+}
+
+func (f *follower) askHub(ctx context.Context, record rows.Job) (rows.Job, bool) {
+	id := &targetrpc.AttemptID{Job: record.ID, Number: record.Attempt}
+	reply, err := f.s.await(ctx, id, record.HubAddress, record.HubIncarnation, followAwait)
+	if err != nil {
+		return rows.Job{}, false
+	}
+	if ran, ok := resultOf(reply, record.Hub).(ranResult); ok {
+		return finalRecord(record, outcome.Ran{Answer: ran.answer, Elapsed: ran.elapsed}), true
+	}
+	if reply.GetState() != targetrpc.AttemptState_ATTEMPT_RUNNING && time.Since(f.since) >= dispatchDoubt {
+		f.s.takeOver(ctx, f.workspace, f.key, record)
+	}
+	return rows.Job{}, false
+}
+
+// takeOver makes this entry the owner of a recorded job, if the row still holds
+// the given record, and goes on with it. It returns the local job, or nil if
+// another entry was faster or the store is out.
+func (s *Scheduler) takeOver(ctx context.Context, workspace, key string, record rows.Job) *jobs.Job {
+	r, err := s.adopt(ctx, workspace, key, record)
+	if err != nil {
+		s.log.Info().Int("Event", EventTakeOverFailed).Str("Job", record.ID).Err(err).Send()
+		return nil
+	}
+	s.log.Info().Int("Event", EventTakeOver).Str("Job", record.ID).Str("From", record.Entry).Str("State", string(record.State)).Send()
+	s.start(r)
+	return r.job
+}
+
+// adopt writes this entry into the row of the job and moves its queue row.
+func (s *Scheduler) adopt(ctx context.Context, workspace, key string, record rows.Job) (*run, error) {
+	var request Request
+	if err := json.Unmarshal(record.Request, &request); err != nil {
+		return nil, fmt.Errorf("request of job %s: %w", record.ID, err)
+	}
+	next := record
+	next.Token = rows.NewToken()
+	next.Entry = s.set.Entry
+	next.EntryIncarnation = s.set.Incarnation
+	if next.Final() {
+		next = requeued(next)
+	}
+	moves, queued, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next.Token)
+	if err != nil {
+		return nil, err
+	}
+	j := jobs.New(record.ID, workspace, key, next)
+	if _, added := s.jobs.Add(j); !added {
+		return nil, fmt.Errorf("job %s is already worked on", record.ID)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
+	defer cancel()
+	if err := s.rec.replace(ctx, workspace, key, []string{record.Token}, next, moves...); err != nil {
+		s.jobs.Remove(j)
+		return nil, err
+	}
+	r := &run{
+		s: s, job: j, recorded: true, queued: queued, tokens: []string{next.Token},
+		takenOver: true, lastInherited: next.Attempt,
+	}
+	if next.State == rows.JobDispatched {
+		r.inherited = next.Attempt
+	}
+	r.spec, r.refusal = s.resolveAgain(request)
+	return r, nil
+}
+
+// requeued clears the end of a job that did not run, so that it can be tried
+// again under the same key.
+func requeued(record rows.Job) rows.Job {
+	record.State = rows.JobQueued
+	record.Reason, record.Detail, record.RetryMillis = "", "", 0
+	return record
+}
+
+// moveQueueRow returns the writes that move the queue row of a job from its
+// former owner to this entry, and whether it has one.
+func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from, token string) ([]rows.Write, bool, error) {
+	remove, err := s.rec.dequeue(ctx, from, workspace, key)
+	if err != nil || len(remove) == 0 {
+		return nil, false, err
+	}
+	value, err := rows.Encode(rows.Queue{Token: token, Workspace: workspace, Key: key})
+	if err != nil {
+		return nil, false, err
+	}
+	if from == s.set.Entry {
+		return nil, true, nil
+	}
+	return append(remove, rows.Insert(rows.TableQueue, rows.QueueKey(s.set.Entry, workspace, key), value)), true, nil
+}
--- /dev/null
+++ b/coordination/scheduler/heartbeat.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/medlargrade/medlargrade/protocol/entryrpc"
+	"github.com/medlargrade/medlargrade/state/targets"
+)
+
+// Heartbeat takes in the report of a target process and answers with the
+// entry's generation and the entries that are alive.
+func (s *Scheduler) Heartbeat(_ context.Context, in *entryrpc.HeartbeatRequest) (*entryrpc.HeartbeatReply, error) {
+	s.peers.Config.Learn(in.GetGeneration())
+	now := time.Now()
+	old, known := s.plan.view.Get(in.GetTarget(), now)
+	report := reportOf(in)
+	needFull := s.plan.view.Apply(report, now)
+	if !known || old.Incarnation != report.Incarnation {
+		s.log.Info().Int("Event", EventTargetJoined).Str("Target", report.Target).
+			Str("Address", report.Address).Uint64("Incarnation", report.Incarnation).Send()
+	}
+	s.plan.observe(report)
+	s.plan.kick()
+	return &entryrpc.HeartbeatReply{
+		Generation: s.generation(),
+		NeedFull:   needFull,
+		Entries:    s.peers.Members.Addresses(),
+		Sequence:   in.GetSequence(),
+	}, nil
+}
+
+// isReplaced reports whether the target is known to run under another
+// incarnation.
+func (s *Scheduler) isReplaced(target string, incarnation uint64) bool {
+	t, ok := s.plan.view.Get(target, time.Now())
+	return ok && t.Incarnation != incarnation
+}
+
+func reportOf(in *entryrpc.HeartbeatRequest) targets.Report {
+	r := targets.Report{
+		Target:      in.GetTarget(),
+		Address:     in.GetAddress(),
+		DataCentre:  in.GetDataCentre(),
+		Rack:        in.GetRack(),
+		Incarnation: in.GetIncarnation(),
+		Sequence:    in.GetSequence(),
+		Base:        in.GetBase(),
+		Generation:  in.GetGeneration(),
+		Slots:       int(in.GetSlots()),
+		Connections: int(in.GetConnections()),
+		Free:        int(in.GetFreeSlots()),
+		Leaving:     in.GetLeaving(),
+		Ready:       in.GetReady(),
+		Removed:     in.GetRemoved(),
+	}
+	for _, t := range in.GetTasks() {
+		r.Tasks = append(r.Tasks, taskOf(t))
+	}
+	for _, k := range in.GetResults() {
+		r.Results = append(r.Results, targets.Result{
+			Workspace: k.GetWorkspace(), Kind: k.GetKind(), Succeeded: k.GetSucceeded(), Failed: k.GetFailed(),
+		})
+	}
+	return r
+}
+
+func taskOf(t *entryrpc.TaskStatus) targets.Task {
+	return targets.Task{
+		Job:             t.GetAttempt().GetJob(),
+		Number:          t.GetAttempt().GetNumber(),
+		Workspace:       t.GetWorkspace(),
+		Kind:            t.GetKind(),
+		Class:           t.GetClass(),
+		Slots:           int(t.GetSlots()),
+		Lent:            t.GetLent(),
+		Released:        t.GetReleased(),
+		Run:             millis(t.GetRunMillis()),
+		SinceCheckpoint: millis(t.GetCheckpointMillis()),
+		Members:         int(t.GetMembers()),
+		Hub: targets.Hub{
+			Target: t.GetHub().GetTarget(), Address: t.GetHub().GetAddress(), Incarnation: t.GetHub().GetIncarnation(),
+		},
+	}
+}
--- /dev/null
+++ b/coordination/scheduler/pass.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/admission"
+	"github.com/medlargrade/medlargrade/coordination/guarantee"
+	"github.com/medlargrade/medlargrade/coordination/health"
+	"github.com/medlargrade/medlargrade/coordination/placement"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/targets"
+)
+
+// pass is one look at the waiting work: each job, in fair order, is placed if it
+// fits, reclaims its guarantee if it may, or keeps waiting.
+type pass struct {
+	p      *planner
+	now    time.Time
+	live   map[string]targets.Target
+	tasks  []targets.Task
+	probes []string // targets on probation that are due a probe
+	keep   map[string]int
+	site   *placement.Site
+	ledger *guarantee.Ledger
+	held   bool // a waiting gang holds its place
+}
+
+// pass plans all waiting work once.
+func (p *planner) pass() {
+	p.passMu.Lock()
+	defer p.passMu.Unlock()
+	now := time.Now()
+	ps := p.newPass(now)
+	p.queue.Scan(now, ps.visit)
+}
+
+func (p *planner) newPass(now time.Time) *pass {
+	ps := &pass{p: p, now: now, live: make(map[string]targets.Target), tasks: p.view.Tasks(now)}
+	live := p.view.Live(now)
+	ps.keep = p.laneOver(live, ps.tasks, now)
+	nodes := make([]placement.Node, 0, len(live))
+	for _, t := range live {
+		ps.live[t.Name] = t
+		usable := t.Accepts()
+		switch p.health.State(t.Name, now) {
+		case health.Healthy:
+		case health.ProbeDue:
+			if usable && t.Free > 0 {
+				ps.probes = append(ps.probes, t.Name)
+			}
+			usable = false
+		case health.Paused:
+			usable = false
+		}
+		nodes = append(nodes, placement.Node{
+			Name: t.Name, Rack: t.Rack, DataCentre: t.DataCentre,
+			Slots: t.Slots, Free: t.Free, KeepFree: ps.keep[t.Name], Unusable: !usable,
+		})
+	}
+	ps.site = placement.NewSite(nodes)
+	ps.ledger = guarantee.NewLedger(p.s.peers.Config.Current().Config, ps.tasks)
+	return ps
+}
+
+// laneOver sizes the lane for short work and spreads it over the targets.
+func (p *planner) laneOver(live []targets.Target, tasks []targets.Task, now time.Time) map[string]int {
+	short := make(map[string]int)
+	demand := 0
+	for _, t := range tasks {
+		if t.Class == string(operator.ClassShort) {
+			short[t.Target] += t.Slots
+			demand += t.Slots
+		}
+	}
+	demand += p.waitingShort()
+	p.lane.Observe(demand, now)
+	slots := 0
+	lanes := make([]admission.LaneTarget, 0, len(live))
+	for _, t := range live {
+		if !t.Accepts() {
+			continue
+		}
+		slots += t.Slots
+		lanes = append(lanes, admission.LaneTarget{Name: t.Name, Rack: t.Rack, Slots: t.Slots, Short: short[t.Name]})
+	}
+	return admission.Spread(p.lane.Size(slots, now), lanes)
+}
+
+func (p *planner) waitingShort() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, w := range p.waiters {
+		if w.run.spec.class == operator.ClassShort {
+			n += w.run.spec.shape.Slots()
+		}
+	}
+	return n
+}
+
+// visit decides on one waiting job.
+func (ps *pass) visit(it admission.Item) admission.Decision {
+	w := ps.p.waiter(it.ID)
+	if w == nil {
+		return admission.Take // It has gone.
+	}
+	sp := w.run.spec
+	if target, ok := ps.probe(sp); ok {
+		ps.grant(w, placement.Placement{{Target: target, Slots: sp.shape.Accelerators()}}, nil)
+		return admission.Take
+	}
+	claim := ps.ledger.IsClaim(it.Workspace, it.Class, sp.shape)
+	req := ps.request(w, claim)
+	if pl, ok := ps.site.Plan(req); ok {
+		ps.grant(w, pl, nil)
+		return admission.Take
+	}
+	if claim {
+		if v, ok := ps.ledger.Victims(sp.shape, ps.site); ok {
+			ps.reclaim(w, v)
+			return admission.Take
+		}
+	}
+	if sp.isGang() && !ps.held {
+		ps.hold(req)
+		return admission.Skip
+	}
+	if !sp.isGang() && len(w.avoid) == 0 && sp.shape.Accelerators() == 1 && !claim {
+		return admission.SkipClass // The others of the class need at least as much.
+	}
+	return admission.Skip
+}
+
+// probe returns a target on probation on which the job can be the probe: a
+// small idempotent task whose failure costs little.
+func (ps *pass) probe(sp spec) (string, bool) {
+	if len(ps.probes) == 0 || !sp.idempotent || sp.isGang() || sp.shape.Accelerators() > 1 {
+		return "", false
+	}
+	target := ps.probes[0]
+	ps.probes = ps.probes[1:]
+	return target, ps.p.health.StartProbe(target, ps.now)
+}
+
+func (ps *pass) request(w *waiter, claim bool) placement.Request {
+	sp := w.run.spec
+	req := placement.Request{
+		Shape:   sp.shape,
+		UseLane: claim || sp.class == operator.ClassShort,
+		Exclude: w.avoid,
+	}
+	e := ps.p.book.Estimate(sp.request.Workspace, sp.request.Kind, sp.request.Declared)
+	if e.High > 0 {
+		req.End = ps.now.Add(e.High)
+	}
+	return req
+}
+
+// hold keeps the place where the first waiting gang is expected to start. Only
+// work that ends before may use it.
+func (ps *pass) hold(req placement.Request) {
+	running := make([]placement.Release, 0, len(ps.tasks))
+	for _, t := range ps.tasks {
+		left := ps.p.book.Remaining(t.Workspace, t.Kind, 0, t.Run)
+		running = append(running, placement.Release{Target: t.Target, Slots: t.Slots, End: ps.now.Add(left)})
+	}
+	if res, ok := ps.site.Earliest(req, running, ps.now); ok {
+		ps.site.Hold(res)
+		ps.held = true
+	}
+}
+
+// grant gives the waiter its place, or starts the reclaim that makes it free.
+func (ps *pass) grant(w *waiter, pl placement.Placement, v *guarantee.Victims) {
+	sp := w.run.spec
+	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape)}
+	ps.site.Take(pl)
+	pl = grouped(pl)
+	useLane := sp.class == operator.ClassShort || v != nil
+	for _, m := range pl {
+		t := ps.live[m.Target]
+		keep := ps.keep[m.Target]
+		if useLane || ps.ledger.IsClaim(sp.request.Workspace, sp.class, sp.shape) {
+			keep = 0
+		}
+		where.members = append(where.members, member{target: m.Target, address: t.Address, slots: m.Slots, keepFree: keep})
+		task := targets.Task{
+			Target: m.Target, Job: w.run.job.ID(), Number: w.number,
+			Workspace: sp.request.Workspace, Kind: sp.request.Kind, Class: string(sp.class),
+			Slots: m.Slots, Lent: where.lent, Members: len(pl),
+			Hub: targets.Hub{Target: pl[0].Target, Address: ps.live[pl[0].Target].Address, Incarnation: ps.live[pl[0].Target].Incarnation},
+		}
+		ps.p.view.Dispatched(m.Target, task, ps.now)
+	}
+	for _, m := range pl {
+		ps.ledger.Add(targets.Task{
+			Target: m.Target, Job: w.run.job.ID(), Number: w.number, Workspace: sp.request.Workspace,
+			Kind: sp.request.Kind, Class: string(sp.class), Slots: m.Slots, Members: len(pl),
+		})
+	}
+	ps.p.forget(w.run.job.ID())
+	if v == nil {
+		w.granted <- where
+		return
+	}
+	ps.p.startReclaim(w, where, *v)
+}
+
+// reclaim preempts the victims and gives the waiter their place.
+func (ps *pass) reclaim(w *waiter, v guarantee.Victims) {
+	for _, h := range v.ByHub {
+		for _, a := range h.Attempts {
+			for _, t := range ps.tasks {
+				if t.Job == a.Job && t.Number == a.Number {
+					ps.p.view.Preempted(t.Target, t.Job, t.Number, ps.now)
+					ps.site.Give(placement.Placement{{Target: t.Target, Slots: t.Slots}})
+				}
+			}
+		}
+	}
+	ps.grant(w, v.Placement, &v)
+	// The victims are gone from the books: later claims of this pass must not
+	// count on them.
+	ps.tasks = ps.p.view.Tasks(ps.now)
+	ps.ledger = guarantee.NewLedger(ps.p.s.peers.Config.Current().Config, ps.tasks)
+}
--- /dev/null
+++ b/coordination/scheduler/planner.go
@@ -0,0 +1,299 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/admission"
+	"github.com/medlargrade/medlargrade/coordination/health"
+	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/coordination/placement"
+	"github.com/medlargrade/medlargrade/coordination/runtimes"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+	"github.com/medlargrade/medlargrade/state/targets"
+)
+
+const (
+	// planPeriod is how often waiting work is planned without an event, so that
+	// estimates and probations that depend on time take effect.
+	planPeriod = 500 * time.Millisecond
+	// planPause spaces the passes that events cause while work waits. A burst of
+	// submissions is planned in a few passes, not in one each.
+	planPause = 2 * time.Millisecond
+)
+
+// place is where an attempt runs.
+type place struct {
+	number  uint32
+	members []member // the hub first
+	lent    bool
+}
+
+// member is the part of a gang on one target.
+type member struct {
+	target   string
+	address  string
+	slots    int
+	keepFree int // slots that must stay free for short work
+}
+
+func (p place) targets() []string {
+	names := make([]string, len(p.members))
+	for i, m := range p.members {
+		names[i] = m.target
+	}
+	return names
+}
+
+// waiter is a job that waits for a place for its next attempt.
+type waiter struct {
+	run    *run
+	number uint32
+	avoid  []string
+	front  bool // it was admitted before
+
+	since   time.Time
+	granted chan place
+	refused chan outcome.NotRun
+}
+
+// planner decides which waiting job is tried next and where. All decisions are
+// taken in passes, one at a time.
+type planner struct {
+	s      *Scheduler
+	view   *targets.View
+	book   *runtimes.Book
+	health *health.Tracker
+	budget *admission.RetryBudget
+	lane   *admission.Lane
+	queue  *admission.Queue
+	events chan struct{} // asks for a pass
+
+	mu         sync.Mutex
+	waiters    map[string]*waiter // by job ID
+	generation uint64             // that the queue is configured for
+	configured bool
+
+	passMu sync.Mutex // held during a pass
+}
+
+func newPlanner(s *Scheduler) *planner {
+	return &planner{
+		s:       s,
+		view:    new(targets.View),
+		book:    new(runtimes.Book),
+		health:  new(health.Tracker),
+		budget:  new(admission.RetryBudget),
+		lane:    new(admission.Lane),
+		queue:   admission.NewQueue(operator.Config{}),
+		events:  make(chan struct{}, 1),
+		waiters: make(map[string]*waiter),
+	}
+}
+
+// kick asks for a pass.
+func (p *planner) kick() {
+	select {
+	case p.events <- struct{}{}:
+	default:
+	}
+}
+
+// run makes passes until ctx ends.
+func (p *planner) run(ctx context.Context) {
+	t := time.NewTicker(planPeriod)
+	defer t.Stop()
+	for {
+		changed := p.s.peers.Config.Changed()
+		select {
+		case <-p.events:
+		case <-t.C:
+		case <-changed:
+			p.configure()
+		case <-ctx.Done():
+			return
+		}
+		if p.queue.Len("") > 0 {
+			p.pass()
+			sleep(ctx, planPause)
+		}
+	}
+}
+
+// configure takes over the workspaces of the current configuration and refuses
+// the jobs of workspaces that are gone.
+func (p *planner) configure() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	snap := p.s.peers.Config.Current()
+	if p.configured && snap.Generation == p.generation {
+		return
+	}
+	p.configured, p.generation = true, snap.Generation
+	for _, it := range p.queue.Configure(snap.Config) {
+		if w, ok := p.waiters[it.ID]; ok {
+			delete(p.waiters, it.ID)
+			w.refused <- outcome.NotRun{Reason: outcome.ReasonConfigChanged, Detail: "the workspace was removed"}
+		}
+	}
+}
+
+// retry takes a retry from the entry's budget.
+func (p *planner) retry() bool { return p.budget.Retry(time.Now()) }
+
+// acquire waits for a place for an attempt. It returns a refusal if the job
+// can't be queued or ctx ends first.
+func (p *planner) acquire(ctx context.Context, w *waiter) (place, *outcome.NotRun) {
+	now := time.Now()
+	w.since = now
+	w.granted = make(chan place, 1)
+	w.refused = make(chan outcome.NotRun, 1)
+	first, refusal := p.enqueue(w, now)
+	if refusal != nil {
+		return place{}, refusal
+	}
+	if first {
+		p.pass()
+	} else {
+		p.kick()
+	}
+	select {
+	case where := <-w.granted:
+		p.s.meter.waited(w, time.Since(w.since))
+		return where, nil
+	case refusal := <-w.refused:
+		return place{}, &refusal
+	case <-ctx.Done():
+	}
+	p.drop(w)
+	select {
+	case where := <-w.granted:
+		p.release(w.run, where, notRunResult{detail: "the job ended before it was sent"})
+	default:
+	}
+	ended, ok := w.run.ended(ctx).(outcome.NotRun)
+	if !ok {
+		return place{}, refuse(outcome.ReasonDeadline, "the job ended before it was sent")
+	}
+	return place{}, &ended
+}
+
+// enqueue adds the waiter. It reports whether it is the only one.
+func (p *planner) enqueue(w *waiter, now time.Time) (only bool, refusal *outcome.NotRun) {
+	p.configure()
+	r := w.run
+	estimate := p.book.Estimate(r.spec.request.Workspace, r.spec.request.Kind, r.spec.request.Declared)
+	it := admission.Item{
+		ID:        r.job.ID(),
+		Workspace: r.spec.request.Workspace,
+		Class:     r.spec.class,
+		Cost:      float64(r.spec.shape.Slots()) * estimate.Typical.Seconds(),
+		Enqueued:  now,
+	}
+	if d := r.spec.request.Deadline; d > 0 {
+		it.Deadline = r.job.Created().Add(d)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w.front {
+		if !p.queue.PushFront(it) {
+			return false, refuse(outcome.ReasonConfigChanged, "the workspace was removed")
+		}
+	} else {
+		p.budget.First(now)
+		if refusal, ok := p.queue.Push(it, now); !ok {
+			p.s.meter.refused(refusal.Reason)
+			return false, &refusal
+		}
+	}
+	p.waiters[it.ID] = w
+	return len(p.waiters) == 1, nil
+}
+
+// drop takes a waiter out of the queue.
+func (p *planner) drop(w *waiter) {
+	// A pass that is under way may be granting the waiter; let it finish.
+	p.passMu.Lock()
+	defer p.passMu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := w.run.job.ID()
+	if p.waiters[id] == w {
+		delete(p.waiters, id)
+		p.queue.Remove(id)
+	}
+}
+
+func (p *planner) waiter(id string) *waiter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiters[id]
+}
+
+func (p *planner) forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiters, id)
+}
+
+// release frees the place of an attempt that has ended and learns from its end.
+func (p *planner) release(r *run, where place, res result) {
+	now := time.Now()
+	for _, m := range where.members {
+		p.view.Freed(m.target, r.job.ID(), where.number, now)
+	}
+	req := r.spec.request
+	switch res := res.(type) {
+	case ranResult:
+		o := health.Succeeded
+		if res.answer.Failed {
+			o = health.Failed
+		} else {
+			p.book.Observe(req.Workspace, req.Kind, req.Declared, res.elapsed, now)
+			p.health.JobEnded(r.job.ID())
+		}
+		if len(where.members) == 1 {
+			p.health.Observe(where.members[0].target, req.Workspace, req.Kind, o, now)
+		}
+	case notRunResult:
+		if res.code == targetrpc.RefusalCode_REFUSAL_WORKER {
+			p.health.Observe(res.target, req.Workspace, req.Kind, health.Failed, now)
+		} else {
+			p.endProbes(where)
+		}
+	case lostResult, supersededResult:
+		p.endProbes(where)
+	}
+	p.kick()
+}
+
+func (p *planner) endProbes(where place) {
+	for _, m := range where.members {
+		p.health.EndProbe(m.target)
+	}
+}
+
+// jobFailed decides whether a job that failed on a target is tried elsewhere.
+func (p *planner) jobFailed(r *run, target string) health.Verdict {
+	return p.health.JobFailed(r.job.ID(), target, r.spec.request.Workspace, r.spec.request.Kind, time.Now())
+}
+
+// observe learns from a heartbeat.
+func (p *planner) observe(targets.Report) {}
+
+// grouped merges the members that share a target.
+func grouped(pl placement.Placement) placement.Placement {
+	var out placement.Placement
+	for _, m := range pl {
+		i := slices.IndexFunc(out, func(x placement.Member) bool { return x.Target == m.Target })
+		if i < 0 {
+			out = append(out, m)
+			continue
+		}
+		out[i].Slots += m.Slots
+	}
+	return out
+}
--- a/state/rows/formats.go
+++ b/state/rows/formats.go
@@ -65,10 +65,13 @@
 	State   JobState
 	Request json.RawMessage // the caller's request
 	Digest  uint64          // of the request, to tell a reused key
-	Entry   string          // entry that queues the job
 	Created int64           // Unix milliseconds, for listings only
 
-	// The current attempt; set from Dispatched on.
+	// The owner: the entry that makes attempts.
+	Entry            string
+	EntryIncarnation uint64
+
+	// The latest attempt; set from Dispatched on.
 	Attempt        uint32
 	Hub            string // target name
 	HubAddress     string
