--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -29,7 +29,7 @@
 	// watchPeriod bounds how late a lapse of a lease is noticed. Effects check
 	// their lease themselves, so it decides only when a task is stopped.
 	watchPeriod = 250 * time.Millisecond
-	sweepPeriod = 30 * time.Second
+	sweepPeriod = 5 * time.Second
 	callTimeout = 2 * time.Second // of a call to the worker
 	// maxBatch is the limit of attempts in a Cancel or Preempt.
 	maxBatch = 256
--- a/state/attempts/decide.go
+++ b/state/attempts/decide.go
@@ -13,8 +13,8 @@
 	s := t.shard(spec.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.records[spec.ID]; ok {
-		return s.statusLocked(spec.ID), false
+	if st, ok := s.knownLocked(spec.ID); ok {
+		return st, false
 	}
 	switch {
 	case !t.sessions.valid(session):
@@ -50,8 +50,8 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.records[id]; ok {
-		return s.statusLocked(id)
+	if st, ok := s.knownLocked(id); ok {
+		return st
 	}
 	return t.refuseLocked(s, id, code, reason)
 }
@@ -62,14 +62,14 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.records[id]
+	st, ok := s.knownLocked(id)
 	if !ok {
 		return t.refuseLocked(s, id, code, reason)
 	}
-	if r.st.Phase == Held {
-		r.refuseHeldLocked(code, reason)
+	if st.Phase == Held {
+		s.records[id].refuseHeldLocked(code, reason)
 	}
-	return r.copyLocked()
+	return s.statusLocked(id)
 }
 
 // Shown notes that the hub may count this member as attached. It reports false
--- a/state/attempts/doc.go
+++ b/state/attempts/doc.go
@@ -9,7 +9,8 @@
 //
 // An attempt in phase NotRun stays there: it is the fence that refuses every
 // later copy of the attempt. Ended and fenced attempts are kept for the
-// retention and dropped by Sweep.
+// retention and dropped by Sweep; when there are very many, Sweep keeps only a
+// marker of the older ones, which still refuses late copies.
 //
 // # Usage
 //
--- a/state/attempts/gang.go
+++ b/state/attempts/gang.go
@@ -67,7 +67,7 @@
 	defer s.mu.Unlock()
 	r, ok := s.records[p.ID]
 	if !ok {
-		return PulseResult{}
+		return s.unknownGangLocked(p.ID)
 	}
 	if r.gang == nil || p.Index < 0 || p.Index >= len(r.gang.members) ||
 		r.st.Spec.Members[p.Index].Incarnation != p.Incarnation {
@@ -90,7 +90,7 @@
 	defer s.mu.Unlock()
 	r, ok := s.records[id]
 	if !ok {
-		return PulseResult{}
+		return s.unknownGangLocked(id)
 	}
 	if r.gang == nil {
 		return PulseResult{Verdict: StopGang, Ended: true, Known: true}
@@ -98,6 +98,15 @@
 	return r.pulseResultLocked()
 }
 
+// unknownGangLocked is the result for a gang without a record, which has ended
+// if there is a marker for it.
+func (s *shard) unknownGangLocked(id ID) PulseResult {
+	if _, ok := s.knownLocked(id); ok {
+		return PulseResult{Verdict: StopGang, Ended: true, Known: true}
+	}
+	return PulseResult{}
+}
+
 func (r *record) pulseResultLocked() PulseResult {
 	return PulseResult{Verdict: r.gang.verdict, Ended: r.st.Phase.IsEnded(), Known: true, Changed: r.changed}
 }
@@ -195,15 +204,15 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, ok := s.records[id]
+	st, ok := s.knownLocked(id)
 	if !ok {
 		return t.refuseLocked(s, id, CodeLapsed, "the attempt is not reserved here")
 	}
-	if r.st.Phase != Held {
-		return r.copyLocked()
+	if st.Phase != Held {
+		return st
 	}
+	r := s.records[id]
 	now := time.Now()
-	st := r.copyLocked()
 	switch {
 	case r.gang == nil:
 		r.refuseHeldLocked(CodeInvalid, "this target is not the hub")
--- a/state/attempts/table.go
+++ b/state/attempts/table.go
@@ -4,17 +4,18 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Limits are the sizes and times of a Table. A zero time means its default.
+// Limits are the sizes and times of a Table. A zero means the default,
+// except for Slots.
 type Limits struct {
 	Slots          int
 	SessionExpiry  time.Duration // 10 s
 	ReservationTTL time.Duration // 10 s; also of holds
 	GangLease      time.Duration // 6 s
 	Retention      time.Duration // 10 min
+	KeptRecords    int           // 10,000
+	KeptBytes      int           // 8 MiB, of answers
 }
 
 // Defaults of Limits.
@@ -23,6 +24,8 @@
 	DefaultReservationTTL = 10 * time.Second
 	DefaultGangLease      = 6 * time.Second
 	DefaultRetention      = 10 * time.Minute
+	DefaultKeptRecords    = 10_000
+	DefaultKeptBytes      = 8 << 20
 )
 
 func (l Limits) withDefaults() Limits {
@@ -30,6 +33,12 @@
 	setDefault(&l.ReservationTTL, DefaultReservationTTL)
 	setDefault(&l.GangLease, DefaultGangLease)
 	setDefault(&l.Retention, DefaultRetention)
+	if l.KeptRecords == 0 {
+		l.KeptRecords = DefaultKeptRecords
+	}
+	if l.KeptBytes == 0 {
+		l.KeptBytes = DefaultKeptBytes
+	}
 	return l
 }
 
@@ -45,6 +54,7 @@
 // Table holds the state of one target process. It is safe for concurrent use.
 type Table struct {
 	limits   Limits
+	started  time.Time
 	shards   [shardCount]shard
 	slots    slots
 	sessions sessions
@@ -54,6 +64,7 @@
 type shard struct {
 	mu      sync.Mutex
 	records map[ID]*record
+	markers map[uint64]marker // by hash of the ID
 }
 
 // record is one attempt. Its fields are guarded by the lock of its shard.
@@ -70,17 +81,18 @@
 // NewTable returns an empty Table.
 func NewTable(limits Limits) *Table {
 	limits = limits.withDefaults()
-	t := &Table{limits: limits}
+	t := &Table{limits: limits, started: time.Now()}
 	t.slots = slots{total: limits.Slots, holds: make(map[ID]hold)}
 	t.sessions = sessions{expiry: limits.SessionExpiry, byID: make(map[uint64]*session)}
 	for i := range t.shards {
 		t.shards[i].records = make(map[ID]*record)
+		t.shards[i].markers = make(map[uint64]marker)
 	}
 	return t
 }
 
 func (t *Table) shard(id ID) *shard {
-	return &t.shards[(xxhash.Sum64String(id.Job)+uint64(id.Number))%shardCount]
+	return &t.shards[id.hash()%shardCount]
 }
 
 // OpenSession returns a new session for an entry.
@@ -165,30 +177,6 @@
 	}
 }
 
-// Sweep drops what is older than the retention.
-func (t *Table) Sweep() {
-	t.sessions.sweep()
-	now := time.Now()
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		for id, r := range s.records {
-			if r.st.Phase.IsEnded() && !r.owned && now.Sub(r.st.Ended) >= t.limits.Retention {
-				delete(s.records, id)
-			}
-		}
-		s.mu.Unlock()
-	}
-}
-
-func (s *shard) statusLocked(id ID) Status {
-	r, ok := s.records[id]
-	if !ok {
-		return Status{Spec: Spec{ID: id}}
-	}
-	return r.copyLocked()
-}
-
 func (r *record) copyLocked() Status {
 	st := r.st
 	st.Changed = r.changed
