Serve the callers' HTTP API

Cause: callers submit, look up, cancel and list jobs over HTTP. Change: transport/caller with the Service interface, the chi handler, a Server whose Shutdown finishes requests in progress, and a Client. A response to a submission always carries one outcome or a state, also with codes 400, 413, 408 and 500 (Unknown, because a failed service proves nothing). Measured: go test -race -count=3 ./... passes. Conclusion: the scheduler can be attached as a Service.

--- /dev/null
+++ b/transport/caller/caller_test.go
@@ -0,0 +1,302 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/protocol/callerapi"
+	"github.com/medlargrade/medlargrade/transport/rpc/rpctest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeService answers every method with the same response after a delay.
+type fakeService struct {
+	resp  callerapi.Response
+	err   error
+	delay time.Duration
+	calls []string
+	req   callerapi.Request
+	wait  time.Duration
+	cause error // of the end of a context
+}
+
+func (f *fakeService) answer(ctx context.Context, call string) (callerapi.Response, error) {
+	f.calls = append(f.calls, call)
+	select {
+	case <-time.After(f.delay):
+		return f.resp, f.err
+	case <-ctx.Done():
+		f.cause = ctx.Err()
+		return callerapi.Response{}, ctx.Err()
+	}
+}
+
+func (f *fakeService) Submit(ctx context.Context, req callerapi.Request, wait time.Duration) (callerapi.Response, error) {
+	f.req, f.wait = req, wait
+	return f.answer(ctx, "submit")
+}
+
+func (f *fakeService) Lookup(ctx context.Context, workspace, key string, wait time.Duration) (callerapi.Response, error) {
+	f.wait = wait
+	return f.answer(ctx, "lookup "+workspace+" "+key)
+}
+
+func (f *fakeService) Cancel(ctx context.Context, workspace, key string) (callerapi.Response, error) {
+	return f.answer(ctx, "cancel "+workspace+" "+key)
+}
+
+func (f *fakeService) List(ctx context.Context, workspace, after string, _ int) (callerapi.List, error) {
+	resp, err := f.answer(ctx, "list "+workspace+" "+after)
+	return callerapi.List{Jobs: []callerapi.Response{resp}, After: "k9"}, err
+}
+
+func do(f *fakeService, method, target, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequestWithContext(context.Background(), method, target, strings.NewReader(body))
+	Handler(f, zerolog.Nop()).ServeHTTP(w, r)
+	return w
+}
+
+const valid = `{"Workspace": "web", "Kind": "cut"}`
+
+// Guards against a status code or a Retry-After that makes a caller repeat what
+// may have run, or give up on what may be tried again.
+func TestSubmitStatus(t *testing.T) {
+	notRun := func(reason outcome.Reason, retry time.Duration) outcome.Outcome {
+		return outcome.NotRun{Reason: reason, RetryAfter: retry}
+	}
+	tests := []struct {
+		name  string
+		end   outcome.Outcome
+		err   error
+		code  int
+		retry string
+		want  callerapi.Outcome
+	}{
+		{name: "ran", end: outcome.Ran{Answer: outcome.Answer{Parts: [][]byte{[]byte("1")}}}, code: 200, want: callerapi.Ran},
+		{name: "failed", end: outcome.Ran{Answer: outcome.Answer{Failed: true, Error: "x"}}, code: 200, want: callerapi.Ran},
+		{name: "unknown", end: outcome.Unknown{Detail: "x"}, code: 200, want: callerapi.Unknown},
+		{name: "not ended", code: 202},
+		{name: "unknown kind", end: notRun(outcome.ReasonInvalid, 0), code: 400, want: callerapi.NotRun},
+		{name: "key conflict", end: notRun(outcome.ReasonKeyConflict, 0), code: 409, want: callerapi.NotRun},
+		{name: "never fits", end: notRun(outcome.ReasonNeverFits, 0), code: 422, want: callerapi.NotRun},
+		{name: "queue full", end: notRun(outcome.ReasonQueueFull, 1100*time.Millisecond), code: 429, retry: "2", want: callerapi.NotRun},
+		{name: "retries spent", end: notRun(outcome.ReasonRetriesSpent, 0), code: 429, retry: "1", want: callerapi.NotRun},
+		{name: "store down", end: notRun(outcome.ReasonStoreDown, 5*time.Second), code: 503, retry: "5", want: callerapi.NotRun},
+		{name: "leaving", end: notRun(outcome.ReasonLeaving, time.Millisecond), code: 503, retry: "1", want: callerapi.NotRun},
+		{name: "deadline", end: notRun(outcome.ReasonDeadline, 0), code: 504, want: callerapi.NotRun},
+		{name: "service fails", err: errors.New("boom"), code: 500, want: callerapi.Unknown},
+		{name: "service finds it invalid", err: callerapi.Invalid("Idempotent", "x"), code: 400, want: callerapi.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeService{resp: Describe(callerapi.Response{State: callerapi.Queued, Job: "j"}, tt.end), err: tt.err}
+			w := do(f, "POST", "/v1/jobs?wait=2s", valid)
+			qt.Check(t, w.Code, qt.Equals, tt.code)
+			qt.Check(t, w.Header().Get("Retry-After"), qt.Equals, tt.retry)
+			var resp callerapi.Response
+			qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &resp), qt.IsNil)
+			qt.Check(t, resp.Outcome, qt.Equals, tt.want)
+			qt.Check(t, resp.State == "", qt.Equals, tt.want != "")
+			qt.Check(t, f.wait, qt.Equals, 2*time.Second)
+		})
+	}
+}
+
+// Guards against an invalid request that reaches the service, and against a
+// refusal that does not name all faults or its outcome.
+func TestInvalid(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		target string
+		body   string
+		code   int
+		fields string
+	}{
+		{name: "oversized", method: "POST", target: "/v1/jobs", body: strings.Repeat(" ", callerapi.MaxBody+1), code: 413},
+		{name: "body and wait", method: "POST", target: "/v1/jobs?wait=2", body: `{"Kind": "cut"}`, code: 400, fields: "wait Workspace"},
+		{name: "misspelt wait", method: "POST", target: "/v1/jobs?wiat=0s", body: valid, code: 400, fields: "wiat"},
+		{name: "repeated wait", method: "POST", target: "/v1/jobs?wait=0s&wait=1s", body: valid, code: 400, fields: "wait"},
+		{name: "negative wait", method: "GET", target: "/v1/workspaces/web/jobs/k?wait=-1s", code: 400, fields: "wait"},
+		{name: "bad names", method: "DELETE", target: "/v1/workspaces/w%20b/jobs/k%2F", code: 400, fields: "workspace key"},
+		{name: "bad page", method: "GET", target: "/v1/workspaces/web/jobs?limit=0&after=%20", code: 400, fields: "after limit"},
+		{name: "no such path", method: "GET", target: "/v2/jobs", code: 404},
+		{name: "method", method: "PUT", target: "/v1/jobs", code: 405},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fakeService{}
+			w := do(f, tt.method, tt.target, tt.body)
+			qt.Check(t, w.Code, qt.Equals, tt.code)
+			var resp callerapi.Response
+			qt.Assert(t, json.Unmarshal(w.Body.Bytes(), &resp), qt.IsNil)
+			qt.Check(t, resp.Outcome == callerapi.NotRun, qt.Equals, tt.method == "POST")
+			var fields []string
+			for _, p := range resp.Errors {
+				fields = append(fields, p.Field)
+			}
+			qt.Check(t, strings.Join(fields, " "), qt.Equals, tt.fields)
+			qt.Check(t, f.calls, qt.HasLen, 0)
+		})
+	}
+}
+
+// rig serves a fake service over pipes.
+type rig struct {
+	net    rpctest.Network
+	svc    fakeService
+	server *Server
+	client Client
+	served chan error
+}
+
+func run(t *testing.T, f func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &rig{served: make(chan error, 1)}
+		tr := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return r.net.Dial(ctx, "e1")
+		}, ExpectContinueTimeout: time.Hour}
+		r.client = Client{Base: "http://e1", HTTP: &http.Client{Transport: tr}}
+		r.server = NewServer(Handler(&r.svc, zerolog.Nop()), zerolog.Nop())
+		lis := r.net.Listen("e1")
+		go func() { r.served <- r.server.Serve(lis) }()
+		f(t, r)
+		_ = r.server.Shutdown(context.Background())
+		qt.Check(t, <-r.served, qt.IsNil)
+		tr.CloseIdleConnections()
+	})
+}
+
+// Guards against a client and a server that disagree on paths, bodies or errors.
+func TestClient(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		ctx := t.Context()
+		r.svc.resp = callerapi.Response{Outcome: callerapi.Ran, Key: "k", Answer: &callerapi.Answer{Parts: []json.RawMessage{[]byte(`"<&>"`)}}}
+		got, err := r.client.Submit(ctx, callerapi.Request{Workspace: "web", Kind: "cut"}, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.DeepEquals, r.svc.resp)
+		qt.Check(t, r.svc.req.Shape, qt.Equals, callerapi.DefaultShape)
+		got, err = r.client.Submit(ctx, callerapi.Request{Workspace: "web"}, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got.Outcome, qt.Equals, callerapi.NotRun)
+		qt.Check(t, got.Errors, qt.DeepEquals, []callerapi.Problem{{Field: "Kind", Message: "is required"}})
+
+		r.svc.resp = callerapi.Response{State: callerapi.Dispatched}
+		got, err = r.client.Lookup(ctx, "web", "k", time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, got, qt.DeepEquals, r.svc.resp)
+		_, err = r.client.Cancel(ctx, "web", "k")
+		qt.Assert(t, err, qt.IsNil)
+		page, err := r.client.List(ctx, "web", "k1", 10)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, page, qt.DeepEquals, callerapi.List{Jobs: []callerapi.Response{r.svc.resp}, After: "k9"})
+		qt.Check(t, r.svc.calls, qt.DeepEquals, []string{"submit", "lookup web k", "cancel web k", "list web k1"})
+
+		r.svc.err = callerapi.ErrNotFound
+		_, err = r.client.Lookup(ctx, "web", "k", 0)
+		qt.Check(t, err, qt.ErrorIs, callerapi.ErrNotFound)
+		_, err = r.client.List(ctx, "web", "", 0)
+		qt.Check(t, err, qt.ErrorMatches, "list http://e1: status 400: .*limit: .*")
+	})
+}
+
+// Guards against a wait that goes on after its caller has gone away.
+func TestCallerGoesAway(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.svc.delay = time.Hour
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := r.client.Submit(ctx, callerapi.Request{Workspace: "web", Kind: "cut"}, time.Hour)
+		qt.Check(t, err, qt.ErrorIs, context.DeadlineExceeded)
+		synctest.Wait()
+		qt.Check(t, r.svc.cause, qt.ErrorIs, context.Canceled)
+	})
+}
+
+// Guards against timeouts that end a long wait or outlast their request, and
+// against a body that never arrives.
+func TestTimeouts(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		r.svc.resp, r.svc.delay = callerapi.Response{Outcome: callerapi.Unknown}, 3*IdleTimeout
+		for range 2 {
+			req, err := http.NewRequestWithContext(t.Context(), "POST", "http://e1/v1/jobs?wait=1h", strings.NewReader(valid))
+			qt.Assert(t, err, qt.IsNil)
+			req.Header.Set("Expect", "100-continue")
+			resp, err := r.client.HTTP.Do(req)
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.Copy(io.Discard, resp.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, resp.Body.Close(), qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, 200)
+			time.Sleep(WriteTimeout + time.Second)
+		}
+		qt.Check(t, r.net.Dials("e1"), qt.Equals, 1)
+
+		start := time.Now()
+		body, writer := io.Pipe()
+		req, err := http.NewRequestWithContext(t.Context(), "POST", "http://e1/v1/jobs", io.MultiReader(bytes.NewReader([]byte(`{"Kind"`)), body))
+		qt.Assert(t, err, qt.IsNil)
+		resp, err := r.client.HTTP.Do(req)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.Body.Close(), qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 408)
+		qt.Check(t, time.Since(start), qt.Equals, BodyTimeout)
+		qt.Check(t, writer.Close(), qt.IsNil)
+	})
+}
+
+// Guards against a shutdown that cuts a request short before its time, or that
+// does not end when the time is over.
+func TestShutdown(t *testing.T) {
+	tests := []struct {
+		name  string
+		delay time.Duration
+		err   string
+	}{
+		{name: "request ends in time", delay: 20 * time.Second},
+		{name: "request is too long", delay: time.Hour, err: "1 requests cut short: context deadline exceeded"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			run(t, func(t *testing.T, r *rig) {
+				r.svc.resp, r.svc.delay = callerapi.Response{Outcome: callerapi.Unknown}, tt.delay
+				result := make(chan error, 1)
+				go func() {
+					_, err := r.client.Submit(t.Context(), callerapi.Request{Workspace: "web", Kind: "cut"}, time.Hour)
+					result <- err
+				}()
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				err := r.server.Shutdown(ctx)
+				if tt.err != "" {
+					qt.Check(t, err, qt.ErrorMatches, tt.err)
+					qt.Check(t, <-result, qt.IsNotNil)
+					qt.Check(t, r.svc.cause, qt.ErrorIs, context.Canceled)
+					return
+				}
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, <-result, qt.IsNil)
+				_, err = r.client.Lookup(t.Context(), "web", "k", 0)
+				qt.Check(t, err, qt.ErrorMatches, ".*connection refused.*")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/transport/caller/response.go
@@ -0,0 +1,86 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/protocol/callerapi"
+)
+
+// Describe returns resp with the outcome filled in. A nil outcome leaves it as it
+// is.
+func Describe(resp callerapi.Response, o outcome.Outcome) callerapi.Response {
+	if o == nil {
+		return resp
+	}
+	resp.State = ""
+	switch o := o.(type) {
+	case outcome.Ran:
+		resp.Outcome = callerapi.Ran
+		resp.Answer = &callerapi.Answer{
+			Parts:  callerapi.Parts(o.Answer.Parts),
+			Failed: o.Answer.Failed,
+			Error:  o.Answer.Error,
+		}
+		resp.Elapsed = callerapi.Duration(o.Elapsed)
+	case outcome.NotRun:
+		resp.Outcome = callerapi.NotRun
+		resp.Reason = string(o.Reason)
+		resp.Detail = o.Detail
+		resp.RetryAfter = callerapi.Duration(o.RetryAfter)
+	case outcome.Unknown:
+		resp.Outcome = callerapi.Unknown
+		resp.Detail = o.Detail
+	}
+	return resp
+}
+
+// submitStatus returns the status code for the response to a submission.
+func submitStatus(resp callerapi.Response) int {
+	switch resp.Outcome {
+	case "":
+		return http.StatusAccepted
+	case callerapi.NotRun:
+	default:
+		return http.StatusOK
+	}
+	switch outcome.Reason(resp.Reason) {
+	case outcome.ReasonInvalid:
+		return http.StatusBadRequest
+	case outcome.ReasonKeyConflict, outcome.ReasonCanceled:
+		return http.StatusConflict
+	case outcome.ReasonNeverFits, outcome.ReasonCannotRun, outcome.ReasonConfigChanged:
+		return http.StatusUnprocessableEntity
+	case outcome.ReasonQueueFull, outcome.ReasonRetriesSpent:
+		return http.StatusTooManyRequests
+	case outcome.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// setRetryAfter sets the header to whole seconds, rounded up and at least one.
+func setRetryAfter(w http.ResponseWriter, d time.Duration) {
+	seconds := max(1, (d+time.Second-1)/time.Second)
+	w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+}
+
+// write sends a JSON body within WriteTimeout.
+func (h *handler) write(w http.ResponseWriter, code int, body any) {
+	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(WriteTimeout))
+	if err == nil || errors.Is(err, http.ErrNotSupported) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(code)
+		enc := json.NewEncoder(w)
+		enc.SetEscapeHTML(false)
+		err = enc.Encode(body)
+	}
+	if err != nil {
+		h.log.Debug().Int("Event", EventWriteFailed).Err(err).Msg("response not written")
+	}
+}
