Serve HTTP for operators

Cause: the load balancer and operators need health, readiness, status, a dump, metrics and a drain. Change: transport/operator with one handler over functions of the process. Ruled out: a server type of its own; caller.Server serves any handler.

--- /dev/null
+++ b/transport/operator/doc.go
@@ -0,0 +1,21 @@
+// Package operator serves HTTP for operators and the platform's load balancer.
+//
+//	GET  /health   200 while the process serves
+//	GET  /ready    200 if the process takes work, otherwise 503 with the reason
+//	GET  /status   a summary as JSON
+//	GET  /dump     the whole state as JSON
+//	GET  /metrics  metrics in the Prometheus text format
+//	POST /drain    starts the drain; 202
+//
+// # Usage
+//
+//	h := operator.Handler(operator.Settings{
+//		Ready:   process.Ready,
+//		Status:  process.Status,
+//		Dump:    process.Dump,
+//		Drain:   process.Drain,
+//		Metrics: set,
+//		Log:     log,
+//	})
+//	s := caller.NewServer(h, log)
+package operator
--- /dev/null
+++ b/transport/operator/operator_test.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// Guards against a load balancer that is told the wrong state, and against a
+// drain that a mere read starts.
+func TestHandler(t *testing.T) {
+	drains := 0
+	set := metrics.NewSet()
+	set.NewCounter("jobs_total").Add(3)
+	cfg := Settings{
+		Status:  func() any { return map[string]int{"Targets": 11} },
+		Dump:    func() any { return func() {} },
+		Drain:   func() { drains++ },
+		Metrics: set,
+		Log:     zerolog.Nop(),
+	}
+	notReady := Settings{Ready: func() error { return errors.New("configuration not read") }, Log: zerolog.Nop()}
+	tests := []struct {
+		name   string
+		cfg    Settings
+		method string
+		path   string
+		code   int
+		body   string // regular expression
+		drains int
+	}{
+		{name: "health", cfg: notReady, method: "GET", path: "/health", code: 200, body: "alive\n"},
+		{name: "ready", cfg: cfg, method: "GET", path: "/ready", code: 200, body: "ready\n"},
+		{name: "not ready", cfg: notReady, method: "GET", path: "/ready", code: 503, body: "configuration not read\n"},
+		{name: "status", cfg: cfg, method: "GET", path: "/status", code: 200, body: "{\n  \"Targets\": 11\n}\n"},
+		{name: "no status", cfg: notReady, method: "GET", path: "/status", code: 404, body: "(?s).*"},
+		{name: "dump can't be encoded", cfg: cfg, method: "GET", path: "/dump", code: 500, body: "json: unsupported type.*\n"},
+		{name: "metrics", cfg: cfg, method: "GET", path: "/metrics", code: 200, body: "(?s)jobs_total 3\n.*go_goroutines .*"},
+		{name: "read of drain", cfg: cfg, method: "GET", path: "/drain", code: 405, body: "(?s).*"},
+		{name: "drain", cfg: cfg, method: "POST", path: "/drain", code: http.StatusAccepted, body: "draining\n", drains: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			drains = 0
+			w := httptest.NewRecorder()
+			Handler(tt.cfg).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), tt.method, tt.path, nil))
+			qt.Check(t, w.Code, qt.Equals, tt.code)
+			qt.Check(t, w.Body.String(), qt.Matches, tt.body)
+			qt.Check(t, drains, qt.Equals, tt.drains)
+		})
+	}
+}
