--- /dev/null
+++ b/cmd/medlargrade/process.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"github.com/medlargrade/medlargrade/process"
+)
+
+// entryCommand runs an entry process.
+type entryCommand struct {
+	Settings string                `long:"settings" description:"JSON file with the settings; flags take precedence over it"`
+	Flags    process.EntrySettings `group:"Settings"`
+}
+
+// Execute runs the process until SIGTERM or SIGINT.
+func (c *entryCommand) Execute([]string) error {
+	set := process.DefaultEntrySettings()
+	if err := process.ReadSettings(c.Settings, &set); err != nil {
+		return &exitError{exitInvalid, err}
+	}
+	overlay(&set, &c.Flags)
+	if err := set.Check(); err != nil {
+		return &exitError{exitInvalid, err}
+	}
+	ctx, cancel := signals()
+	defer cancel()
+	return process.RunEntry(ctx, set, process.TCP(), process.NewLogger(set.LogLevel, set.Name))
+}
+
+// targetCommand runs a target process.
+type targetCommand struct {
+	Settings string                 `long:"settings" description:"JSON file with the settings; flags take precedence over it"`
+	Flags    process.TargetSettings `group:"Settings"`
+}
+
+// Execute runs the process until SIGTERM or SIGINT.
+func (c *targetCommand) Execute([]string) error {
+	set := process.DefaultTargetSettings()
+	if err := process.ReadSettings(c.Settings, &set); err != nil {
+		return &exitError{exitInvalid, err}
+	}
+	overlay(&set, &c.Flags)
+	if err := set.Check(); err != nil {
+		return &exitError{exitInvalid, err}
+	}
+	ctx, cancel := signals()
+	defer cancel()
+	return process.RunTarget(ctx, set, process.TCP(), process.NewLogger(set.LogLevel, set.Name))
+}
--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -168,7 +168,7 @@
 	since := time.Now()
 	limit := a.reachLimit()
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
-		reply, err := a.s.fence(a.id, hub.Address, hub.Incarnation)
+		reply, err := a.s.fence(a.id, hub.Address, hub.Incarnation) //nolint:contextcheck // The question must outlive the job's deadline.
 		if err == nil {
 			if r := resultOf(reply, hub.Target); r != nil {
 				return r
--- a/coordination/scheduler/meter.go
+++ b/coordination/scheduler/meter.go
@@ -68,4 +68,3 @@
 	shape := operator.NewShape(2, cfg.Site().SlotsPerWorker()).WithAdjacency(operator.AdjacentRack)
 	return ps.site.Fragmentation(shape)
 }
-
--- a/coordination/scheduler/orphans.go
+++ b/coordination/scheduler/orphans.go
@@ -22,6 +22,9 @@
 			s.log.Debug().Int("Event", EventOrphanScanFailed).Str("Entry", entry).Err(err).Send()
 			return
 		}
+		if len(list) == 0 && entry != s.set.Entry {
+			s.peers.Members.Remove(ctx, entry)
+		}
 		for _, row := range list {
 			var q rows.Queue
 			if err := rows.Decode(row, &q); err != nil {
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -42,6 +42,8 @@
 	SilentEntries() []string
 	// Addresses returns where the live entries listen for targets.
 	Addresses() []string
+	// Remove forgets a silent entry whose queued jobs have been taken over.
+	Remove(ctx context.Context, entry string)
 }
 
 // Config gives the configuration in force. An entry combines a
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -28,9 +28,9 @@
 	s        *Scheduler
 	job      *jobs.Job
 	spec     spec
-	recorded bool     // the job has a row
-	queued   bool     // the job has a queue row
-	tokens   []string // that the row may carry as far as this entry knows
+	recorded bool            // the job has a row
+	queued   bool            // the job has a queue row
+	tokens   []string        // that the row may carry as far as this entry knows
 	refusal  *outcome.NotRun // of new attempts: the configuration no longer has the kind
 
 	// Set if another entry, or a former process of this entry, owned the job.
--- a/cmd/medlargrade/settings.go
+++ b/process/settings.go
@@ -1,4 +1,4 @@
-package main
+package process
 
 import (
 	"bytes"
@@ -13,40 +13,40 @@
 	"github.com/rs/zerolog"
 )
 
-// duration is a time.Duration that is written as a string such as "10m" in
+// Duration is a time.Duration that is written as a string such as "10m" in
 // settings and flags.
-type duration time.Duration
+type Duration time.Duration
 
 // UnmarshalText parses the form of time.ParseDuration.
-func (d *duration) UnmarshalText(text []byte) error {
+func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil {
 		return fmt.Errorf("duration: %w", err)
 	}
-	*d = duration(v)
+	*d = Duration(v)
 	return nil
 }
 
 // MarshalText returns the form of time.Duration.String.
-func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
 // UnmarshalFlag parses a flag.
-func (d *duration) UnmarshalFlag(value string) error { return d.UnmarshalText([]byte(value)) }
+func (d *Duration) UnmarshalFlag(value string) error { return d.UnmarshalText([]byte(value)) }
 
-// entrySettings are the settings of an entry process.
-type entrySettings struct {
+// EntrySettings are the settings of an entry process.
+type EntrySettings struct {
 	Name            string   `long:"name" description:"name of the entry, unique over all entries"`
 	DataCentre      string   `long:"data-centre" description:"data centre of the entry's VM"`
 	CallerAddress   string   `long:"caller-address" description:"IP:port to serve callers"`
 	TargetAddress   string   `long:"target-address" description:"IP:port to serve target processes"`
 	OperatorAddress string   `long:"operator-address" description:"IP:port to serve operators"`
 	Platform        string   `long:"platform" description:"URL of the platform's table service and object store"`
-	DrainTime       duration `long:"drain-time" description:"how long a shutdown waits for requests in progress"`
+	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress"`
 	LogLevel        string   `long:"log-level" description:"debug, info, warn or error"`
 }
 
-// targetSettings are the settings of a target process.
-type targetSettings struct {
+// TargetSettings are the settings of a target process.
+type TargetSettings struct {
 	Name            string   `long:"name" description:"name of the target, unique in the site"`
 	DataCentre      string   `long:"data-centre" description:"data centre of the target's VM"`
 	Rack            string   `long:"rack" description:"rack of the worker"`
@@ -57,24 +57,27 @@
 	Slots           int      `long:"slots" description:"slots of the worker"`
 	Connections     int      `long:"connections" description:"connections of the target"`
 	ReportTo        int      `long:"report-to" description:"number of entries to report to"`
-	DrainTime       duration `long:"drain-time" description:"how long a shutdown waits for tasks"`
+	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for tasks"`
 	LogLevel        string   `long:"log-level" description:"debug, info, warn or error"`
 }
 
-func defaultEntrySettings() entrySettings {
-	return entrySettings{DrainTime: duration(time.Minute), LogLevel: "info"}
+// DefaultEntrySettings returns the settings that have defaults.
+func DefaultEntrySettings() EntrySettings {
+	return EntrySettings{DrainTime: Duration(time.Minute), LogLevel: "info"}
 }
 
-func defaultTargetSettings() targetSettings {
-	return targetSettings{
+// DefaultTargetSettings returns the settings that have defaults: those of a worker
+// with eight accelerators.
+func DefaultTargetSettings() TargetSettings {
+	return TargetSettings{
 		Slots: 8, Connections: 64, ReportTo: 4,
-		DrainTime: duration(10 * time.Minute), LogLevel: "info",
+		DrainTime: Duration(10 * time.Minute), LogLevel: "info",
 	}
 }
 
-// readSettings fills v from a JSON file. Unknown fields are errors. An empty
+// ReadSettings fills v from a JSON file. Unknown fields are errors. An empty
 // path leaves v as it is.
-func readSettings(path string, v any) error {
+func ReadSettings(path string, v any) error {
 	if path == "" {
 		return nil
 	}
@@ -93,28 +96,28 @@
 	return nil
 }
 
-// check returns all that is wrong with the settings.
-func (s entrySettings) check() error {
+// Check returns all that is wrong with the settings.
+func (s EntrySettings) Check() error {
 	return errors.Join(
 		checkName("Name", s.Name),
 		checkName("DataCentre", s.DataCentre),
-		checkAddress("CallerAddress", s.CallerAddress),
-		checkAddress("TargetAddress", s.TargetAddress),
-		checkAddress("OperatorAddress", s.OperatorAddress),
+		CheckAddress("CallerAddress", s.CallerAddress),
+		CheckAddress("TargetAddress", s.TargetAddress),
+		CheckAddress("OperatorAddress", s.OperatorAddress),
 		checkURL("Platform", s.Platform),
 		checkPositive("DrainTime", int64(s.DrainTime)),
 		checkLevel(s.LogLevel),
 	)
 }
 
-// check returns all that is wrong with the settings.
-func (s targetSettings) check() error {
+// Check returns all that is wrong with the settings.
+func (s TargetSettings) Check() error {
 	errs := []error{
 		checkName("Name", s.Name),
 		checkName("DataCentre", s.DataCentre),
 		checkName("Rack", s.Rack),
-		checkAddress("Address", s.Address),
-		checkAddress("OperatorAddress", s.OperatorAddress),
+		CheckAddress("Address", s.Address),
+		CheckAddress("OperatorAddress", s.OperatorAddress),
 		checkURL("Worker", s.Worker),
 		checkPositive("Slots", int64(s.Slots)),
 		checkPositive("Connections", int64(s.Connections)),
@@ -123,10 +126,10 @@
 		checkLevel(s.LogLevel),
 	}
 	if len(s.Entries) == 0 {
-		errs = append(errs, errors.New("Entries: at least one entry is needed"))
+		errs = append(errs, fmt.Errorf("%s: at least one entry is needed", "Entries"))
 	}
 	for i, e := range s.Entries {
-		errs = append(errs, checkAddress(fmt.Sprintf("Entries[%d]", i), e))
+		errs = append(errs, CheckAddress(fmt.Sprintf("Entries[%d]", i), e))
 	}
 	return errors.Join(errs...)
 }
@@ -138,8 +141,8 @@
 	return nil
 }
 
-// checkAddress demands an IP number: the processes use no name service.
-func checkAddress(field, value string) error {
+// CheckAddress demands an IP number: the processes use no name service.
+func CheckAddress(field, value string) error {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		return fmt.Errorf("%s: %q is not IP:port", field, value)
 	}
@@ -151,7 +154,7 @@
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		return fmt.Errorf("%s: %q is not an http URL", field, value)
 	}
-	return checkAddress(field, u.Host)
+	return CheckAddress(field, u.Host)
 }
 
 func checkPositive(field string, value int64) error {
@@ -168,8 +171,8 @@
 	return nil
 }
 
-// newLogger returns the process's logger, which writes JSON lines to stderr.
-func newLogger(level, process string) zerolog.Logger {
+// NewLogger returns the process's logger, which writes JSON lines to stderr.
+func NewLogger(level, process string) zerolog.Logger {
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
