Test message sizes, bound operators' responses

Cause: the size limits of transport/rpc had no test for replies, and a slow reader of /dump could hold up a shutdown. Ruled out: a write timeout in caller.Server, because callers' requests wait.

--- a/transport/operator/handler.go
+++ b/transport/operator/handler.go
@@ -4,12 +4,17 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
 )
 
+// writeTimeout bounds a response, so that a slow reader does not hold up the end
+// of the process.
+const writeTimeout = 30 * time.Second
+
 // Settings of a Handler. A path whose function is nil does not exist, but /ready
 // without a function is always 200.
 type Settings struct {
@@ -29,6 +34,7 @@
 // Handler returns the operators' API.
 func Handler(cfg Settings) http.Handler {
 	r := chi.NewRouter()
+	r.Use(limitWrites)
 	r.Get("/health", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "alive") })
 	r.Get("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if cfg.Ready != nil {
@@ -62,6 +68,14 @@
 	return r
 }
 
+func limitWrites(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// A writer without deadlines, as in tests, is served without.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveJSON writes the value that f returns. It encodes the value first, so that
 // a failure does not leave half a body with code 200.
 func serveJSON(f func() any, log zerolog.Logger) http.HandlerFunc {
--- a/transport/rpc/rpc_test.go
+++ b/transport/rpc/rpc_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -174,6 +175,40 @@
 	}
 }
 
+// Guards against a limit below the page's, and against a reply above it that
+// ends the connection without saying why.
+func TestMessageSize(t *testing.T) {
+	tests := []struct {
+		name string
+		size int
+		err  string
+	}{
+		{name: "just below the limit", size: rpc.MaxMessage - 64},
+		{name: "reply twice the request", size: rpc.MaxMessage - 64, err: "Await t1: message of .* exceeds the limit of 8388608"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, &server{await: func(_ context.Context, r *targetrpc.AwaitRequest) (*targetrpc.AttemptReply, error) {
+					reply := &targetrpc.AttemptReply{Attempt: r.GetAttempt()}
+					if tt.err != "" {
+						reply.Reason = r.GetAttempt().GetJob()
+					}
+					return reply, nil
+				}}, rpc.Settings{})
+				defer r.close(t)
+				reply, err := r.client.Await(t.Context(), &targetrpc.AwaitRequest{Attempt: &targetrpc.AttemptID{Job: strings.Repeat("a", tt.size)}})
+				if tt.err != "" {
+					qt.Assert(t, err, qt.ErrorMatches, tt.err)
+					return
+				}
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, len(reply.GetAttempt().GetJob()), qt.Equals, tt.size)
+			})
+		})
+	}
+}
+
 // Guards against the reuse of a connection that failed or that the server closed
 // in the meantime, and against a pool that dials for every call.
 func TestReuse(t *testing.T) {
