Reclaim lent single-task jobs and don't fail refused work for lack of retries

Cause: a guarantee claim on a site full of lent work ended as RetriesSpent after 8 s. A target reports no hub for a job with one task, so Preempt was sent to an empty address; each refusal of the claim then spent the retry budget. Change: the entry takes the reporting target as the hub of such tasks; an attempt that was refused is tried again slowly once the budget is spent, up to the deadline. Ruled out: a larger budget, which would only delay the failure.

--- a/coordination/scheduler/heartbeat.go
+++ b/coordination/scheduler/heartbeat.go
@@ -55,7 +55,12 @@
 		Removed:     in.GetRemoved(),
 	}
 	for _, t := range in.GetTasks() {
-		r.Tasks = append(r.Tasks, taskOf(t))
+		task := taskOf(t)
+		if task.Hub.Address == "" {
+			// A target is the hub of its jobs with a single task.
+			task.Hub = targets.Hub{Target: r.Target, Address: r.Address, Incarnation: r.Incarnation}
+		}
+		r.Tasks = append(r.Tasks, task)
 	}
 	for _, k := range in.GetResults() {
 		r.Results = append(r.Results, targets.Result{
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -105,8 +105,8 @@
 			if res.code == targetrpc.RefusalCode_REFUSAL_WORKER && len(avoid) < maxAvoided {
 				avoid = append(avoid, res.target)
 			}
-			if !r.recorded && !r.s.plan.retry() {
-				return outcome.NotRun{Reason: outcome.ReasonRetriesSpent, Detail: res.detail, RetryAfter: time.Second}
+			if !r.s.plan.retry() {
+				wait = lastBackoff // The site refuses much: try again slowly.
 			}
 			front = true
 		case lostResult:
