Add the config subcommand

Cause: operators need to check, review, apply and show configurations from the command line and from scripts. Change: cmd/medlargrade/config.go with check, diff, apply and show, exit codes 0 to 5, and an Env that carries the writers and the store factory. Reporting failed prints: a closed pipe after an accepted change would turn a success into a failure.

--- /dev/null
+++ b/cmd/medlargrade/config.go
@@ -0,0 +1,306 @@
+// Command medlargrade runs the processes of a site and serves its operators.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/medlargrade/medlargrade/coordination/configsync"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+// Exit codes of the config subcommands.
+const (
+	ExitOK          = 0
+	ExitDifferences = 1 // diff --exit-code found differences
+	ExitProblems    = 2 // the file can't be parsed or has problems; nothing was applied
+	ExitRace        = 3 // another change was accepted first; nothing was applied
+	ExitUndecided   = 4 // the change may or may not be accepted
+	ExitFailed      = 5 // any other error; nothing was applied
+)
+
+// configTimeout bounds one subcommand. Apply tries for some 10 s to resolve a
+// lost answer.
+const configTimeout = time.Minute
+
+// ExitError ends the process with a code.
+type ExitError struct {
+	Code int
+	Err  error // nil if everything has been printed
+}
+
+func (e *ExitError) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("exit code %d", e.Code)
+	}
+	return e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// ExitCode returns the exit code for the error of an Execute method or of the
+// flags parser.
+func ExitCode(err error) int {
+	var exit *ExitError
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &exit):
+		return exit.Code
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		return ExitOK
+	}
+	return ExitFailed
+}
+
+// StoreFactory opens the store of the platform at a URL.
+type StoreFactory func(url string) (rows.Store, error)
+
+// Env is what the config subcommands need from the process.
+type Env struct {
+	Context   context.Context
+	Stdin     io.Reader
+	Stdout    io.Writer // results
+	Stderr    io.Writer // problems, warnings and errors that explain the exit code
+	OpenStore StoreFactory
+}
+
+// Config is the config subcommand.
+type Config struct {
+	Check ConfigCheck `command:"check" description:"Check a configuration file" long-description:"Prints everything that is wrong with the file, and warnings. Exit codes: 0 no problems, 2 problems, 5 other errors."`
+	Diff  ConfigDiff  `command:"diff" description:"Compare a configuration file with the accepted configuration" long-description:"Prints one line per change and the generation compared with. Exit codes: 0 compared, 1 differences with --exit-code, 2 the file can't be parsed, 5 other errors."`
+	Apply ConfigApply `command:"apply" description:"Make a configuration file the accepted configuration" long-description:"Applies the file if the accepted generation is the expected one. Exit codes: 0 accepted or no differences, 2 problems, 3 another change was accepted first, 4 the change may or may not be accepted, 5 other errors."`
+	Show  ConfigShow  `command:"show" description:"Print the accepted configuration" long-description:"Exit codes: 0 printed, 5 errors."`
+}
+
+// NewConfig returns the config subcommand for an environment.
+func NewConfig(env *Env) *Config {
+	return &Config{
+		Check: ConfigCheck{Env: env},
+		Diff:  ConfigDiff{storeFlags: storeFlags{Env: env}},
+		Apply: ConfigApply{storeFlags: storeFlags{Env: env}},
+		Show:  ConfigShow{storeFlags: storeFlags{Env: env}},
+	}
+}
+
+// fileArg is the positional argument FILE.
+type fileArg struct {
+	File string `positional-arg-name:"FILE" description:"configuration file, or - for standard input"`
+}
+
+// storeFlags are the flags of subcommands that use the store.
+type storeFlags struct {
+	*Env     `no-flag:"true"`
+	Platform string `long:"platform" value-name:"URL" required:"true" description:"URL of the platform's table service and object store"`
+}
+
+// open returns the store and a context for one subcommand.
+func (f storeFlags) open() (context.Context, context.CancelFunc, rows.Store, error) {
+	store, err := f.OpenStore(f.Platform)
+	if err != nil {
+		return nil, nil, nil, failed(err)
+	}
+	ctx, cancel := context.WithTimeout(f.Context, configTimeout)
+	return ctx, cancel, store, nil
+}
+
+// printf ignores errors: the exit code tells how a subcommand ended, and a
+// reader that has gone away must not change it.
+func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
+func failed(err error) error { return &ExitError{Code: ExitFailed, Err: err} }
+
+// read returns the configuration of a file.
+func (e *Env) read(file string) (operator.Config, error) {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(e.Stdin)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return operator.Config{}, failed(fmt.Errorf("read configuration: %w", err))
+	}
+	cfg, err := operator.Parse(data)
+	if err != nil {
+		return operator.Config{}, &ExitError{Code: ExitProblems, Err: fmt.Errorf("%s: %w", file, err)}
+	}
+	return cfg, nil
+}
+
+// explain prints problems and warnings and returns the number of problems.
+func (e *Env) explain(cfg operator.Config) int {
+	problems := cfg.Check()
+	for _, p := range problems {
+		printf(e.Stderr, "problem: %s\n", p)
+	}
+	for _, p := range cfg.Warnings() {
+		printf(e.Stderr, "warning: %s\n", p)
+	}
+	return len(problems)
+}
+
+// printDiff prints the changes from the current configuration and returns their
+// number.
+func (e *Env) printDiff(current configsync.Snapshot, cfg operator.Config) int {
+	changes := operator.Diff(current.Config, cfg)
+	for _, c := range changes {
+		printf(e.Stdout, "%s\n", c)
+	}
+	if len(changes) == 0 {
+		printf(e.Stdout, "no differences from generation %d\n", current.Generation)
+	} else {
+		printf(e.Stdout, "%d changes from generation %d\n", len(changes), current.Generation)
+	}
+	return len(changes)
+}
+
+// ConfigCheck is the subcommand config check.
+type ConfigCheck struct {
+	*Env `no-flag:"true"`
+	Args fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute checks a file without a store.
+func (c *ConfigCheck) Execute([]string) error {
+	cfg, err := c.read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if n := c.explain(cfg); n > 0 {
+		return &ExitError{Code: ExitProblems, Err: fmt.Errorf("%s: %d problems", c.Args.File, n)}
+	}
+	guaranteed := 0
+	for _, w := range cfg.Workspaces() {
+		guaranteed += w.GuaranteedSlots()
+	}
+	printf(c.Stdout, "no problems: %d workers, %d of %d slots guaranteed, %d workspaces, %d kinds\n",
+		cfg.Site().Workers(), guaranteed, cfg.Site().Slots(), len(cfg.Workspaces()), len(cfg.Kinds()))
+	return nil
+}
+
+// ConfigDiff is the subcommand config diff.
+type ConfigDiff struct {
+	storeFlags
+	ExitCode bool    `long:"exit-code" description:"exit with 1 if there are differences"`
+	Args     fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute compares a file with the accepted configuration.
+func (c *ConfigDiff) Execute([]string) error {
+	cfg, err := c.read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	ctx, cancel, store, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	current, err := configsync.Read(ctx, store)
+	if err != nil {
+		return failed(err)
+	}
+	n := c.printDiff(current, cfg)
+	c.explain(cfg)
+	if n > 0 && c.ExitCode {
+		return &ExitError{Code: ExitDifferences}
+	}
+	return nil
+}
+
+// ConfigApply is the subcommand config apply.
+type ConfigApply struct {
+	storeFlags
+	Expect *uint64 `long:"expect" value-name:"N" description:"apply only if the accepted generation is N, as shown by diff (default: the generation at the start)"`
+	Args   fileArg `positional-args:"yes" required:"yes"`
+}
+
+// Execute applies a file.
+func (c *ConfigApply) Execute([]string) error {
+	cfg, err := c.read(c.Args.File)
+	if err != nil {
+		return err
+	}
+	if n := c.explain(cfg); n > 0 {
+		return &ExitError{Code: ExitProblems, Err: fmt.Errorf("%s: %d problems, nothing applied", c.Args.File, n)}
+	}
+	ctx, cancel, store, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	current, err := configsync.Read(ctx, store)
+	if err != nil {
+		return failed(err)
+	}
+	expected := current.Generation
+	if c.Expect != nil {
+		expected = *c.Expect
+	}
+	if expected == current.Generation && c.printDiff(current, cfg) == 0 {
+		return nil
+	}
+	generation, err := configsync.Apply(ctx, store, expected, cfg)
+	var race *configsync.RaceError
+	var undecided *configsync.UndecidedError
+	switch {
+	case err == nil:
+		printf(c.Stdout, "generation %d accepted\n", generation)
+		return nil
+	case errors.As(err, &race):
+		found := fmt.Sprint("found generation ", race.Found)
+		if race.Found == 0 && race.Expected > 0 {
+			found = "found a newer one that could not be read"
+		}
+		return &ExitError{Code: ExitRace, Err: fmt.Errorf("expected generation %d, %s: nothing applied; run diff again", race.Expected, found)}
+	case errors.As(err, &undecided):
+		return &ExitError{Code: ExitUndecided, Err: fmt.Errorf("%w; run diff once the store is back: no differences mean that it is accepted", err)}
+	}
+	return failed(err)
+}
+
+// ConfigShow is the subcommand config show.
+type ConfigShow struct {
+	storeFlags
+	Generation bool   `long:"generation" description:"print only the number of the accepted generation"`
+	At         uint64 `long:"at" value-name:"N" description:"print generation N instead of the accepted one"`
+}
+
+// Execute prints the accepted configuration, an earlier one or the generation.
+func (c *ConfigShow) Execute([]string) error {
+	ctx, cancel, store, err := c.open()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	var s configsync.Snapshot
+	if c.At > 0 {
+		s, err = configsync.ReadAt(ctx, store, c.At)
+	} else {
+		s, err = configsync.Read(ctx, store)
+	}
+	switch {
+	case err != nil:
+		return failed(err)
+	case c.Generation:
+		printf(c.Stdout, "%d\n", s.Generation)
+		return nil
+	case s.Generation == 0:
+		return failed(errors.New("no configuration has been applied"))
+	}
+	if _, err := c.Stdout.Write(s.Config.JSON()); err != nil {
+		return failed(fmt.Errorf("print configuration: %w", err))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/medlargrade/config_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+// fakeStore is an in-memory rows.Store for one user at a time.
+type fakeStore struct {
+	rows.Store
+	rows    map[string]rows.Row
+	objects map[string][]byte
+	down    bool
+	lost    bool   // writes have no effect and no answer
+	onWrite func() // runs before a write
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: make(map[string]rows.Row), objects: make(map[string][]byte)}
+}
+
+func (s *fakeStore) Read(_ context.Context, table, key string) (rows.Row, error) {
+	if s.down {
+		return rows.Row{}, &rows.UnavailableError{Err: errors.New("injected fault")}
+	}
+	if row, ok := s.rows[table+"/"+key]; ok {
+		return row, nil
+	}
+	return rows.Row{}, rows.ErrNotFound
+}
+
+func (s *fakeStore) Write(_ context.Context, writes ...rows.Write) error {
+	if f := s.onWrite; f != nil {
+		s.onWrite = nil
+		f()
+	}
+	if s.lost {
+		return &rows.LostAnswerError{Err: errors.New("injected fault")}
+	}
+	for _, w := range writes {
+		if s.rows[w.Table+"/"+w.Key].Version != w.IfVersion {
+			return &rows.ConflictError{Keys: []string{w.Key}}
+		}
+	}
+	for _, w := range writes {
+		s.rows[w.Table+"/"+w.Key] = rows.Row{Key: w.Key, Version: w.IfVersion + 1, Value: w.Value}
+	}
+	return nil
+}
+
+func (s *fakeStore) ReadObject(_ context.Context, key string) ([]byte, error) {
+	if body, ok := s.objects[key]; ok {
+		return body, nil
+	}
+	return nil, rows.ErrNotFound
+}
+
+func (s *fakeStore) WriteObject(_ context.Context, key string, body []byte) error {
+	s.objects[key] = body
+	return nil
+}
+
+func testConfig(queueLimit int) string {
+	site := operator.NewSite("north").WithDataCentre(operator.NewDataCentre("dc1").WithRack("r1", 3).WithRack("r2", 3))
+	return string(operator.NewConfig(site).
+		WithWorkspace(operator.NewWorkspace("web").WithQueueLimit(queueLimit).WithGuarantee(operator.NewShape(2, 8))).
+		WithKind(operator.NewKind("web", "render", operator.ClassLong)).JSON())
+}
+
+// run parses and executes a command line as main does.
+func run(t *testing.T, store *fakeStore, stdin, line string) (stdout, stderr string, code int) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	env := &Env{Context: t.Context(), Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &errOut, OpenStore: func(url string) (rows.Store, error) {
+		if url != "http://platform" {
+			return nil, errors.New("unknown platform " + url)
+		}
+		return store, nil
+	}}
+	parser := flags.NewNamedParser("medlargrade", flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.AddCommand("config", "Configuration", "", NewConfig(env))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = parser.ParseArgs(strings.Fields(line))
+	if err != nil {
+		errOut.WriteString(err.Error())
+	}
+	return out.String(), errOut.String(), ExitCode(err)
+}
+
+// Guards against scripts that can't tell how a subcommand ended, and reviewers
+// who can't see what changes. The steps share a store.
+func TestConfigCommands(t *testing.T) {
+	store := newFakeStore()
+	file := filepath.Join(t.TempDir(), "config.json")
+	qt.Assert(t, os.WriteFile(file, []byte(testConfig(5)), 0o600), qt.IsNil)
+	invalid := strings.Replace(testConfig(0), `"Class": "long"`, `"Class": "slow"`, 1)
+	tests := []struct {
+		name, line, stdin string
+		code              int
+		stdout, stderr    string // parts
+	}{
+		{"check", "config check -", testConfig(1), 0, "no problems: 6 workers, 16 of 48 slots guaranteed, 1 workspaces, 1 kinds\n", ""},
+		{"check problems", "config check -", invalid, 2, "", "problem: Workspaces[0].QueueLimit: 0 must be positive\nproblem: Kinds[0].Class: \"slow\" must be short, long or fill\n-: 2 problems"},
+		{"check unknown field", "config check -", `{"Sites": 1}`, 2, "", "Sites: unknown field"},
+		{"check no file", "config check /nonexistent", "", 5, "", "no such file"},
+		{"no argument", "config check", "", 5, "", "required argument"},
+		{"no platform", "config show", "", 5, "", "required flag"},
+		{"show nothing", "config show --platform http://platform", "", 5, "", "no configuration has been applied"},
+		{"first apply", "config apply --platform http://platform -", testConfig(1), 0, "generation 1 accepted\n", ""},
+		{"diff", "config diff --platform http://platform -", testConfig(2), 0, "~ Workspaces[web].QueueLimit: 1 -> 2\n1 changes from generation 1\n", ""},
+		{"diff exit code", "config diff --exit-code --platform http://platform -", testConfig(2), 1, "~ Workspaces[web]", ""},
+		{"no diff exit code", "config diff --exit-code --platform http://platform -", testConfig(1), 0, "no differences from generation 1\n", ""},
+		{"diff of an invalid file", "config diff --platform http://platform -", invalid, 0, "~ Kinds[web/render].Class: long -> slow", "problem: Kinds[0].Class"},
+		{"apply problems", "config apply --platform http://platform -", invalid, 2, "", "2 problems, nothing applied"},
+		{"apply", "config apply --expect 1 --platform http://platform -", testConfig(2), 0, "1 changes from generation 1\ngeneration 2 accepted\n", ""},
+		{"apply race", "config apply --expect 1 --platform http://platform -", testConfig(3), 3, "", "expected generation 1, found generation 2: nothing applied"},
+		{"apply same", "config apply --platform http://platform -", testConfig(2), 0, "no differences from generation 2\n", ""},
+		{"apply file", "config apply --platform http://platform " + file, "", 0, "generation 3 accepted", ""},
+		{"show", "config show --platform http://platform", "", 0, testConfig(5), ""},
+		{"show generation", "config show --generation --platform http://platform", "", 0, "3\n", ""},
+		{"show earlier", "config show --at 1 --platform http://platform", "", 0, testConfig(1), ""},
+		{"show unknown", "config show --at 9 --platform http://platform", "", 5, "", "read change 9 store: not found"},
+		{"other platform", "config show --platform http://other", "", 5, "", "unknown platform http://other"},
+		{"help", "config apply --help", "", 0, "", "4 the change may or may not be"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			stdout, stderr, code := run(t, store, tt.stdin, tt.line)
+			qt.Assert(t, code, qt.Equals, tt.code, qt.Commentf("stdout %s stderr %s", stdout, stderr))
+			qt.Assert(t, stdout, qt.Contains, tt.stdout)
+			qt.Assert(t, strings.Join(strings.Fields(stderr), " "), qt.Contains, strings.Join(strings.Fields(tt.stderr), " "))
+		})
+	}
+}
+
+// Guards against a failed apply that is reported as accepted or as refused.
+func TestConfigApplyFaults(t *testing.T) {
+	const apply = "config apply --platform http://platform -"
+	tests := []struct {
+		name  string
+		fault func(t *testing.T, s *fakeStore)
+		code  int
+		want  string
+	}{
+		{"down", func(_ *testing.T, s *fakeStore) { s.down = true }, 5, "store unavailable"},
+		{"answers lost", func(_ *testing.T, s *fakeStore) { s.lost = true }, 4, "may or may not be accepted"},
+		{"race", func(t *testing.T, s *fakeStore) {
+			s.onWrite = func() {
+				_, _, code := run(t, s, testConfig(9), apply)
+				qt.Check(t, code, qt.Equals, 0)
+			}
+		}, 3, "expected generation 1, found generation 2: nothing applied"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				_, _, code := run(t, store, testConfig(1), apply)
+				qt.Assert(t, code, qt.Equals, 0)
+				tt.fault(t, store)
+				stdout, stderr, code := run(t, store, testConfig(2), apply)
+				qt.Assert(t, code, qt.Equals, tt.code)
+				qt.Assert(t, stderr, qt.Contains, tt.want)
+				qt.Assert(t, stdout, qt.Not(qt.Contains), "accepted")
+			})
+		})
+	}
+}
