--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -208,6 +208,9 @@
 		time.Sleep(time.Second)
 		o, done2, stop2 := startEntry(t, s, "a", 2)
 		defer stop2()
+		time.Sleep(2 * BeatPeriod)
+		synctest.Wait()
+		qt.Assert(t, len(done1), qt.Equals, 1)
 		var replaced *ReplacedError
 		qt.Assert(t, errors.As(<-done1, &replaced), qt.IsTrue)
 		qt.Assert(t, *replaced, qt.Equals, ReplacedError{Name: "a", Incarnation: 2})
