Record long work that a caller waits for, and queue every recorded job

Cause: a long idempotent job submitted with the default wait of 30 s was canceled at the end of the wait, and a recorded job that a caller waited for was not adopted when its entry died. Change: only short idempotent work is served without a row. Every recorded job gets its queue row in the same multi-row write. While the store is down, other idempotent work that a caller waits for is still served without a row. Ruled out: promoting a running unrecorded job to a recorded one at the end of the wait; it would need a claim after the dispatch. Conclusion: a 202 answer now names a job that survives its entry.

--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -149,7 +149,7 @@
 	if next.Final() {
 		next = requeued(next)
 	}
-	moves, queued, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next.Token)
+	moves, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next.Token)
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +164,7 @@
 		return nil, err
 	}
 	r := &run{
-		s: s, job: j, recorded: true, queued: queued, tokens: []string{next.Token},
+		s: s, job: j, recorded: true, tokens: []string{next.Token},
 		takenOver: true, lastInherited: next.Attempt,
 	}
 	if next.State == rows.JobDispatched {
@@ -182,19 +182,19 @@
 	return record
 }
 
-// moveQueueRow returns the writes that move the queue row of a job from its
-// former owner to this entry, and whether it has one.
-func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from, token string) ([]rows.Write, bool, error) {
-	remove, err := s.rec.dequeue(ctx, from, workspace, key)
-	if err != nil || len(remove) == 0 {
-		return nil, false, err
+// moveQueueRow returns the writes that put a job into this entry's queue, out of
+// that of its former owner. A job that has ended before is in neither.
+func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from, token string) ([]rows.Write, error) {
+	writes, err := s.rec.dequeue(ctx, from, workspace, key)
+	if err != nil {
+		return nil, err
+	}
+	if from == s.set.Entry && len(writes) > 0 {
+		return nil, nil
 	}
 	value, err := rows.Encode(rows.Queue{Token: token, Workspace: workspace, Key: key})
 	if err != nil {
-		return nil, false, err
-	}
-	if from == s.set.Entry {
-		return nil, true, nil
+		return nil, err
 	}
-	return append(remove, rows.Insert(rows.TableQueue, rows.QueueKey(s.set.Entry, workspace, key), value)), true, nil
+	return append(writes, rows.Insert(rows.TableQueue, rows.QueueKey(s.set.Entry, workspace, key), value)), nil
 }
--- a/coordination/scheduler/record.go
+++ b/coordination/scheduler/record.go
@@ -44,11 +44,11 @@
 	lastBackoff  = 2 * time.Second
 )
 
-// claim inserts the row of a new job, together with its place in the entry's
-// queue if the job is queued. It returns the row of the key's first claimant: mine
-// is true if that is job itself.
-func (r *recorder) claim(ctx context.Context, workspace, key string, job rows.Job, queued bool) (found rows.Job, mine bool, err error) {
-	insert, err := r.claimWrites(workspace, key, job, queued)
+// claim inserts the row of a new job together with its place in the entry's
+// queue, from which another entry adopts it if this one dies. It returns the row of
+// the key's first claimant: mine is true if that is job itself.
+func (r *recorder) claim(ctx context.Context, workspace, key string, job rows.Job) (found rows.Job, mine bool, err error) {
+	insert, err := r.claimWrites(workspace, key, job)
 	if err != nil {
 		return rows.Job{}, false, err
 	}
@@ -79,20 +79,19 @@
 	}
 }
 
-func (r *recorder) claimWrites(workspace, key string, job rows.Job, queued bool) ([]rows.Write, error) {
+func (r *recorder) claimWrites(workspace, key string, job rows.Job) ([]rows.Write, error) {
 	value, err := rows.Encode(job)
 	if err != nil {
 		return nil, err
 	}
-	insert := []rows.Write{rows.Insert(rows.TableJob, rows.JobKey(workspace, key), value)}
-	if !queued {
-		return insert, nil
-	}
 	place, err := rows.Encode(rows.Queue{Token: job.Token, Workspace: workspace, Key: key})
 	if err != nil {
 		return nil, err
 	}
-	return append(insert, rows.Insert(rows.TableQueue, rows.QueueKey(r.entry, workspace, key), place)), nil
+	return []rows.Write{
+		rows.Insert(rows.TableJob, rows.JobKey(workspace, key), value),
+		rows.Insert(rows.TableQueue, rows.QueueKey(r.entry, workspace, key), place),
+	}, nil
 }
 
 // read returns the row of a job, or rows.ErrNotFound.
--- a/coordination/scheduler/record_test.go
+++ b/coordination/scheduler/record_test.go
@@ -62,7 +62,7 @@
 					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 					defer cancel()
 					job := testJob(fmt.Sprintf("j%d", i))
-					found, mine, err := r.claim(ctx, "ws", "k", job, i%2 == 0)
+					found, mine, err := r.claim(ctx, "ws", "k", job)
 					ends <- end{job, found, mine, err}
 				}()
 			}
@@ -96,7 +96,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			store := rowstest.New()
 			first := testJob("j")
-			_, _, err := (&recorder{store: store}).claim(t.Context(), "ws", "k", first, false)
+			_, _, err := (&recorder{store: store}).claim(t.Context(), "ws", "k", first)
 			qt.Assert(t, err, qt.IsNil)
 			store.SetWriteFate(randomFates(seed))
 			type end struct {
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -222,10 +222,7 @@
 		return err
 	}
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
-		var extra []rows.Write
-		if r.queued {
-			extra, err = r.s.rec.dequeue(ctx, r.s.set.Entry, r.job.Workspace(), r.job.Key())
-		}
+		extra, err := r.s.rec.dequeue(ctx, r.s.set.Entry, r.job.Workspace(), r.job.Key())
 		if err == nil {
 			return r.replace(ctx, final, extra...)
 		}
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/state/jobs"
 	"github.com/medlargrade/medlargrade/state/rows"
 )
@@ -39,9 +40,13 @@
 // Submit takes a request and waits up to wait for its outcome. With a wait of
 // zero it returns once the job is recorded, so that it survives this entry.
 //
+// A short idempotent request that a caller waits for is not recorded: it costs no
+// write, and it ends with the wait or with ctx. All others are recorded first and
+// go on after the wait. While the store is out, other idempotent requests that a
+// caller waits for are served like short ones.
+//
 // The error is ErrKeyConflict if the key belongs to another request; every
-// other end is an Outcome. If ctx ends, an idempotent request without a row is
-// canceled, because nobody else can ask for its outcome.
+// other end is an Outcome.
 func (s *Scheduler) Submit(ctx context.Context, r Request, wait time.Duration) (Status, error) {
 	s.accepted.Add(1)
 	defer s.accepted.Done()
@@ -50,10 +55,20 @@
 		s.meter.refused(refusal.Reason)
 		return ended(r.Workspace, r.Key, *refusal), nil
 	}
-	if sp.idempotent && wait > 0 {
+	if sp.idempotent && wait > 0 && sp.class == operator.ClassShort {
+		return s.submitUnrecorded(ctx, sp, wait)
+	}
+	st, err := s.submitRecorded(ctx, sp, wait)
+	if sp.idempotent && wait > 0 && isStoreDown(st) {
+		// Idempotent work that a caller waits for goes on through an outage.
 		return s.submitUnrecorded(ctx, sp, wait)
 	}
-	return s.submitRecorded(ctx, sp, wait)
+	return st, err
+}
+
+func isStoreDown(st Status) bool {
+	o, ok := st.Outcome.(outcome.NotRun)
+	return ok && o.Reason == outcome.ReasonStoreDown
 }
 
 // admit checks whether the entry takes requests and the configuration allows
@@ -68,8 +83,8 @@
 	return resolve(r, s.peers.Config.Current().Config)
 }
 
-// submitUnrecorded runs an idempotent request that a caller waits for. The job
-// ends with the wait.
+// submitUnrecorded runs an idempotent request that a caller waits for without a
+// row. The job ends with the wait, because nobody could look it up later.
 func (s *Scheduler) submitUnrecorded(ctx context.Context, sp spec, wait time.Duration) (Status, error) {
 	if sp.request.Deadline == 0 || sp.request.Deadline > wait {
 		sp.request.Deadline = wait
@@ -112,7 +127,7 @@
 		return s.waitLocal(ctx, j, wait), nil
 	}
 	record := j.Record()
-	found, mine, err := s.claim(ctx, j, wait == 0)
+	found, mine, err := s.claim(ctx, j)
 	if err != nil {
 		return s.claimFailed(j, err), nil
 	}
@@ -120,17 +135,17 @@
 		s.jobs.Remove(j)
 		return s.joinOther(ctx, sp, found, wait)
 	}
-	s.start(&run{s: s, job: j, spec: sp, recorded: true, queued: wait == 0, tokens: []string{record.Token}})
+	s.start(&run{s: s, job: j, spec: sp, recorded: true, tokens: []string{record.Token}})
 	return s.waitLocal(ctx, j, wait), nil
 }
 
 // claimTimeout bounds the claim of a request. Its caller waits for it.
 const claimTimeout = 3 * time.Second
 
-func (s *Scheduler) claim(ctx context.Context, j *jobs.Job, queued bool) (rows.Job, bool, error) {
+func (s *Scheduler) claim(ctx context.Context, j *jobs.Job) (rows.Job, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return s.rec.claim(ctx, j.Workspace(), j.Key(), j.Record(), queued)
+	return s.rec.claim(ctx, j.Workspace(), j.Key(), j.Record())
 }
 
 // claimFailed refuses a request whose claim could not be recorded. The request
@@ -148,7 +163,7 @@
 		s.background(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
 			defer cancel()
-			r := &run{s: s, job: j, recorded: true, queued: true, tokens: []string{record.Token}}
+			r := &run{s: s, job: j, recorded: true, tokens: []string{record.Token}}
 			if err := r.recordEnd(ctx, final); err != nil {
 				s.log.Debug().Int("Event", EventEndNotRecorded).Str("Job", j.ID()).Err(err).Send()
 			}
