Never report or rerun as not run what may have run or may still run

Cause: found by reading the paths on which NotRun is told. (1) A target forgets ended attempts after 10 min and then answered a fence with not run, so a store outage longer than that followed by a death of the entry would rerun a non-idempotent job. (2) An entry told not run before the row said so; if it then died, the adopting entry ran the job. The same held for a claim that landed after it was given up. (3) An idempotent job whose first attempt was lost and whose next was refused ended as not run. (4) A cancel of an attempt that its target had forgotten counted as not run. Change: Fence carries the uptime of the hub before the sending (recorded in the row); jobs are attached to a waiting caller or detached, and only detached ones are adopted, whose not run is told after it is recorded; MayHaveRun in the row; a released attempt never becomes not run. Ruled out: keeping attempts for good at the target (memory); recording not run before telling it in all cases (no answer during an outage). (2) to (4) have no test of their own yet; the fault matrix is to cover them.

--- a/coordination/executor/executor.go
+++ b/coordination/executor/executor.go
@@ -70,6 +70,7 @@
 	cfg         Config
 	log         zerolog.Logger
 	incarnation uint64
+	started     time.Time
 	table       *attempts.Table
 	leases      leaseSet
 	contact     contact
@@ -111,6 +112,7 @@
 		cfg:         cfg,
 		log:         cfg.Logger,
 		incarnation: cfg.Incarnation,
+		started:     time.Now(),
 		table: attempts.NewTable(attempts.Limits{
 			Slots:          cfg.Slots,
 			SessionExpiry:  SessionExpiry,
--- a/coordination/executor/requests.go
+++ b/coordination/executor/requests.go
@@ -110,8 +110,14 @@
 	return e.fence(r.GetAttempt(), r.GetIncarnation(), r.GetGeneration(), "aborted before the release"), nil
 }
 
-// Fence implements targetrpc.DRPCTargetServer.
+// Fence implements targetrpc.DRPCTargetServer. An attempt that may have been
+// forgotten proves nothing, like one of another incarnation.
 func (e *Executor) Fence(_ context.Context, r *targetrpc.FenceRequest) (*targetrpc.AttemptReply, error) {
+	age := e.uptime() - millis(r.GetSentAfterMillis())
+	if age >= Retention && e.table.Get(idOf(r.GetAttempt())).Phase == attempts.None {
+		e.learn(r.GetGeneration(), "")
+		return e.other(r.GetAttempt()), nil
+	}
 	return e.fence(r.GetAttempt(), r.GetIncarnation(), r.GetGeneration(), "fenced before the release"), nil
 }
 
--- a/coordination/executor/sessions.go
+++ b/coordination/executor/sessions.go
@@ -20,6 +20,7 @@
 		Generation:   e.cfg.Generation(),
 		Target:       e.cfg.Name,
 		Leaving:      e.table.Leaving(),
+		UptimeMillis: uint64(e.uptime() / time.Millisecond),
 	}, nil
 }
 
@@ -30,9 +31,14 @@
 		Expired:    !e.table.Ping(r.GetSession()),
 		Leaving:    e.table.Leaving(),
 		Generation: e.cfg.Generation(),
+
+		UptimeMillis: uint64(e.uptime() / time.Millisecond),
 	}, nil
 }
 
+// uptime returns the time since the start of the process on the monotonic clock.
+func (e *Executor) uptime() time.Duration { return time.Since(e.started) }
+
 // learn notes the generation of a peer. Learn is called for each message from a
 // peer that is ahead, so that a fetch that failed is tried again.
 func (e *Executor) learn(generation uint64, from string) {
--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -37,8 +37,10 @@
 // attempt is one try to run a job at a place.
 type attempt struct {
 	*run
-	id    *targetrpc.AttemptID
-	place place
+	id       *targetrpc.AttemptID
+	place    place
+	uptime   time.Duration // of the hub's process before the attempt was sent
+	released bool          // the hub has said so
 }
 
 // make makes the attempt and waits for its end. ctx ends at the job's deadline or
@@ -56,6 +58,7 @@
 
 // resume settles an attempt that a former owner of the job may have sent.
 func (a *attempt) resume(ctx context.Context, record rows.Job) result {
+	a.uptime = time.Duration(record.HubUptime) * time.Millisecond
 	return a.fence(ctx, Session{Target: record.Hub, Address: record.HubAddress, Incarnation: record.HubIncarnation})
 }
 
@@ -81,6 +84,9 @@
 	if r := a.recordDispatch(ctx, hub); r != nil {
 		return r
 	}
+	if ctx.Err() != nil {
+		return notRunResult{code: targetrpc.RefusalCode_REFUSAL_CANCELED, detail: "canceled before the start"}
+	}
 	if !hub.Live() {
 		return notRunResult{detail: "the session with " + hub.Target + " expired before the start"}
 	}
@@ -100,27 +106,27 @@
 // recordDispatch names the attempt in the job's row. It returns nil if the
 // attempt may be sent.
 func (a *attempt) recordDispatch(ctx context.Context, hub Session) result {
-	next := a.job.Record()
-	next.Token = rows.NewToken()
-	next.State = rows.JobDispatched
-	next.Attempt = a.id.GetNumber()
-	next.Hub = hub.Target
-	next.HubAddress = hub.Address
-	next.HubIncarnation = hub.Incarnation
-	next.Members = a.place.targets()
-	if a.recorded {
-		ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
-		defer cancel()
-		if err := a.replace(ctx, next); err != nil {
-			var superseded *supersededError
-			if errors.As(err, &superseded) {
-				return supersededResult{}
-			}
-			return notRunResult{detail: err.Error()}
-		}
+	a.uptime = hub.Uptime
+	ctx, cancel := context.WithTimeout(ctx, dispatchTimeout)
+	defer cancel()
+	err := a.change(ctx, func(record rows.Job) rows.Job {
+		record.State = rows.JobDispatched
+		record.Attempt = a.id.GetNumber()
+		record.Hub = hub.Target
+		record.HubAddress = hub.Address
+		record.HubIncarnation = hub.Incarnation
+		record.HubUptime = hub.Uptime.Milliseconds()
+		record.Members = a.place.targets()
+		return record
+	})
+	if err == nil {
+		return nil
 	}
-	a.job.Update(next)
-	return nil
+	var superseded *supersededError
+	if errors.As(err, &superseded) {
+		return supersededResult{}
+	}
+	return notRunResult{detail: err.Error()}
 }
 
 func (a *attempt) task() *targetrpc.Task {
@@ -168,7 +174,7 @@
 	since := time.Now()
 	limit := a.reachLimit()
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
-		reply, err := a.s.fence(a.id, hub.Address, hub.Incarnation) //nolint:contextcheck // The question must outlive the job's deadline.
+		reply, err := a.s.fence(a.id, hub, a.uptime) //nolint:contextcheck // The question must outlive the job's deadline.
 		if err == nil {
 			if r := resultOf(reply, hub.Target); r != nil {
 				return r
@@ -203,6 +209,7 @@
 // follow waits for the end of a released attempt. When ctx ends, it cancels the
 // attempt and waits for the answer to that.
 func (a *attempt) follow(ctx context.Context, hub Session) result {
+	a.released = true
 	reached := time.Now()
 	for wait := firstBackoff; ; {
 		if ctx.Err() != nil {
@@ -212,7 +219,7 @@
 		if err == nil {
 			reached = time.Now()
 			wait = firstBackoff
-			if r := resultOf(reply, hub.Target); r != nil {
+			if r := a.ended(reply, hub.Target); r != nil {
 				return r
 			}
 			if reply.GetState() == targetrpc.AttemptState_ATTEMPT_NONE {
@@ -233,13 +240,23 @@
 	}
 }
 
+// ended is the result of an attempt that was released, or nil if it has not ended.
+// A target that has forgotten it may say that it did not run.
+func (a *attempt) ended(reply *targetrpc.AttemptReply, target string) result {
+	r := resultOf(reply, target)
+	if _, ok := r.(notRunResult); ok && a.released {
+		return lostResult{detail: "target " + target + " no longer knows the attempt"}
+	}
+	return r
+}
+
 // cancel stops a released attempt.
 func (a *attempt) cancel(hub Session) result {
 	since := time.Now()
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
 		reply, err := a.s.cancelAttempt(a.id, hub.Address, hub.Incarnation)
 		if err == nil {
-			if r := resultOf(reply, hub.Target); r != nil {
+			if r := a.ended(reply, hub.Target); r != nil {
 				return r
 			}
 		}
--- a/coordination/scheduler/cancel.go
+++ b/coordination/scheduler/cancel.go
@@ -22,7 +22,7 @@
 	s *Scheduler
 
 	mu      sync.Mutex
-	waiting map[targetProcess][]*cancellation
+	waiting map[targetProcess][]*pendingCancel
 }
 
 // targetProcess is one incarnation of a target process.
@@ -31,7 +31,7 @@
 	incarnation uint64
 }
 
-type cancellation struct {
+type pendingCancel struct {
 	id    *targetrpc.AttemptID
 	done  chan struct{}
 	reply *targetrpc.AttemptReply
@@ -39,7 +39,7 @@
 }
 
 func newCancelBatcher(s *Scheduler) *cancelBatcher {
-	return &cancelBatcher{s: s, waiting: make(map[targetProcess][]*cancellation)}
+	return &cancelBatcher{s: s, waiting: make(map[targetProcess][]*pendingCancel)}
 }
 
 // cancelAttempt stops an attempt and returns what its target then knows of it.
@@ -53,8 +53,8 @@
 	}
 }
 
-func (b *cancelBatcher) add(to targetProcess, id *targetrpc.AttemptID) *cancellation {
-	c := &cancellation{id: id, done: make(chan struct{})}
+func (b *cancelBatcher) add(to targetProcess, id *targetrpc.AttemptID) *pendingCancel {
+	c := &pendingCancel{id: id, done: make(chan struct{})}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.waiting[to] = append(b.waiting[to], c)
@@ -79,7 +79,7 @@
 	}
 }
 
-func (b *cancelBatcher) send(ctx context.Context, to targetProcess, batch []*cancellation) {
+func (b *cancelBatcher) send(ctx context.Context, to targetProcess, batch []*pendingCancel) {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	ids := make([]*targetrpc.AttemptID, len(batch))
--- a/coordination/scheduler/events.go
+++ b/coordination/scheduler/events.go
@@ -33,4 +33,7 @@
 	// EventTargetProbation occurs when a target is put on probation because it
 	// fails tasks that succeed elsewhere.
 	EventTargetProbation = 111
+	// EventDetachFailed occurs when a job whose caller stopped waiting could not
+	// be queued for adoption by other entries.
+	EventDetachFailed = 112
 )
--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -49,6 +49,8 @@
 		case err != nil:
 			// The store is out: the local copy, if any, may still end.
 			record = rows.Job{}
+		case record.State == rows.JobNotRun && f.resubmitted:
+			f.s.takeOver(ctx, f.workspace, f.key, record, resubmission)
 		case record.Final():
 			return f.loaded(ctx, record)
 		}
@@ -96,9 +98,8 @@
 		f.token = record.Token
 		f.since = time.Now()
 	}
-	abandoned := f.resubmitted && record.Entry == f.s.set.Entry && record.EntryIncarnation == f.s.set.Incarnation
-	if abandoned || f.s.peers.Members.Silent(record.Entry, record.EntryIncarnation) {
-		f.s.takeOver(ctx, f.workspace, f.key, record)
+	if f.s.isAbandoned(record) {
+		f.s.takeOver(ctx, f.workspace, f.key, record, f.reason())
 		return rows.Job{}, false
 	}
 	if record.State != rows.JobDispatched {
@@ -117,27 +118,59 @@
 		return finalRecord(record, outcome.Ran{Answer: ran.answer, Elapsed: ran.elapsed}), true
 	}
 	if reply.GetState() != targetrpc.AttemptState_ATTEMPT_RUNNING && time.Since(f.since) >= dispatchDoubt {
-		f.s.takeOver(ctx, f.workspace, f.key, record)
+		f.s.takeOver(ctx, f.workspace, f.key, record, f.reason())
 	}
 	return rows.Job{}, false
 }
 
+func (f *follower) reason() takeOverReason {
+	if f.resubmitted {
+		return resubmission
+	}
+	return abandonment
+}
+
+// isAbandoned reports whether nobody works on a job that this entry does not work
+// on: its owner has ended, or this entry owned it and gave it up.
+func (s *Scheduler) isAbandoned(record rows.Job) bool {
+	mine := record.Entry == s.set.Entry && record.EntryIncarnation == s.set.Incarnation
+	return mine || s.peers.Members.Silent(record.Entry, record.EntryIncarnation)
+}
+
+// takeOverReason says why an entry takes over a job, which decides whether it
+// may make new attempts.
+type takeOverReason int
+
+const (
+	// abandonment: the owner has ended. A job that was attached to a caller is
+	// settled without new attempts, since its caller may have been told that it
+	// did not run.
+	abandonment takeOverReason = iota
+	// resubmission: the caller has sent the request again.
+	resubmission
+	// cancellation: the caller wants no new attempts.
+	cancellation
+)
+
 // takeOver makes this entry the owner of a recorded job, if the row still holds
 // the given record, and goes on with it. It returns the local job, or nil if
 // another entry was faster or the store is out.
-func (s *Scheduler) takeOver(ctx context.Context, workspace, key string, record rows.Job) *jobs.Job {
-	r, err := s.adopt(ctx, workspace, key, record)
+func (s *Scheduler) takeOver(ctx context.Context, workspace, key string, record rows.Job, why takeOverReason) *jobs.Job {
+	r, err := s.adopt(ctx, workspace, key, record, why)
 	if err != nil {
 		s.log.Info().Int("Event", EventTakeOverFailed).Str("Job", record.ID).Err(err).Send()
 		return nil
 	}
 	s.log.Info().Int("Event", EventTakeOver).Str("Job", record.ID).Str("From", record.Entry).Str("State", string(record.State)).Send()
+	if why == cancellation {
+		r.job.Cancel()
+	}
 	s.start(r)
 	return r.job
 }
 
 // adopt writes this entry into the row of the job and moves its queue row.
-func (s *Scheduler) adopt(ctx context.Context, workspace, key string, record rows.Job) (*run, error) {
+func (s *Scheduler) adopt(ctx context.Context, workspace, key string, record rows.Job, why takeOverReason) (*run, error) {
 	var request Request
 	if err := json.Unmarshal(record.Request, &request); err != nil {
 		return nil, fmt.Errorf("request of job %s: %w", record.ID, err)
@@ -149,7 +182,8 @@
 	if next.Final() {
 		next = requeued(next)
 	}
-	moves, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next.Token)
+	next.Attached = why == abandonment && record.Attached
+	moves, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next)
 	if err != nil {
 		return nil, err
 	}
@@ -165,12 +199,17 @@
 	}
 	r := &run{
 		s: s, job: j, recorded: true, tokens: []string{next.Token},
-		takenOver: true, lastInherited: next.Attempt,
+		takenOver: true, lastInherited: next.Attempt, detached: !next.Attached,
 	}
 	if next.State == rows.JobDispatched {
 		r.inherited = next.Attempt
 	}
 	r.spec, r.refusal = s.resolveAgain(request)
+	if why == abandonment && record.Attached {
+		r.refusal = &outcome.NotRun{
+			Reason: outcome.ReasonLeaving, Detail: "the entry that took the request ended before it started it", RetryAfter: time.Second,
+		}
+	}
 	return r, nil
 }
 
@@ -182,19 +221,22 @@
 	return record
 }
 
-// moveQueueRow returns the writes that put a job into this entry's queue, out of
-// that of its former owner. A job that has ended before is in neither.
-func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from, token string) ([]rows.Write, error) {
+// moveQueueRow returns the writes that take a job out of the queue of its former
+// owner and, unless it is attached to a caller, put it into this entry's.
+func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from string, next rows.Job) ([]rows.Write, error) {
 	writes, err := s.rec.dequeue(ctx, from, workspace, key)
 	if err != nil {
 		return nil, err
 	}
+	if next.Attached {
+		return writes, nil
+	}
 	if from == s.set.Entry && len(writes) > 0 {
 		return nil, nil
 	}
-	value, err := rows.Encode(rows.Queue{Token: token, Workspace: workspace, Key: key})
+	enqueue, err := s.rec.enqueue(workspace, key, next.Token)
 	if err != nil {
 		return nil, err
 	}
-	return append(writes, rows.Insert(rows.TableQueue, rows.QueueKey(s.set.Entry, workspace, key), value)), nil
+	return append(writes, enqueue), nil
 }
--- a/coordination/scheduler/orphans.go
+++ b/coordination/scheduler/orphans.go
@@ -52,7 +52,7 @@
 		}
 		return
 	}
-	if s.peers.Members.Silent(record.Entry, record.EntryIncarnation) {
-		s.takeOver(ctx, q.Workspace, q.Key, record)
+	if s.isAbandoned(record) {
+		s.takeOver(ctx, q.Workspace, q.Key, record, abandonment)
 	}
 }
--- a/coordination/scheduler/peers.go
+++ b/coordination/scheduler/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configsync"
 	"github.com/medlargrade/medlargrade/protocol/targetrpc"
@@ -21,7 +22,8 @@
 	Target      string
 	Address     string // IP:port of the target process
 	Client      targetrpc.DRPCTargetClient
-	Live        func() bool // false once the target may have expired the session
+	Uptime      time.Duration // of the target process before anything is sent in the session from now on
+	Live        func() bool   // false once the target may have expired the session
 }
 
 // Targets gives access to target processes.
--- a/coordination/scheduler/record.go
+++ b/coordination/scheduler/record.go
@@ -44,9 +44,10 @@
 	lastBackoff  = 2 * time.Second
 )
 
-// claim inserts the row of a new job together with its place in the entry's
-// queue, from which another entry adopts it if this one dies. It returns the row of
-// the key's first claimant: mine is true if that is job itself.
+// claim inserts the row of a new job and, unless it is attached to a caller, its
+// place in the entry's queue, from which another entry adopts it if this one dies.
+// It returns the row of the key's first claimant: mine is true if that is job
+// itself.
 func (r *recorder) claim(ctx context.Context, workspace, key string, job rows.Job) (found rows.Job, mine bool, err error) {
 	insert, err := r.claimWrites(workspace, key, job)
 	if err != nil {
@@ -84,14 +85,24 @@
 	if err != nil {
 		return nil, err
 	}
-	place, err := rows.Encode(rows.Queue{Token: job.Token, Workspace: workspace, Key: key})
+	insert := rows.Insert(rows.TableJob, rows.JobKey(workspace, key), value)
+	if job.Attached {
+		return []rows.Write{insert}, nil
+	}
+	enqueue, err := r.enqueue(workspace, key, job.Token)
 	if err != nil {
 		return nil, err
 	}
-	return []rows.Write{
-		rows.Insert(rows.TableJob, rows.JobKey(workspace, key), value),
-		rows.Insert(rows.TableQueue, rows.QueueKey(r.entry, workspace, key), place),
-	}, nil
+	return []rows.Write{insert, enqueue}, nil
+}
+
+// enqueue returns the write that puts a job into this entry's queue.
+func (r *recorder) enqueue(workspace, key, token string) (rows.Write, error) {
+	place, err := rows.Encode(rows.Queue{Token: token, Workspace: workspace, Key: key})
+	if err != nil {
+		return rows.Write{}, err
+	}
+	return rows.Insert(rows.TableQueue, rows.QueueKey(r.entry, workspace, key), place), nil
 }
 
 // read returns the row of a job, or rows.ErrNotFound.
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
@@ -29,9 +30,13 @@
 	job      *jobs.Job
 	spec     spec
 	recorded bool            // the job has a row
-	queued   bool            // the job has a queue row
-	tokens   []string        // that the row may carry as far as this entry knows
-	refusal  *outcome.NotRun // of new attempts: the configuration no longer has the kind
+	refusal  *outcome.NotRun // of new attempts, for example because the kind was removed
+
+	failedAnswer *outcome.Ran // of the latest attempt that ended with a failed answer
+
+	rowMu    sync.Mutex // held during a write of the row
+	tokens   []string   // that the row may carry as far as this entry knows
+	detached bool       // another entry may adopt the job
 
 	// Set if another entry, or a former process of this entry, owned the job.
 	takenOver     bool
@@ -39,9 +44,28 @@
 	inherited     uint32 // attempt of the former owner that may run; 0 if none
 }
 
-// replace writes the row of the job and keeps track of the tokens that it may
-// carry.
-func (r *run) replace(ctx context.Context, next rows.Job, extra ...rows.Write) error {
+// change changes the record of the job, and its row if it has one.
+func (r *run) change(ctx context.Context, f func(rows.Job) rows.Job, extra ...rows.Write) error {
+	r.rowMu.Lock()
+	defer r.rowMu.Unlock()
+	record := r.job.Record()
+	if record.Final() {
+		return nil
+	}
+	next := f(record)
+	next.Token = rows.NewToken()
+	if r.recorded {
+		if err := r.replaceLocked(ctx, next, extra...); err != nil {
+			return err
+		}
+	}
+	r.job.Update(next)
+	return nil
+}
+
+// replaceLocked writes the row of the job and keeps track of the tokens that it
+// may carry.
+func (r *run) replaceLocked(ctx context.Context, next rows.Job, extra ...rows.Write) error {
 	err := r.s.rec.replace(ctx, r.job.Workspace(), r.job.Key(), r.tokens, next, extra...)
 	var undecided *undecidedError
 	switch {
@@ -69,7 +93,29 @@
 		r.handedOver()
 		return
 	}
-	r.finish(out)
+	r.finish(r.honest(out))
+}
+
+// honest replaces a refusal of a job that may have run in an earlier attempt by
+// what that attempt proved.
+func (r *run) honest(out outcome.Outcome) outcome.Outcome {
+	if _, ok := out.(outcome.NotRun); !ok {
+		return out
+	}
+	if r.failedAnswer != nil {
+		return *r.failedAnswer
+	}
+	if r.job.Record().MayHaveRun {
+		return outcome.Unknown{Detail: "an earlier attempt may have run"}
+	}
+	return out
+}
+
+// lost notes that an attempt may have run.
+func (r *run) lost() {
+	record := r.job.Record()
+	record.MayHaveRun = true
+	r.job.Update(record)
 }
 
 func (r *run) deadline(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -93,6 +139,7 @@
 		switch res := res.(type) {
 		case ranResult:
 			if exclude, again := r.tryElsewhere(ctx, res, where); again {
+				r.failedAnswer = &outcome.Ran{Answer: res.answer, Elapsed: res.elapsed}
 				avoid = exclude
 				front = true
 				break
@@ -110,6 +157,7 @@
 			}
 			front = true
 		case lostResult:
+			r.lost()
 			if !r.spec.idempotent || ctx.Err() != nil {
 				return outcome.Unknown{Detail: res.detail}
 			}
@@ -198,25 +246,57 @@
 // finish ends the job for its callers at once and records the end of a recorded
 // job in the background, through an outage of the store if need be.
 func (r *run) finish(out outcome.Outcome) {
-	record := r.job.Record()
-	final := finalRecord(record, out)
 	r.s.meter.ended(r, out)
-	r.job.End(final)
+	final, ended := r.endAtOnce(out)
 	if !r.recorded {
 		return
 	}
+	if !ended {
+		r.s.background(func(ctx context.Context) { r.endAfterRow(ctx, final) })
+		return
+	}
 	r.s.background(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
-		defer cancel()
 		if err := r.recordEnd(ctx, final); err != nil {
 			r.s.log.Warn().Int("Event", EventEndNotRecorded).Str("Job", r.job.ID()).Err(err).Send()
 		}
 	})
 }
 
+// endAtOnce tells the callers of the outcome, unless the job is detached and did
+// not run: another entry may adopt such a job and run it as long as its row does
+// not say that it has ended, so nobody may be told before.
+func (r *run) endAtOnce(out outcome.Outcome) (final rows.Job, ended bool) {
+	r.rowMu.Lock()
+	defer r.rowMu.Unlock()
+	final = finalRecord(r.job.Record(), out)
+	if _, notRun := out.(outcome.NotRun); notRun && r.recorded && r.detached {
+		return final, false
+	}
+	return final, r.job.End(final)
+}
+
+// endAfterRow records the end of a job and then tells its callers.
+func (r *run) endAfterRow(ctx context.Context, final rows.Job) {
+	err := r.recordEnd(ctx, final)
+	var superseded *supersededError
+	switch {
+	case err == nil:
+		r.job.End(final)
+	case errors.As(err, &superseded):
+		r.handedOver()
+	default:
+		r.s.log.Warn().Int("Event", EventEndNotRecorded).Str("Job", r.job.ID()).Err(err).Send()
+		r.job.End(finalRecord(r.job.Record(), outcome.Unknown{Detail: "the end of the job could not be recorded"}))
+	}
+}
+
 // recordEnd writes the final record, the answer object of a large answer and the
 // removal of the queue row.
 func (r *run) recordEnd(ctx context.Context, final rows.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
+	defer cancel()
+	r.rowMu.Lock()
+	defer r.rowMu.Unlock()
 	final, err := r.s.storeAnswer(ctx, final)
 	if err != nil {
 		return err
@@ -224,7 +304,7 @@
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
 		extra, err := r.s.rec.dequeue(ctx, r.s.set.Entry, r.job.Workspace(), r.job.Key())
 		if err == nil {
-			return r.replace(ctx, final, extra...)
+			return r.replaceLocked(ctx, final, extra...)
 		}
 		if !sleep(ctx, wait) {
 			return err
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -157,15 +157,17 @@
 }
 
 // fence forbids an attempt that its hub has not released.
-func (s *Scheduler) fence(id *targetrpc.AttemptID, address string, incarnation uint64) (*targetrpc.AttemptReply, error) {
+func (s *Scheduler) fence(id *targetrpc.AttemptID, hub Session, uptime time.Duration) (*targetrpc.AttemptReply, error) {
 	ctx, cancel := context.WithTimeout(s.life, fenceTimeout)
 	defer cancel()
-	c, err := s.peers.Targets.Client(ctx, address)
+	c, err := s.peers.Targets.Client(ctx, hub.Address)
 	if err != nil {
-		return nil, outcome.Step("fence", address, err)
+		return nil, outcome.Step("fence", hub.Address, err)
 	}
-	reply, err := c.Fence(ctx, &targetrpc.FenceRequest{Attempt: id, Incarnation: incarnation, Generation: s.generation()})
-	return s.checked(id, reply, outcome.Step("fence", address, err))
+	reply, err := c.Fence(ctx, &targetrpc.FenceRequest{
+		Attempt: id, Incarnation: hub.Incarnation, Generation: s.generation(), SentAfterMillis: toMillis(uptime),
+	})
+	return s.checked(id, reply, outcome.Step("fence", hub.Address, err))
 }
 
 func (s *Scheduler) checked(id *targetrpc.AttemptID, reply *targetrpc.AttemptReply, err error) (*targetrpc.AttemptReply, error) {
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -89,7 +89,7 @@
 	if sp.request.Deadline == 0 || sp.request.Deadline > wait {
 		sp.request.Deadline = wait
 	}
-	j, err := s.newJob(sp)
+	j, err := s.newJob(sp, true)
 	if err != nil {
 		return Status{}, err
 	}
@@ -113,9 +113,10 @@
 	return statusOf(j.Workspace(), j.Key(), j.Record()), nil
 }
 
-// submitRecorded claims the request's key before the first attempt.
+// submitRecorded claims the request's key before the first attempt. The job is
+// attached to its caller during the wait.
 func (s *Scheduler) submitRecorded(ctx context.Context, sp spec, wait time.Duration) (Status, error) {
-	j, err := s.newJob(sp)
+	j, err := s.newJob(sp, wait > 0)
 	if err != nil {
 		return Status{}, err
 	}
@@ -135,8 +136,50 @@
 		s.jobs.Remove(j)
 		return s.joinOther(ctx, sp, found, wait)
 	}
-	s.start(&run{s: s, job: j, spec: sp, recorded: true, tokens: []string{record.Token}})
-	return s.waitLocal(ctx, j, wait), nil
+	r := &run{s: s, job: j, spec: sp, recorded: true, tokens: []string{record.Token}, detached: !record.Attached}
+	s.start(r)
+	return s.waitAttached(ctx, r, wait), nil
+}
+
+// waitAttached waits for a job that is attached to the caller, and detaches it if
+// it has not ended by then.
+func (s *Scheduler) waitAttached(ctx context.Context, r *run, wait time.Duration) Status {
+	st := s.waitLocal(ctx, r.job, wait)
+	if st.Ended || !r.job.Record().Attached {
+		return st
+	}
+	done := make(chan struct{})
+	s.background(func(ctx context.Context) {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(ctx, detachTimeout)
+		defer cancel()
+		r.detach(ctx)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return statusOf(r.job.Workspace(), r.job.Key(), r.job.Record())
+}
+
+// detachTimeout bounds the write that detaches a job. Its caller waits for it.
+const detachTimeout = 3 * time.Second
+
+// detach puts the job into the entry's queue, from which another entry adopts it if
+// this one dies. If the store can't record that, the job goes on here, and after a
+// death of this entry it is settled without new attempts.
+func (r *run) detach(ctx context.Context) {
+	enqueue, err := r.s.rec.enqueue(r.job.Workspace(), r.job.Key(), rows.NewToken())
+	if err == nil {
+		err = r.change(ctx, func(record rows.Job) rows.Job {
+			record.Attached = false
+			r.detached = true // Even if the answer to the write is lost.
+			return record
+		}, enqueue)
+	}
+	if err != nil {
+		r.s.log.Warn().Int("Event", EventDetachFailed).Str("Job", r.job.ID()).Err(err).Send()
+	}
 }
 
 // claimTimeout bounds the claim of a request. Its caller waits for it.
@@ -148,21 +191,24 @@
 	return s.rec.claim(ctx, j.Workspace(), j.Key(), j.Record())
 }
 
-// claimFailed refuses a request whose claim could not be recorded. The request
-// is never dispatched by this entry, so it did not run even if the claim row
-// turns up later; the row is then ended in the background.
+// claimFailed ends a request whose claim could not be recorded. This entry never
+// dispatches it. If a caller waits, the claim row, should it turn up later, is
+// attached to that caller, so that no other entry starts it either: the request did
+// not run. Without a waiting caller another entry may adopt the row and run it.
 func (s *Scheduler) claimFailed(j *jobs.Job, err error) Status {
 	s.log.Warn().Int("Event", EventClaimFailed).Str("Job", j.ID()).Err(err).Send()
-	out := outcome.NotRun{Reason: outcome.ReasonStoreDown, Detail: "the request could not be recorded", RetryAfter: storeRetry}
 	record := j.Record()
+	var out outcome.Outcome = outcome.NotRun{Reason: outcome.ReasonStoreDown, Detail: "the request could not be recorded", RetryAfter: storeRetry}
+	var undecided *undecidedError
+	isUndecided := errors.As(err, &undecided)
+	if isUndecided && !record.Attached {
+		out = outcome.Unknown{Detail: "the request may have been recorded: look it up, or send it again with the same key"}
+	}
 	final := finalRecord(record, out)
 	j.End(final)
 	s.jobs.Remove(j)
-	var undecided *undecidedError
-	if errors.As(err, &undecided) {
+	if isUndecided && record.Attached {
 		s.background(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
-			defer cancel()
 			r := &run{s: s, job: j, recorded: true, tokens: []string{record.Token}}
 			if err := r.recordEnd(ctx, final); err != nil {
 				s.log.Debug().Int("Event", EventEndNotRecorded).Str("Job", j.ID()).Err(err).Send()
@@ -179,7 +225,7 @@
 		return Status{}, ErrKeyConflict
 	}
 	if found.State == rows.JobNotRun {
-		if j := s.takeOver(ctx, sp.request.Workspace, sp.request.Key, found); j != nil {
+		if j := s.takeOver(ctx, sp.request.Workspace, sp.request.Key, found, resubmission); j != nil {
 			return s.waitLocal(ctx, j, wait), nil
 		}
 	}
@@ -187,7 +233,7 @@
 }
 
 // newJob returns a queued job for the request.
-func (s *Scheduler) newJob(sp spec) (*jobs.Job, error) {
+func (s *Scheduler) newJob(sp spec, attached bool) (*jobs.Job, error) {
 	body, err := json.Marshal(sp.request)
 	if err != nil {
 		return nil, fmt.Errorf("encode request: %w", err)
@@ -205,6 +251,7 @@
 		Digest:           sp.request.digest(),
 		Entry:            s.set.Entry,
 		EntryIncarnation: s.set.Incarnation,
+		Attached:         attached,
 		Created:          time.Now().UnixMilli(),
 	}), nil
 }
@@ -294,7 +341,7 @@
 		}
 		// The owner finds out at its next write; until then the row and the hub
 		// keep its attempt from running unseen.
-		if j = s.takeOver(ctx, workspace, key, record); j == nil {
+		if j = s.takeOver(ctx, workspace, key, record, cancellation); j == nil {
 			return s.look(ctx, workspace, key)
 		}
 	}
--- a/process/adapters.go
+++ b/process/adapters.go
@@ -28,7 +28,7 @@
 		return scheduler.Session{}, err
 	}
 	return scheduler.Session{
-		ID: s.ID(), Incarnation: s.Incarnation(), Target: s.Target(), Address: s.Address(),
+		ID: s.ID(), Incarnation: s.Incarnation(), Target: s.Target(), Address: s.Address(), Uptime: s.Uptime(),
 		Client: effects{s.Client()}, Live: s.Live,
 	}, nil
 }
--- a/state/rows/formats.go
+++ b/state/rows/formats.go
@@ -70,12 +70,20 @@
 	// The owner: the entry that makes attempts.
 	Entry            string
 	EntryIncarnation uint64
+	// Attached is set while a caller waits at the owner. Nobody else makes
+	// attempts for an attached job unless its caller sends the request again, so
+	// the owner may say that it did not run before that is recorded.
+	Attached bool
+	// MayHaveRun is set once an attempt was lost. The job can then no longer be
+	// reported as not run.
+	MayHaveRun bool
 
 	// The latest attempt; set from Dispatched on.
 	Attempt        uint32
 	Hub            string // target name
 	HubAddress     string
 	HubIncarnation uint64
+	HubUptime      int64    // milliseconds, of the hub's process before the attempt was sent
 	Members        []string // target names
 
 	// The end; set with a final state.
--- a/transport/target/session.go
+++ b/transport/target/session.go
@@ -34,6 +34,7 @@
 	client      targetrpc.DRPCTargetClient
 	validity    time.Duration // since the sending of the last answered ping
 	leaving     atomic.Bool
+	uptime      atomic.Uint64 // of the target process at the last answered ping, in ms
 	ended       chan struct{} // closed when err is set
 
 	mu   sync.Mutex
@@ -62,6 +63,7 @@
 		used:        time.Now(),
 	}
 	s.leaving.Store(reply.GetLeaving())
+	s.uptime.Store(reply.GetUptimeMillis())
 	s.client = targetrpc.NewDRPCTargetClient(&sessionConn{Conn: p.calls.Conn(address), session: s})
 	return s, nil
 }
@@ -81,6 +83,12 @@
 // Leaving reports whether the target takes no new work.
 func (s *Session) Leaving() bool { return s.leaving.Load() }
 
+// Uptime returns how long the target process had run when it last answered a
+// ping. What is sent from now on reaches it later than that.
+func (s *Session) Uptime() time.Duration {
+	return time.Duration(s.uptime.Load()) * time.Millisecond
+}
+
 // Client returns a client whose calls fail with a NotSentError once the session
 // is not live. A call that is in progress then goes on.
 func (s *Session) Client() targetrpc.DRPCTargetClient { return s.client }
@@ -148,6 +156,7 @@
 		s.end(ErrExpired)
 	default:
 		s.leaving.Store(reply.GetLeaving())
+		s.uptime.Store(reply.GetUptimeMillis())
 		s.mu.Lock()
 		s.sent = sent
 		s.mu.Unlock()
