Run the tasks of a gang that share a worker as one member with an answer each

Cause: a gang of four single-accelerator tasks that was packed onto one worker ran as a single task and gave one part, so the number of parts depended on the placement. Change: a member carries its number of tasks; the target process launches, releases, renews and stops them as a group; the part holds a body per task. Ruled out: one worker per task (needs 64 workers for a gang of 64 and breaks packing); several members of one attempt on one target (two leases, two pulse loops and a second key in every table for the same machine). Conclusion: the answer of a gang has as many parts as its shape has workers.

--- a/coordination/executor/convert.go
+++ b/coordination/executor/convert.go
@@ -30,6 +30,8 @@
 		return attempts.Spec{}, "the request has no task"
 	case t.GetSlots() == 0 || int(t.GetSlots()) > e.cfg.Slots:
 		return attempts.Spec{}, "the slots of the task are zero or exceed those of the target"
+	case t.GetSlots()%max(t.GetTasks(), 1) != 0:
+		return attempts.Spec{}, "the tasks of the member can't share its slots equally"
 	}
 	return attempts.Spec{
 		ID:        idOf(id),
@@ -37,6 +39,7 @@
 		Kind:      t.GetKind(),
 		Class:     t.GetClass(),
 		Slots:     int(t.GetSlots()),
+		Tasks:     max(int(t.GetTasks()), 1),
 		KeepFree:  int(t.GetKeepFree()),
 		Limit:     millis(t.GetLimitMillis()),
 		Lent:      t.GetLent(),
@@ -52,11 +55,11 @@
 }
 
 func partMessage(p attempts.Part) *targetrpc.Part {
-	return &targetrpc.Part{Body: p.Body, Failed: p.Failed, Error: p.Error}
+	return &targetrpc.Part{Body: p.Body, Failed: p.Failed, Error: p.Error, Tasks: uint32(p.Tasks)}
 }
 
 func partOf(p *targetrpc.Part) attempts.Part {
-	return attempts.Part{Body: p.GetBody(), Failed: p.GetFailed(), Error: p.GetError()}
+	return attempts.Part{Body: p.GetBody(), Failed: p.GetFailed(), Error: p.GetError(), Tasks: int(p.GetTasks())}
 }
 
 func refusal(code attempts.Code, reason string) *targetrpc.Refusal {
--- a/coordination/executor/task.go
+++ b/coordination/executor/task.go
@@ -53,6 +53,7 @@
 	res, err := t.e.cfg.Worker.Launch(cctx, Launch{
 		ID:      t.name,
 		Slots:   t.spec.Slots,
+		Tasks:   t.spec.Tasks,
 		Held:    held,
 		Lease:   WorkerLease,
 		Limit:   t.spec.Limit,
@@ -198,7 +199,7 @@
 	case res.Stopped:
 		return p, "the worker stopped the task: " + res.Error, false
 	}
-	return attempts.Part{Body: res.Body, Failed: res.Failed, Error: res.Error}, "", true
+	return attempts.Part{Body: res.Body, Failed: res.Failed, Error: res.Error, Tasks: t.spec.Tasks}, "", true
 }
 
 // overLimit is the part of a task that ran longer than its limit. It counts as
--- a/coordination/executor/worker.go
+++ b/coordination/executor/worker.go
@@ -40,8 +40,9 @@
 
 // Launch describes a task for the worker.
 type Launch struct {
-	ID      string // job/number of the attempt
-	Slots   int
+	ID      string        // job/number of the attempt
+	Slots   int           // of all tasks together
+	Tasks   int           // that run the payload, sharing the slots equally; 0 means 1
 	Held    bool          // wait for Release before user code runs
 	Lease   time.Duration // from the arrival of the launch
 	Limit   time.Duration // run time after which the worker stops the task; 0 for none
--- a/coordination/scheduler/gang.go
+++ b/coordination/scheduler/gang.go
@@ -69,6 +69,7 @@
 func (a *attempt) reserveMember(ctx context.Context, s Session, index int, members []*targetrpc.Member) result {
 	task := a.task()
 	task.Slots = uint32(a.place.members[index].slots)
+	task.Tasks = uint32(a.place.members[index].tasks)
 	task.KeepFree = uint32(a.place.members[index].keepFree)
 	reply, err := s.Client.Reserve(ctx, &targetrpc.ReserveRequest{
 		Session:     s.ID,
--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -175,28 +175,27 @@
 	sp := w.run.spec
 	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape)}
 	ps.site.Take(pl)
-	pl = grouped(pl)
+	members := grouped(pl)
 	useLane := sp.class == operator.ClassShort || v != nil
-	for _, m := range pl {
-		t := ps.live[m.Target]
-		keep := ps.keep[m.Target]
+	for _, m := range members {
+		t := ps.live[m.target]
+		keep := ps.keep[m.target]
 		if useLane || ps.ledger.IsClaim(sp.request.Workspace, sp.class, sp.shape) {
 			keep = 0
 		}
-		where.members = append(where.members, member{target: m.Target, address: t.Address, slots: m.Slots, keepFree: keep})
+		m.address, m.keepFree = t.Address, keep
+		where.members = append(where.members, m)
+	}
+	hub := ps.live[members[0].target]
+	for _, m := range members {
 		task := targets.Task{
-			Target: m.Target, Job: w.run.job.ID(), Number: w.number,
+			Target: m.target, Job: w.run.job.ID(), Number: w.number,
 			Workspace: sp.request.Workspace, Kind: sp.request.Kind, Class: string(sp.class),
-			Slots: m.Slots, Lent: where.lent, Members: len(pl),
-			Hub: targets.Hub{Target: pl[0].Target, Address: ps.live[pl[0].Target].Address, Incarnation: ps.live[pl[0].Target].Incarnation},
+			Slots: m.slots, Lent: where.lent, Members: len(members),
+			Hub: targets.Hub{Target: hub.Name, Address: hub.Address, Incarnation: hub.Incarnation},
 		}
-		ps.p.view.Dispatched(m.Target, task, ps.now)
-	}
-	for _, m := range pl {
-		ps.ledger.Add(targets.Task{
-			Target: m.Target, Job: w.run.job.ID(), Number: w.number, Workspace: sp.request.Workspace,
-			Kind: sp.request.Kind, Class: string(sp.class), Slots: m.Slots, Members: len(pl),
-		})
+		ps.p.view.Dispatched(m.target, task, ps.now)
+		ps.ledger.Add(task)
 	}
 	ps.p.forget(w.run.job.ID())
 	if v == nil {
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -36,7 +36,8 @@
 type member struct {
 	target   string
 	address  string
-	slots    int
+	slots    int // of all its tasks
+	tasks    int
 	keepFree int // slots that must stay free for short work
 }
 
@@ -284,16 +285,17 @@
 // observe learns from a heartbeat.
 func (p *planner) observe(targets.Report) {}
 
-// grouped merges the members that share a target.
-func grouped(pl placement.Placement) placement.Placement {
-	var out placement.Placement
+// grouped merges the tasks of a gang that share a target into one member.
+func grouped(pl placement.Placement) []member {
+	var out []member
 	for _, m := range pl {
-		i := slices.IndexFunc(out, func(x placement.Member) bool { return x.Target == m.Target })
+		i := slices.IndexFunc(out, func(x member) bool { return x.target == m.Target })
 		if i < 0 {
-			out = append(out, m)
+			out = append(out, member{target: m.Target, slots: m.Slots, tasks: 1})
 			continue
 		}
-		out[i].Slots += m.Slots
+		out[i].slots += m.Slots
+		out[i].tasks++
 	}
 	return out
 }
--- a/coordination/scheduler/result.go
+++ b/coordination/scheduler/result.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/medlargrade/medlargrade/coordination/outcome"
 	"github.com/medlargrade/medlargrade/protocol/targetrpc"
 )
@@ -63,11 +65,20 @@
 func answerOf(a *targetrpc.Answer) outcome.Answer {
 	out := outcome.Answer{Failed: a.GetFailed(), Error: a.GetError()}
 	for _, p := range a.GetParts() {
-		out.Parts = append(out.Parts, p.GetBody())
+		out.Parts = append(out.Parts, bodiesOf(p)...)
 	}
 	return out
 }
 
+// bodiesOf returns the results of a member's tasks.
+func bodiesOf(p *targetrpc.Part) [][]byte {
+	bodies := &targetrpc.Bodies{}
+	if p.GetTasks() <= 1 || p.GetFailed() || proto.Unmarshal(p.GetBody(), bodies) != nil {
+		return [][]byte{p.GetBody()}
+	}
+	return bodies.GetBodies()
+}
+
 func millis(n uint64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 func toMillis(d time.Duration) uint64 { return uint64(max(d, 0) / time.Millisecond) }
--- a/process/target.go
+++ b/process/target.go
@@ -91,7 +91,7 @@
 	return executor.New(executor.Config{
 		Name: s.Name, Address: s.Address, DataCentre: s.DataCentre, Rack: s.Rack,
 		Slots: s.Slots, Connections: s.Connections, EntryList: s.Entries, ReportTo: s.ReportTo,
-		Worker:     workerOf{worker.New(n.HTTP, worker.Settings{Address: s.Worker})},
+		Worker:     newTaskGroups(workerOf{worker.New(n.HTTP, worker.Settings{Address: s.Worker})}),
 		Hubs:       hubsOf{hubs},
 		Entries:    entriesOf{entries},
 		Generation: h.Generation,
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -104,6 +104,9 @@
 check "gang of two whole workers ran" Ran "$(field Outcome <<<"$out")"
 check "gang's answer has both parts" 2 "$(grep -c '"plan"' <<<"$out")"
 
+out=$(submit "$e2" --workspace roller --kind roll-nesting --workers 4 --accelerators 1 --payload '{"RunMillis": 100, "Result": "small"}')
+check "gang of four small tasks has four parts" 4 "$(grep -c '"small"' <<<"$out")"
+
 out=$(submit "$e1" --workspace roller --kind plan-release --key order-1 --payload '{"RunMillis": 50, "Result": "released"}')
 check "non-idempotent request ran" Ran "$(field Outcome <<<"$out")"
 job=$(field Job <<<"$out")
--- a/state/attempts/spec.go
+++ b/state/attempts/spec.go
@@ -26,6 +26,7 @@
 	Kind      string
 	Class     string
 	Slots     int           // on this target
+	Tasks     int           // that share the slots
 	KeepFree  int           // slots that stay free for short work after admission
 	Limit     time.Duration // run time after which the task is stopped; 0 for none
 	Lent      bool          // runs beyond its workspace's guarantee
@@ -90,11 +91,12 @@
 	CodeNotReady
 )
 
-// Part is the result of one task.
+// Part is the result of one member.
 type Part struct {
 	Body   []byte
 	Failed bool
 	Error  string
+	Tasks  int // that the body holds results of
 }
 
 // Stop asks for the stop of an attempt.
