--- a/coordination/executor/gang_test.go
+++ b/coordination/executor/gang_test.go
@@ -93,26 +93,34 @@
 func TestCutAtRelease(t *testing.T) {
 	tests := []struct {
 		name string
-		lost int  // replies with Run that are lost
-		cut  bool // the connection stays cut from then on
+		skip int           // replies with Run that arrive before
+		late time.Duration // until the member sees that the reply is lost
+		cut  bool          // the connection stays cut from then on
 		end  targetrpc.AttemptState
 	}{
-		{name: "one reply lost", lost: 1, end: targetrpc.AttemptState_ATTEMPT_RAN},
-		{name: "cut", lost: 1, cut: true, end: targetrpc.AttemptState_ATTEMPT_STOPPED},
+		{name: "one reply lost", end: targetrpc.AttemptState_ATTEMPT_RAN},
+		{name: "one reply lost in silence", late: pulseTimeout, end: targetrpc.AttemptState_ATTEMPT_RAN},
+		{name: "silence while running", skip: 2, late: pulseTimeout, end: targetrpc.AttemptState_ATTEMPT_RAN},
+		{name: "cut", cut: true, end: targetrpc.AttemptState_ATTEMPT_STOPPED},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			inBubble(t, 3, func(s *site) {
 				var mu sync.Mutex
-				lost := 0
+				seen := 0
 				s.net.onPulse = func(from, _ string, r *targetrpc.PulseReply) error {
 					mu.Lock()
-					defer mu.Unlock()
-					if from != "target-1" || r.Verdict != targetrpc.Verdict_VERDICT_RUN || lost == tt.lost {
+					lose := false
+					if from == "target-1" && r.Verdict == targetrpc.Verdict_VERDICT_RUN {
+						lose = seen == tt.skip
+						seen++
+					}
+					mu.Unlock()
+					if !lose {
 						return nil
 					}
-					lost++
 					s.net.setCut("target-1", tt.cut)
+					time.Sleep(tt.late)
 					return errCut
 				}
 				released := time.Now()
@@ -167,6 +175,17 @@
 	}
 }
 
+// Guards against a gang that fails because a member pulses before the hub has
+// its reservation.
+func TestMemberBeforeHub(t *testing.T) {
+	inBubble(t, 2, func(s *site) {
+		s.reserveAt("j", longTask(1), 1)
+		s.pass(3 * time.Second)
+		s.reserveAt("j", longTask(1), 0)
+		s.Assert(s.release("j").State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+	})
+}
+
 // Guards against a member that claims for the whole gang that it did not run.
 func TestMemberProvesNothing(t *testing.T) {
 	inBubble(t, 2, func(s *site) {
--- a/coordination/executor/life_test.go
+++ b/coordination/executor/life_test.go
@@ -16,7 +16,7 @@
 		Session: s.sessions[0], Incarnation: s.targets[0].Incarnation(), Generation: 5, GraceMillis: 3000,
 		Attempts: []*targetrpc.AttemptID{attemptID(job)}, Claim: attemptID(claim), Claimant: "owner",
 	})
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 	return r
 }
 
@@ -68,7 +68,7 @@
 		cut := time.Now()
 		s.Assert(s.await(0, "lent", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
 		s.Assert(s.await(0, "gang", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
-		s.stoppedBy("lent", cut.Add(12*time.Second))
+		s.stoppedBy("lent", cut.Add(ContactLease+time.Second))
 		s.stoppedBy("gang", cut.Add(12*time.Second))
 		s.Assert(s.await(0, "own", 2*time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
 		s.pass(time.Second)
@@ -108,8 +108,8 @@
 				time.Sleep(100 * time.Millisecond)
 				s.net.mu.Lock()
 				beats := s.net.beats["entry"]
-				s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
 				s.net.mu.Unlock()
+				s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
 				s.Assert(s.start("new", longTask(1)).Refusal.Code, qt.Equals, targetrpc.RefusalCode_REFUSAL_LEAVING)
 				s.Assert(s.await(0, "j", 2*time.Minute).State, qt.Equals, tt.end)
 				s.Assert(s.await(0, "gang", 2*time.Minute).State, qt.Equals, tt.end)
--- a/coordination/executor/site_test.go
+++ b/coordination/executor/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -56,6 +57,11 @@
 	return s
 }
 
+// check allows only the error of a target that the test has closed.
+func (s *site) check(err error) {
+	s.Assert(err == nil || errors.Is(err, errClosed), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 func (s *site) close() {
 	for _, e := range s.targets {
 		e.Close()
@@ -86,7 +92,7 @@
 
 func (s *site) start(job string, task *targetrpc.Task) *targetrpc.AttemptReply {
 	r, err := s.targets[0].Start(s.ctx, s.startRequest(job, task))
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 	return r
 }
 
@@ -94,7 +100,7 @@
 	r, err := s.targets[i].Await(s.ctx, &targetrpc.AwaitRequest{
 		Attempt: attemptID(job), Incarnation: s.targets[i].Incarnation(), WaitMillis: uint64(wait / time.Millisecond), Generation: 5,
 	})
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 	s.Assert(targetrpc.Verify(r), qt.IsNil)
 	return r
 }
@@ -104,7 +110,7 @@
 	r, err := s.targets[i].Fence(s.ctx, &targetrpc.FenceRequest{
 		Attempt: attemptID("j"), Incarnation: s.targets[i].Incarnation(), Generation: 5,
 	})
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 	return r
 }
 
@@ -113,32 +119,36 @@
 	_, err := s.targets[i].Cancel(s.ctx, &targetrpc.CancelRequest{
 		Attempts: []*targetrpc.AttemptID{attemptID("j")}, Incarnation: s.targets[i].Incarnation(), Generation: 5,
 	})
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 }
 
 // reserve reserves a gang over all targets, with target 0 as the hub.
 func (s *site) reserve(job string, task *targetrpc.Task) []*targetrpc.ReserveReply {
+	var out []*targetrpc.ReserveReply
+	for i := range s.targets {
+		out = append(out, s.reserveAt(job, task, i))
+	}
+	return out
+}
+
+func (s *site) reserveAt(job string, task *targetrpc.Task, i int) *targetrpc.ReserveReply {
 	var members []*targetrpc.Member
 	for _, e := range s.targets {
 		members = append(members, &targetrpc.Member{Target: e.cfg.Name, Address: e.cfg.Address, Incarnation: e.Incarnation()})
 	}
-	var out []*targetrpc.ReserveReply
-	for i, e := range s.targets {
-		r, err := e.Reserve(s.ctx, &targetrpc.ReserveRequest{
-			Session: s.sessions[i], Incarnation: e.Incarnation(), Attempt: attemptID(job), Task: task,
-			Index: uint32(i), Members: members, TtlMillis: 10_000, Generation: 5,
-		})
-		s.Assert(err, qt.IsNil)
-		out = append(out, r)
-	}
-	return out
+	r, err := s.targets[i].Reserve(s.ctx, &targetrpc.ReserveRequest{
+		Session: s.sessions[i], Incarnation: s.targets[i].Incarnation(), Attempt: attemptID(job), Task: task,
+		Index: uint32(i), Members: members, TtlMillis: 10_000, Generation: 5,
+	})
+	s.check(err)
+	return r
 }
 
 func (s *site) release(job string) *targetrpc.AttemptReply {
 	r, err := s.targets[0].Release(s.ctx, &targetrpc.ReleaseRequest{
 		Session: s.sessions[0], Incarnation: s.targets[0].Incarnation(), Attempt: attemptID(job), Generation: 5,
 	})
-	s.Assert(err, qt.IsNil)
+	s.check(err)
 	return r
 }
 
--- a/state/attempts/table_test.go
+++ b/state/attempts/table_test.go
@@ -95,13 +95,14 @@
 				s.give(tt.held, claim, 10*time.Second)
 				time.Sleep(tt.wait)
 				qt.Assert(t, s.take(tt.id, tt.n, tt.keepFree), qt.Equals, tt.ok)
-				if tt.ok {
-					s.give(tt.n, ID{}, 0)
-					s.drop(claim)
+				if !tt.ok {
+					return
 				}
-				if tt.ok {
-					qt.Assert(t, s.free(), qt.Equals, 8)
+				s.give(tt.n, ID{}, 0)
+				if tt.id != claim {
+					s.drop(claim)
 				}
+				qt.Assert(t, s.free(), qt.Equals, 8)
 			})
 		})
 	}
@@ -174,3 +175,32 @@
 		})
 	}
 }
+
+// Guards against a member that is released although a lease, its reservation or
+// the attempt has ended.
+func TestReleaseLocal(t *testing.T) {
+	spec := Spec{ID: ID{Job: "g", Number: 1}, Slots: 1, Index: 1, Members: []Member{{}, {}}}
+	tests := []struct {
+		name  string
+		lease time.Duration
+		end   func(*Table)
+		ok    bool
+	}{
+		{name: "held", lease: time.Minute, end: func(*Table) {}, ok: true},
+		{name: "gang lease over", end: func(*Table) {}},
+		{name: "reservation over", lease: time.Minute, end: func(*Table) { time.Sleep(10 * time.Second) }},
+		{name: "fenced", lease: time.Minute, end: func(tab *Table) { tab.Fence(spec.ID, CodeFenced, "") }},
+		{name: "stopped", lease: time.Minute, end: func(tab *Table) { tab.Stop(spec.ID, Stop{}) }},
+		{name: "gone", lease: time.Minute, end: func(tab *Table) { tab.Free(spec.ID) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tab := NewTable(Limits{Slots: 8})
+				tab.Admit(spec, tab.OpenSession("e", 1), time.Minute)
+				tt.end(tab)
+				qt.Assert(t, tab.ReleaseLocal(spec.ID, time.Now().Add(tt.lease)), qt.Equals, tt.ok)
+			})
+		})
+	}
+}
