--- a/coordination/executor/fake_test.go
+++ b/coordination/executor/fake_test.go
@@ -175,9 +175,24 @@
 	mu      sync.Mutex
 	targets map[string]*Executor
 	cut     map[string]bool
-	onPulse func(from, to string, reply *targetrpc.PulseReply) error // may lose a reply
+	onPulse func(from string, reply *targetrpc.PulseReply) error // may lose a reply
 	beats   map[string][]*entryrpc.HeartbeatRequest
-	reply   entryrpc.HeartbeatReply
+	reply   *entryrpc.HeartbeatReply
+}
+
+// answer sets what entries reply to heartbeats.
+func (n *fakeNet) answer(r *entryrpc.HeartbeatReply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reply = r
+}
+
+// takeBeats returns the heartbeats to an entry since the last call.
+func (n *fakeNet) takeBeats(entry string) []*entryrpc.HeartbeatRequest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	defer delete(n.beats, entry)
+	return n.beats[entry]
 }
 
 func (n *fakeNet) setCut(address string, cut bool) {
@@ -218,32 +233,29 @@
 func (directClient) DRPCConn() drpc.Conn { return nil }
 
 func (c directClient) Pulse(ctx context.Context, r *targetrpc.PulseRequest) (*targetrpc.PulseReply, error) {
-	if c.link.isCut(c.link.from) || c.link.isCut(c.to) {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	reply, err := c.Executor.Pulse(ctx, r)
-	if err == nil && c.link.onPulse != nil {
-		err = c.link.onPulse(c.link.from, c.to, reply)
+	var reply *targetrpc.PulseReply
+	var err error
+	cut := func() bool { return c.link.isCut(c.link.from) || c.link.isCut(c.to) }
+	if !cut() {
+		reply, err = c.Executor.Pulse(ctx, r)
+		if err == nil && c.link.onPulse != nil {
+			err = c.link.onPulse(c.link.from, reply)
+		}
 	}
-	if c.link.isCut(c.link.from) || c.link.isCut(c.to) {
+	if cut() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	return reply, err
 }
 
+// fakeEntry is an entry of which only Heartbeat is called.
 type fakeEntry struct {
+	entryrpc.DRPCEntryClient
 	link    link
 	address string
 }
 
-func (fakeEntry) DRPCConn() drpc.Conn { return nil }
-
-func (f fakeEntry) FetchConfig(context.Context, *entryrpc.FetchConfigRequest) (*entryrpc.FetchConfigReply, error) {
-	return nil, errCut
-}
-
 func (f fakeEntry) Heartbeat(_ context.Context, r *entryrpc.HeartbeatRequest) (*entryrpc.HeartbeatReply, error) {
 	if f.link.isCut(f.address) || f.link.isCut(f.link.from) {
 		return nil, errCut
@@ -251,8 +263,6 @@
 	f.link.mu.Lock()
 	defer f.link.mu.Unlock()
 	f.link.beats[f.address] = append(f.link.beats[f.address], r)
-	return &entryrpc.HeartbeatReply{
-		Sequence: r.GetSequence(), Generation: f.link.reply.Generation,
-		NeedFull: f.link.reply.NeedFull, Entries: f.link.reply.Entries,
-	}, nil
+	n := f.link.reply
+	return &entryrpc.HeartbeatReply{Sequence: r.GetSequence(), NeedFull: n.GetNeedFull(), Entries: n.GetEntries()}, nil
 }
--- a/coordination/executor/life_test.go
+++ b/coordination/executor/life_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -106,9 +107,7 @@
 					close(done)
 				}()
 				time.Sleep(100 * time.Millisecond)
-				s.net.mu.Lock()
-				beats := s.net.beats["entry"]
-				s.net.mu.Unlock()
+				beats := s.net.takeBeats("entry")
 				s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
 				s.Assert(s.start("new", longTask(1)).Refusal.Code, qt.Equals, targetrpc.RefusalCode_REFUSAL_LEAVING)
 				s.Assert(s.await(0, "j", 2*time.Minute).State, qt.Equals, tt.end)
@@ -125,13 +124,7 @@
 // an entry that is silent, and against too many receivers.
 func TestHeartbeats(t *testing.T) {
 	inBubble(t, 1, func(s *site) {
-		beats := func(entry string) []*entryrpc.HeartbeatRequest {
-			s.net.mu.Lock()
-			defer s.net.mu.Unlock()
-			out := s.net.beats[entry]
-			s.net.beats[entry] = nil
-			return out
-		}
+		beats := s.net.takeBeats
 		time.Sleep(3 * time.Second)
 		s.start("j", longTask(3))
 		beats("entry")
@@ -142,18 +135,14 @@
 		s.Assert(got[0].Base, qt.Not(qt.Equals), uint64(0))
 		s.Assert(got[0].FreeSlots, qt.Equals, uint32(5))
 		s.Assert(got[1].Tasks, qt.HasLen, 0)
-		s.net.mu.Lock()
-		s.net.reply.NeedFull = true
-		s.net.mu.Unlock()
+		s.net.answer(&entryrpc.HeartbeatReply{NeedFull: true})
 		time.Sleep(4 * time.Second)
 		got = beats("entry")
 		s.Assert(got[len(got)-1].Base, qt.Equals, uint64(0))
 		s.Assert(got[len(got)-1].Tasks, qt.HasLen, 1)
-		s.net.mu.Lock()
-		s.net.reply = entryrpc.HeartbeatReply{Entries: []string{"a", "b", "c"}}
-		s.net.mu.Unlock()
+		s.net.answer(&entryrpc.HeartbeatReply{Entries: []string{"a", "b", "c"}})
 		time.Sleep(20 * time.Second)
-		known := append([]string{"entry"}, "a", "b", "c")
+		known := []string{"entry", "a", "b", "c"}
 		chosen := rendezvous("r", known)[:2]
 		time.Sleep(4 * time.Second)
 		for _, a := range chosen {
@@ -166,3 +155,53 @@
 		s.Assert(s.targets[0].Dump().Attempts, qt.HasLen, 1)
 	})
 }
+
+// Guards against the renewal of a lease that has lapsed, was given up or belongs
+// to a task that must not go on, and against a lease that counts as renewed
+// although the call failed or the worker lost the task.
+func TestLeases(t *testing.T) {
+	tests := []struct {
+		name  string
+		valid bool
+		do    func(s *leaseSet, l *lease)
+		wait  time.Duration
+		due   bool
+		ended bool
+	}{
+		{name: "new", valid: true, due: true},
+		{name: "not valid"},
+		{name: "suspended", valid: true, do: func(s *leaseSet, l *lease) { s.suspend(l) }},
+		{name: "lapsed", valid: true, wait: WorkerLease, ended: true},
+		{name: "renewed", valid: true, do: func(s *leaseSet, _ *lease) {
+			time.Sleep(time.Second)
+			s.renewed([]string{"t"}, nil, time.Now(), nil)
+		}, wait: WorkerLease - 1, due: true},
+		{name: "call failed", valid: true, do: func(s *leaseSet, _ *lease) {
+			time.Sleep(time.Second)
+			s.renewed([]string{"t"}, nil, time.Now(), errCut)
+		}, wait: WorkerLease - 1, ended: true},
+		{name: "lost", valid: true, do: func(s *leaseSet, _ *lease) {
+			s.renewed([]string{"t"}, []string{"t"}, time.Now(), nil)
+		}, ended: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &leaseSet{byName: make(map[string]*lease)}
+				l := s.add("t", time.Now(), func(time.Time) bool { return tt.valid })
+				if tt.do != nil {
+					tt.do(s, l)
+				}
+				time.Sleep(tt.wait)
+				s.lapse(time.Now())
+				qt.Assert(t, len(s.due(time.Now())) == 1, qt.Equals, tt.due)
+				select {
+				case <-l.ended:
+					qt.Assert(t, tt.ended, qt.IsTrue)
+				default:
+					qt.Assert(t, tt.ended, qt.IsFalse)
+				}
+			})
+		})
+	}
+}
--- a/coordination/executor/member.go
+++ b/coordination/executor/member.go
@@ -203,7 +203,7 @@
 
 // awaitEnd waits for the end of the released task or for a reason to stop it.
 func (m *member) awaitEnd(ctx context.Context) ending {
-	limit, stopLimit := m.limitTimer()
+	limit, stopLimit := m.limitTimer(time.Now())
 	defer stopLimit()
 	for {
 		st := m.e.table.Get(m.spec.ID)
--- a/coordination/executor/requests.go
+++ b/coordination/executor/requests.go
@@ -69,7 +69,11 @@
 		return e.knownReservation(e.table.Refuse(id, code, reason)), nil
 	}
 	spec.Index, spec.Hub, spec.Members = int(r.GetIndex()), int(r.GetHub()), membersOf(r.GetMembers())
-	st, admitted := e.table.Admit(spec, r.GetSession(), millis(r.GetTtlMillis()))
+	ttl := millis(r.GetTtlMillis())
+	if ttl == 0 {
+		ttl = ReservationTTL
+	}
+	st, admitted := e.table.Admit(spec, r.GetSession(), ttl)
 	if !admitted {
 		return e.knownReservation(st), nil
 	}
--- a/coordination/executor/single.go
+++ b/coordination/executor/single.go
@@ -54,7 +54,7 @@
 		return t.endOf(ctx, ending{result: res})
 	}
 	t.watch(ctx)
-	limit, stopLimit := t.limitTimer()
+	limit, stopLimit := t.limitTimer(st.Released)
 	defer stopLimit()
 	for {
 		st = e.table.Get(t.spec.ID)
--- a/coordination/executor/task.go
+++ b/coordination/executor/task.go
@@ -162,12 +162,13 @@
 	stop   *attempts.Stop
 }
 
-// limitTimer returns a channel that fires at the limit on the run time.
-func (t *task) limitTimer() (<-chan time.Time, func() bool) {
+// limitTimer returns a channel that fires at the limit on the run time of a task
+// that was released at the given time.
+func (t *task) limitTimer(released time.Time) (<-chan time.Time, func() bool) {
 	if t.spec.Limit <= 0 {
 		return nil, func() bool { return false }
 	}
-	timer := time.NewTimer(t.spec.Limit)
+	timer := time.NewTimer(max(t.spec.Limit-time.Since(released), 1))
 	return timer.C, timer.Stop
 }
 
--- a/state/attempts/table.go
+++ b/state/attempts/table.go
@@ -158,7 +158,8 @@
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, r := range s.records {
-			if r.st.Phase == Ran && !r.fetched && !r.st.Ended.Before(since) {
+			mine := r.st.Phase == Ran || r.st.Phase == Stopped && r.st.Spec.IsHub()
+			if mine && !r.fetched && !r.st.Ended.Before(since) {
 				n++
 			}
 		}
