--- a/coordination/executor/fake_test.go
+++ b/coordination/executor/fake_test.go
@@ -18,7 +18,6 @@
 type fakeTask struct {
 	released time.Time // zero while held
 	lease    time.Time
-	ended    chan struct{}
 	result   *Result
 	endedAt  time.Time
 }
@@ -45,25 +44,22 @@
 
 func (w *fakeWorker) Launch(ctx context.Context, l Launch) (*Result, error) {
 	w.mu.Lock()
+	lose := w.loseReply
 	if w.refuse {
 		w.mu.Unlock()
 		return nil, &RefusedError{Reason: "full"}
 	}
 	w.launches++
-	t := &fakeTask{lease: time.Now().Add(l.Lease), ended: make(chan struct{})}
+	t := &fakeTask{lease: time.Now().Add(l.Lease)}
 	w.tasks[l.ID] = t
 	if !l.Held {
 		t.released = time.Now()
 	}
-	lose := w.loseReply
 	w.mu.Unlock()
 	if lose {
 		return nil, errCut
 	}
-	if l.Wait > 0 {
-		return w.Wait(ctx, l.ID, l.Wait)
-	}
-	return nil, nil
+	return w.Wait(ctx, l.ID, l.Wait)
 }
 
 // stepLocked applies what has happened to a task until now.
@@ -81,35 +77,23 @@
 
 func (t *fakeTask) endLocked(r *Result, at time.Time) {
 	t.result, t.endedAt = r, at
-	close(t.ended)
 }
 
 func (w *fakeWorker) Wait(ctx context.Context, id string, wait time.Duration) (*Result, error) {
-	deadline := time.Now().Add(wait)
-	for {
-		w.mu.Lock()
-		t, ok := w.tasks[id]
-		if !ok {
-			w.mu.Unlock()
-			return nil, ErrUnknownTask
-		}
-		w.stepLocked(t)
-		res := t.result
-		w.mu.Unlock()
-		if res != nil || !time.Now().Before(deadline) {
-			return res, nil
+	for deadline := time.Now().Add(wait); ; {
+		var res *Result
+		err := w.with(id, func(*fakeTask) {}, func(t *fakeTask) { res = t.result })
+		if err != nil || res != nil || !time.Now().Before(deadline) {
+			return res, err
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, 10*time.Millisecond) {
 			return nil, ctx.Err()
-		case <-t.ended:
-		case <-time.After(10 * time.Millisecond):
 		}
 	}
 }
 
-// with calls f on a task that has not ended.
-func (w *fakeWorker) with(id string, f func(*fakeTask)) error {
+// with calls the first of do on a task that has not ended, the second on others.
+func (w *fakeWorker) with(id string, do ...func(*fakeTask)) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t, ok := w.tasks[id]
@@ -117,7 +101,9 @@
 		return ErrUnknownTask
 	}
 	if w.stepLocked(t); t.result == nil {
-		f(t)
+		do[0](t)
+	} else if len(do) > 1 {
+		do[1](t)
 	}
 	return nil
 }
--- a/coordination/executor/gang_test.go
+++ b/coordination/executor/gang_test.go
@@ -27,28 +27,26 @@
 		{name: "one task fails", fail: true, failed: true},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 3, func(s *site) {
-				s.workers[1].fail = tt.fail
-				s.workers[1].runTime = 10 * time.Second
-				s.startGang("j", longTask(8))
-				for i, w := range s.workers {
-					s.pass(100 * time.Millisecond)
-					began, _ := w.ran("j/1")
-					s.Assert(began.IsZero(), qt.IsFalse, qt.Commentf("member %d", i))
-				}
-				r := s.await(0, "j", time.Minute)
-				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
-				s.Assert(r.Answer.Parts, qt.HasLen, 3)
-				s.Assert(r.Answer.Failed, qt.Equals, tt.failed)
-				s.Assert(r.Answer.Parts[1].Failed, qt.Equals, tt.failed)
-				s.stoppedBy("j", time.Now())
-				s.pass(3 * time.Second)
-				for i, e := range s.targets {
-					s.Assert(e.table.FreeSlots(), qt.Equals, 8)
-					s.Assert(e.table.List(isHeld), qt.HasLen, 0, qt.Commentf("target %d", i))
-				}
-			})
+		runSite(t, tt.name, 3, func(s *site) {
+			s.workers[1].fail = tt.fail
+			s.workers[1].runTime = 10 * time.Second
+			s.startGang("j", longTask(8))
+			for i, w := range s.workers {
+				s.pass(100 * time.Millisecond)
+				began, _ := w.ran("j/1")
+				s.Assert(began.IsZero(), qt.IsFalse, qt.Commentf("member %d", i))
+			}
+			r := s.await(0, "j", time.Minute)
+			s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
+			s.Assert(r.Answer.Parts, qt.HasLen, 3)
+			s.Assert(r.Answer.Failed, qt.Equals, tt.failed)
+			s.Assert(r.Answer.Parts[1].Failed, qt.Equals, tt.failed)
+			s.stoppedBy("j", time.Now())
+			s.pass(3 * time.Second)
+			for i, e := range s.targets {
+				s.Assert(e.table.FreeSlots(), qt.Equals, 8)
+				s.Assert(e.table.List(isHeld), qt.HasLen, 0, qt.Commentf("target %d", i))
+			}
 		})
 	}
 }
@@ -72,20 +70,18 @@
 		}},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 3, func(s *site) {
-				for _, w := range s.workers {
-					w.runTime = time.Hour
-				}
-				s.startGang("j", longTask(8))
-				s.pass(7 * time.Second)
-				tt.lose(s)
-				lost := time.Now()
-				r := s.await(tt.kept, "j", time.Minute)
-				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED, qt.Commentf("%v", r))
-				s.stoppedBy("j", lost.Add(gangStopBound))
-				s.Assert(time.Since(lost) <= gangStopBound, qt.IsTrue, qt.Commentf("%v", time.Since(lost)))
-			})
+		runSite(t, tt.name, 3, func(s *site) {
+			for _, w := range s.workers {
+				w.runTime = time.Hour
+			}
+			s.startGang("j", longTask(8))
+			s.pass(7 * time.Second)
+			tt.lose(s)
+			lost := time.Now()
+			r := s.await(tt.kept, "j", time.Minute)
+			s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED, qt.Commentf("%v", r))
+			s.stoppedBy("j", lost.Add(gangStopBound))
+			s.Assert(time.Since(lost) <= gangStopBound, qt.IsTrue, qt.Commentf("%v", time.Since(lost)))
 		})
 	}
 }
@@ -106,35 +102,33 @@
 		{name: "cut", cut: true, end: targetrpc.AttemptState_ATTEMPT_STOPPED},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 3, func(s *site) {
-				var mu sync.Mutex
-				seen := 0
-				s.net.onPulse = func(from string, r *targetrpc.PulseReply) error {
-					mu.Lock()
-					lose := false
-					if from == "target-1" && r.Verdict == targetrpc.Verdict_VERDICT_RUN {
-						lose = seen == tt.skip
-						seen++
-					}
-					mu.Unlock()
-					if !lose {
-						return nil
-					}
-					s.net.setCut("target-1", tt.cut)
-					time.Sleep(tt.late)
-					return errCut
+		runSite(t, tt.name, 3, func(s *site) {
+			var mu sync.Mutex
+			seen := 0
+			s.net.onPulse = func(from string, r *targetrpc.PulseReply) error {
+				mu.Lock()
+				lose := false
+				if from == "target-1" && r.Verdict == targetrpc.Verdict_VERDICT_RUN {
+					lose = seen == tt.skip
+					seen++
 				}
-				released := time.Now()
-				s.startGang("j", longTask(4))
-				r := s.await(0, "j", time.Minute)
-				s.Assert(r.State, qt.Equals, tt.end, qt.Commentf("%v", r))
-				if tt.cut {
-					s.stoppedBy("j", released.Add(gangStopBound))
-					began, _ := s.workers[1].ran("j/1")
-					s.Assert(began.IsZero(), qt.IsTrue)
+				mu.Unlock()
+				if !lose {
+					return nil
 				}
-			})
+				s.net.setCut("target-1", tt.cut)
+				time.Sleep(tt.late)
+				return errCut
+			}
+			released := time.Now()
+			s.startGang("j", longTask(4))
+			r := s.await(0, "j", time.Minute)
+			s.Assert(r.State, qt.Equals, tt.end, qt.Commentf("%v", r))
+			if tt.cut {
+				s.stoppedBy("j", released.Add(gangStopBound))
+				began, _ := s.workers[1].ran("j/1")
+				s.Assert(began.IsZero(), qt.IsTrue)
+			}
 		})
 	}
 }
@@ -156,23 +150,21 @@
 		{"old generation", func(s *site) { s.generation.Store(6) }, targetrpc.RefusalCode_REFUSAL_GENERATION},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 3, func(s *site) {
-				for _, r := range s.reserve("j", longTask(8)) {
-					s.Assert(r.Reserved, qt.IsTrue)
-				}
-				tt.prepare(s)
-				for range 2 {
-					r := s.release("j")
-					s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_NOT_RUN)
-					s.Assert(r.Refusal.Code, qt.Equals, tt.code)
-				}
-				s.pass(time.Minute)
-				s.neverRan("j")
-				for _, e := range s.targets {
-					s.Assert(e.table.FreeSlots() == 8 || e.ctx.Err() != nil, qt.IsTrue)
-				}
-			})
+		runSite(t, tt.name, 3, func(s *site) {
+			for _, r := range s.reserve("j", longTask(8)) {
+				s.Assert(r.Reserved, qt.IsTrue)
+			}
+			tt.prepare(s)
+			for range 2 {
+				r := s.release("j")
+				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_NOT_RUN)
+				s.Assert(r.Refusal.Code, qt.Equals, tt.code)
+			}
+			s.pass(time.Minute)
+			s.neverRan("j")
+			for _, e := range s.targets {
+				s.Assert(e.table.FreeSlots() == 8 || e.ctx.Err() != nil, qt.IsTrue)
+			}
 		})
 	}
 }
@@ -208,53 +200,51 @@
 	const members = 3
 	ends := make(map[targetrpc.AttemptState]int)
 	for seed := range uint64(150) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			inBubble(t, members, func(s *site) {
-				rnd := rand.New(rand.NewPCG(seed, 0))
-				pick := func() int { return rnd.IntN(members) }
-				for _, w := range s.workers {
-					w.runTime = time.Duration(1+rnd.IntN(20)) * time.Second
-				}
-				faults := []func(){
-					func() { s.net.setCut(s.targets[pick()].cfg.Address, true) },
-					func() { s.net.setCut(s.targets[pick()].cfg.Address, false) },
-					func() { s.net.setCut("entry", rnd.IntN(2) == 0) },
-					func() { s.workers[pick()].set(func(w *fakeWorker) { w.loseReply = !w.loseReply }) },
-					func() { s.workers[pick()].set(func(w *fakeWorker) { w.stopErr = errCut }) },
-					func() { s.workers[pick()].set(func(w *fakeWorker) { w.fail = !w.fail }) },
-					func() { s.cancel(pick()) },
-					func() { s.fence(pick()) },
-					func() { s.targets[pick()].Close() },
-					func() { go s.preempt("j", "claim") },
-				}
-				s.net.onPulse = func(string, *targetrpc.PulseReply) error {
-					late := time.Duration(rand.IntN(500)) * time.Millisecond
-					if rand.IntN(20) == 0 {
-						late *= 20 // Beyond the time of a pulse, often beyond the gang lease.
-					}
-					time.Sleep(late)
-					return nil
+		runSite(t, fmt.Sprint(seed), members, func(s *site) {
+			rnd := rand.New(rand.NewPCG(seed, 0))
+			pick := func() int { return rnd.IntN(members) }
+			for _, w := range s.workers {
+				w.runTime = time.Duration(1+rnd.IntN(20)) * time.Second
+			}
+			faults := []func(){
+				func() { s.net.setCut(s.targets[pick()].cfg.Address, true) },
+				func() { s.net.setCut(s.targets[pick()].cfg.Address, false) },
+				func() { s.net.setCut("entry", rnd.IntN(2) == 0) },
+				func() { s.workers[pick()].set(func(w *fakeWorker) { w.loseReply = !w.loseReply }) },
+				func() { s.workers[pick()].set(func(w *fakeWorker) { w.stopErr = errCut }) },
+				func() { s.workers[pick()].set(func(w *fakeWorker) { w.fail = !w.fail }) },
+				func() { s.cancel(pick()) },
+				func() { s.fence(pick()) },
+				func() { s.targets[pick()].Close() },
+				func() { go s.preempt("j", "claim") },
+			}
+			s.net.onPulse = func(string, *targetrpc.PulseReply) error {
+				late := time.Duration(rand.IntN(500)) * time.Millisecond
+				if rand.IntN(20) == 0 {
+					late *= 20 // Beyond the time of a pulse, often beyond the gang lease.
 				}
-				fault := func() {
-					if rnd.IntN(3) == 0 {
-						faults[rnd.IntN(len(faults))]()
-					}
-					s.pass(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+				time.Sleep(late)
+				return nil
+			}
+			fault := func() {
+				if rnd.IntN(3) == 0 {
+					faults[rnd.IntN(len(faults))]()
 				}
-				task := longTask(8)
-				task.Lent = rnd.IntN(2) == 0
-				fault()
-				s.reserve("j", task)
+				s.pass(time.Duration(rnd.IntN(3000)) * time.Millisecond)
+			}
+			task := longTask(8)
+			task.Lent = rnd.IntN(2) == 0
+			fault()
+			s.reserve("j", task)
+			fault()
+			s.release("j")
+			for range 6 {
 				fault()
-				s.release("j")
-				for range 6 {
-					fault()
-				}
-				s.pass(time.Minute)
-				r := s.await(0, "j", 0)
-				ends[r.State]++
-				s.checkGang(r)
-			})
+			}
+			s.pass(time.Minute)
+			r := s.await(0, "j", 0)
+			ends[r.State]++
+			s.checkGang(r)
 		})
 	}
 	t.Logf("ends: %v", ends)
--- a/coordination/executor/life_test.go
+++ b/coordination/executor/life_test.go
@@ -89,33 +89,31 @@
 		{"drain time over", time.Hour, targetrpc.AttemptState_ATTEMPT_STOPPED},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 3, func(s *site) {
-				for _, w := range s.workers {
-					w.runTime = tt.run
-				}
-				s.start("j", longTask(1))
-				s.startGang("gang", longTask(1))
-				s.pass(time.Second)
-				s.reserve("held", longTask(1))
-				ctx, cancel := context.WithTimeout(s.ctx, time.Minute)
-				defer cancel()
-				began := time.Now()
-				done := make(chan struct{})
-				go func() {
-					s.targets[0].Drain(ctx)
-					close(done)
-				}()
-				time.Sleep(100 * time.Millisecond)
-				beats := s.net.takeBeats("entry")
-				s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
-				s.Assert(s.start("new", longTask(1)).Refusal.Code, qt.Equals, targetrpc.RefusalCode_REFUSAL_LEAVING)
-				s.Assert(s.await(0, "j", 2*time.Minute).State, qt.Equals, tt.end)
-				s.Assert(s.await(0, "gang", 2*time.Minute).State, qt.Equals, tt.end)
-				<-done
-				s.Assert(time.Since(began) < time.Minute+drainStop, qt.IsTrue)
-				s.neverRan("held")
-			})
+		runSite(t, tt.name, 3, func(s *site) {
+			for _, w := range s.workers {
+				w.runTime = tt.run
+			}
+			s.start("j", longTask(1))
+			s.startGang("gang", longTask(1))
+			s.pass(time.Second)
+			s.reserve("held", longTask(1))
+			ctx, cancel := context.WithTimeout(s.ctx, time.Minute)
+			defer cancel()
+			began := time.Now()
+			done := make(chan struct{})
+			go func() {
+				s.targets[0].Drain(ctx)
+				close(done)
+			}()
+			time.Sleep(100 * time.Millisecond)
+			beats := s.net.takeBeats("entry")
+			s.Assert(beats[len(beats)-1].Leaving, qt.IsTrue)
+			s.Assert(s.start("new", longTask(1)).Refusal.Code, qt.Equals, targetrpc.RefusalCode_REFUSAL_LEAVING)
+			s.Assert(s.await(0, "j", 2*time.Minute).State, qt.Equals, tt.end)
+			s.Assert(s.await(0, "gang", 2*time.Minute).State, qt.Equals, tt.end)
+			<-done
+			s.Assert(time.Since(began) < time.Minute+drainStop, qt.IsTrue)
+			s.neverRan("held")
 		})
 	}
 }
--- a/coordination/executor/single_test.go
+++ b/coordination/executor/single_test.go
@@ -12,6 +12,12 @@
 	"github.com/medlargrade/medlargrade/protocol/targetrpc"
 )
 
+// runSite runs a subtest in a bubble.
+func runSite(t *testing.T, name string, n int, f func(s *site)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { inBubble(t, n, f) })
+}
+
 // inBubble runs f on a site of n targets in a synctest bubble, which also fails
 // if Close leaves a goroutine behind.
 func inBubble(t *testing.T, n int, f func(s *site)) {
@@ -41,16 +47,14 @@
 		{name: "over its limit", class: "long", limit: 3 * time.Second, run: time.Minute, failed: true},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 1, func(s *site) {
-				s.workers[0].runTime, s.workers[0].fail = tt.run, tt.fail
-				s.start("j", &targetrpc.Task{Class: tt.class, Slots: 8, LimitMillis: uint64(tt.limit / time.Millisecond)})
-				r := s.await(0, "j", 2*time.Minute)
-				s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
-				s.Assert(r.Answer.Failed, qt.Equals, tt.failed)
-				s.Assert(r.Answer.Parts, qt.HasLen, 1)
-				s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 8)
-			})
+		runSite(t, tt.name, 1, func(s *site) {
+			s.workers[0].runTime, s.workers[0].fail = tt.run, tt.fail
+			s.start("j", &targetrpc.Task{Class: tt.class, Slots: 8, LimitMillis: uint64(tt.limit / time.Millisecond)})
+			r := s.await(0, "j", 2*time.Minute)
+			s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RAN)
+			s.Assert(r.Answer.Failed, qt.Equals, tt.failed)
+			s.Assert(r.Answer.Parts, qt.HasLen, 1)
+			s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 8)
 		})
 	}
 }
@@ -81,28 +85,26 @@
 		{"leaving", func(s *site, _ *request) { s.targets[0].Drain(s.ctx) }, targetrpc.AttemptState_ATTEMPT_NOT_RUN, targetrpc.RefusalCode_REFUSAL_LEAVING},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 1, func(s *site) {
-				r := s.startRequest("j", longTask(4))
-				r.WaitMillis = 100
-				tt.prepare(s, r)
-				for range 2 { // The second is a late copy, which must be refused too.
-					got, err := s.targets[0].Start(s.ctx, r)
-					s.Assert(err, qt.IsNil)
-					s.Assert(got.State, qt.Equals, tt.state)
-					s.Assert(got.GetRefusal().GetCode(), qt.Equals, tt.code)
-				}
-				s.ready.Store(true)
-				s.workers[0].set(func(w *fakeWorker) { w.refuse = false })
-				s.pass(time.Minute)
-				if tt.state == targetrpc.AttemptState_ATTEMPT_NOT_RUN {
-					r = s.startRequest("j", longTask(4))
-					got, err := s.targets[0].Start(s.ctx, r)
-					s.Assert(err, qt.IsNil)
-					s.Assert(got.State, qt.Equals, tt.state, qt.Commentf("a later copy under a valid session"))
-				}
-				s.neverRan("j")
-			})
+		runSite(t, tt.name, 1, func(s *site) {
+			r := s.startRequest("j", longTask(4))
+			r.WaitMillis = 100
+			tt.prepare(s, r)
+			for range 2 { // The second is a late copy, which must be refused too.
+				got, err := s.targets[0].Start(s.ctx, r)
+				s.Assert(err, qt.IsNil)
+				s.Assert(got.State, qt.Equals, tt.state)
+				s.Assert(got.GetRefusal().GetCode(), qt.Equals, tt.code)
+			}
+			s.ready.Store(true)
+			s.workers[0].set(func(w *fakeWorker) { w.refuse = false })
+			s.pass(time.Minute)
+			if tt.state == targetrpc.AttemptState_ATTEMPT_NOT_RUN {
+				r = s.startRequest("j", longTask(4))
+				got, err := s.targets[0].Start(s.ctx, r)
+				s.Assert(err, qt.IsNil)
+				s.Assert(got.State, qt.Equals, tt.state, qt.Commentf("a later copy under a valid session"))
+			}
+			s.neverRan("j")
 		})
 	}
 }
@@ -145,22 +147,20 @@
 		{name: "stop fails", stop: errors.New("no route"), gone: WorkerLease + time.Second},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			inBubble(t, 1, func(s *site) {
-				s.workers[0].loseReply, s.workers[0].stopErr = true, tt.stop
-				s.workers[0].runTime = time.Minute
-				began := time.Now()
-				s.Assert(s.start("j", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
-				if tt.stop != nil {
-					s.pass(WorkerLease - time.Second)
-					s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 0)
-					s.Assert(s.fence(0).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
-				}
-				s.Assert(s.await(0, "j", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
-				s.Assert(time.Since(began) <= tt.gone, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
-				s.stoppedBy("j", time.Now())
-				s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 8)
-			})
+		runSite(t, tt.name, 1, func(s *site) {
+			s.workers[0].loseReply, s.workers[0].stopErr = true, tt.stop
+			s.workers[0].runTime = time.Minute
+			began := time.Now()
+			s.Assert(s.start("j", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+			if tt.stop != nil {
+				s.pass(WorkerLease - time.Second)
+				s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 0)
+				s.Assert(s.fence(0).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+			}
+			s.Assert(s.await(0, "j", time.Minute).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
+			s.Assert(time.Since(began) <= tt.gone, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+			s.stoppedBy("j", time.Now())
+			s.Assert(s.targets[0].table.FreeSlots(), qt.Equals, 8)
 		})
 	}
 }
--- a/state/attempts/table_test.go
+++ b/state/attempts/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,12 @@
 
 func single(job string, slots int) Spec { return Spec{ID: ID{Job: job, Number: 1}, Slots: slots} }
 
+// inBubble runs a subtest in a synctest bubble.
+func inBubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
 // Guards against a fence or an answer that is forgotten within the retention,
 // and against memory that grows with the number of ended attempts.
 func TestSweep(t *testing.T) {
@@ -25,40 +32,38 @@
 		{name: "unfetched answers are kept", records: n, phase: Ran},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				tab := NewTable(Limits{Slots: 8, KeptRecords: 10})
-				s := tab.OpenSession("e", 1)
-				for i := range n {
-					spec := single(fmt.Sprint(i), 1)
-					_, ok := tab.Admit(spec, s, 0)
-					qt.Assert(t, ok, qt.IsTrue)
-					tab.Finish(spec.ID, End{Phase: Ran, Part: Part{Body: []byte("x")}})
-					tab.Free(spec.ID)
-					tab.Disown(spec.ID)
-					if tt.fetched {
-						tab.Fetched(spec.ID)
-					}
-					time.Sleep(time.Millisecond)
-				}
-				first := ID{Job: "0", Number: 1}
-				check := func() {
-					qt.Assert(t, tab.Get(first).Phase, qt.Equals, tt.phase)
-					qt.Assert(t, tab.Fence(first, CodeFenced, "").Phase, qt.Equals, tt.phase)
-					_, ok := tab.Admit(single("0", 1), tab.OpenSession("e", 1), 0)
-					qt.Assert(t, ok, qt.IsFalse)
+		inBubble(t, tt.name, func(t *testing.T) {
+			tab := NewTable(Limits{Slots: 8, KeptRecords: 10})
+			s := tab.OpenSession("e", 1)
+			for i := range n {
+				spec := single(fmt.Sprint(i), 1)
+				_, ok := tab.Admit(spec, s, 0)
+				qt.Assert(t, ok, qt.IsTrue)
+				tab.Finish(spec.ID, End{Phase: Ran, Part: Part{Body: []byte("x")}})
+				tab.Free(spec.ID)
+				tab.Disown(spec.ID)
+				if tt.fetched {
+					tab.Fetched(spec.ID)
 				}
-				tab.Sweep()
-				check()
-				qt.Assert(t, tab.List(func(*Status) bool { return true }), qt.HasLen, tt.records)
-				time.Sleep(DefaultRetention - time.Second)
-				tab.Sweep()
-				check()
-				time.Sleep(time.Second)
-				tab.Sweep()
-				qt.Assert(t, tab.Get(first).Phase, qt.Equals, None)
-				qt.Assert(t, tab.List(func(*Status) bool { return true }), qt.HasLen, 0)
-			})
+				time.Sleep(time.Millisecond)
+			}
+			first := ID{Job: "0", Number: 1}
+			check := func() {
+				qt.Assert(t, tab.Get(first).Phase, qt.Equals, tt.phase)
+				qt.Assert(t, tab.Fence(first, CodeFenced, "").Phase, qt.Equals, tt.phase)
+				_, ok := tab.Admit(single("0", 1), tab.OpenSession("e", 1), 0)
+				qt.Assert(t, ok, qt.IsFalse)
+			}
+			tab.Sweep()
+			check()
+			qt.Assert(t, tab.List(func(*Status) bool { return true }), qt.HasLen, tt.records)
+			time.Sleep(DefaultRetention - time.Second)
+			tab.Sweep()
+			check()
+			time.Sleep(time.Second)
+			tab.Sweep()
+			qt.Assert(t, tab.Get(first).Phase, qt.Equals, None)
+			qt.Assert(t, tab.List(func(*Status) bool { return true }), qt.HasLen, 0)
 		})
 	}
 }
@@ -88,22 +93,20 @@
 		{name: "hold expired", held: 8, wait: 10 * time.Second, id: other, n: 8, ok: true},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := slots{total: 8, holds: make(map[ID]hold)}
-				qt.Assert(t, s.take(ID{Job: "victim"}, tt.held, 0), qt.IsTrue)
-				s.give(tt.held, claim, 10*time.Second)
-				time.Sleep(tt.wait)
-				qt.Assert(t, s.take(tt.id, tt.n, tt.keepFree), qt.Equals, tt.ok)
-				if !tt.ok {
-					return
-				}
-				s.give(tt.n, ID{}, 0)
-				if tt.id != claim {
-					s.drop(claim)
-				}
-				qt.Assert(t, s.free(), qt.Equals, 8)
-			})
+		inBubble(t, tt.name, func(t *testing.T) {
+			s := slots{total: 8, holds: make(map[ID]hold)}
+			qt.Assert(t, s.take(ID{Job: "victim"}, tt.held, 0), qt.IsTrue)
+			s.give(tt.held, claim, 10*time.Second)
+			time.Sleep(tt.wait)
+			qt.Assert(t, s.take(tt.id, tt.n, tt.keepFree), qt.Equals, tt.ok)
+			if !tt.ok {
+				return
+			}
+			s.give(tt.n, ID{}, 0)
+			if tt.id != claim {
+				s.drop(claim)
+			}
+			qt.Assert(t, s.free(), qt.Equals, 8)
 		})
 	}
 }
@@ -112,66 +115,48 @@
 // members.
 func TestGangDecisions(t *testing.T) {
 	spec := Spec{ID: ID{Job: "g", Number: 1}, Slots: 1, Members: []Member{{Incarnation: 1}, {Incarnation: 2}}}
-	pulse := func(i int, st MemberState) Pulse {
-		return Pulse{ID: spec.ID, Index: i, Incarnation: uint64(i + 1), State: st}
+	// A step is a pulse: a letter for the state and the index of the member.
+	states := map[byte]MemberState{'h': MemberHeld, 'd': MemberDone, 'l': MemberLost, 'x': MemberHeld}
+	pulses := func(tab *Table, steps string) {
+		for _, step := range strings.Fields(steps) {
+			i := int(step[1] - '0')
+			p := Pulse{ID: spec.ID, Index: i, Incarnation: uint64(i + 1), State: states[step[0]]}
+			if step[0] == 'x' {
+				p.Incarnation = 9
+			}
+			tab.Pulse(p)
+		}
 	}
 	tests := []struct {
 		name    string
-		before  []Pulse
+		before  string
 		wait    time.Duration
 		release Phase
-		after   []Pulse
+		after   string
 		end     Phase
 	}{
-		{
-			name: "whole", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberHeld)}, release: Running,
-			after: []Pulse{pulse(1, MemberDone), pulse(0, MemberDone)}, end: Ran,
-		},
-		{
-			name: "part missing", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberHeld)}, release: Running,
-			after: []Pulse{pulse(1, MemberDone)}, end: Running,
-		},
-		{
-			name: "member lost", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberHeld)}, release: Running,
-			after: []Pulse{pulse(1, MemberLost), pulse(0, MemberDone)}, end: Stopped,
-		},
-		{
-			name: "done is final", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberHeld)}, release: Running,
-			after: []Pulse{pulse(1, MemberDone), pulse(1, MemberLost), pulse(0, MemberDone)}, end: Ran,
-		},
-		{name: "one not attached", before: []Pulse{pulse(0, MemberHeld)}, release: NotRun, end: NotRun},
-		{name: "other process", before: []Pulse{pulse(0, MemberHeld), {ID: spec.ID, Index: 1, Incarnation: 9}}, release: NotRun, end: NotRun},
-		{name: "no such member", before: []Pulse{pulse(0, MemberHeld), pulse(2, MemberHeld)}, release: NotRun, end: NotRun},
-		{
-			name: "attached too long ago", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberHeld)},
-			wait: DefaultGangLease, release: NotRun, end: NotRun,
-		},
-		{
-			name: "done before the release", before: []Pulse{pulse(0, MemberHeld), pulse(1, MemberDone)}, release: NotRun,
-			after: []Pulse{pulse(0, MemberDone)}, end: NotRun,
-		},
-		{
-			name: "reports after the refusal", release: NotRun,
-			after: []Pulse{pulse(0, MemberDone), pulse(1, MemberDone)}, end: NotRun,
-		},
+		{name: "whole", before: "h0 h1", release: Running, after: "d1 d0", end: Ran},
+		{name: "part missing", before: "h0 h1", release: Running, after: "d1", end: Running},
+		{name: "member lost", before: "h0 h1", release: Running, after: "l1 d0", end: Stopped},
+		{name: "done is final", before: "h0 h1", release: Running, after: "d1 l1 d0", end: Ran},
+		{name: "one not attached", before: "h0", release: NotRun, end: NotRun},
+		{name: "other process", before: "h0 x1", release: NotRun, end: NotRun},
+		{name: "no such member", before: "h0 h2", release: NotRun, end: NotRun},
+		{name: "attached too long ago", before: "h0 h1", wait: DefaultGangLease, release: NotRun, end: NotRun},
+		{name: "done before the release", before: "h0 d1", release: NotRun, after: "d0", end: NotRun},
+		{name: "reports after the refusal", release: NotRun, after: "d0 d1", end: NotRun},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				tab := NewTable(Limits{Slots: 8})
-				s := tab.OpenSession("e", 1)
-				_, ok := tab.Admit(spec, s, 10*time.Second)
-				qt.Assert(t, ok, qt.IsTrue)
-				for _, p := range tt.before {
-					tab.Pulse(p)
-				}
-				time.Sleep(tt.wait)
-				qt.Assert(t, tab.Release(spec.ID, s).Phase, qt.Equals, tt.release)
-				for _, p := range tt.after {
-					tab.Pulse(p)
-				}
-				qt.Assert(t, tab.Get(spec.ID).Phase, qt.Equals, tt.end)
-			})
+		inBubble(t, tt.name, func(t *testing.T) {
+			tab := NewTable(Limits{Slots: 8})
+			s := tab.OpenSession("e", 1)
+			_, ok := tab.Admit(spec, s, 10*time.Second)
+			qt.Assert(t, ok, qt.IsTrue)
+			pulses(tab, tt.before)
+			time.Sleep(tt.wait)
+			qt.Assert(t, tab.Release(spec.ID, s).Phase, qt.Equals, tt.release)
+			pulses(tab, tt.after)
+			qt.Assert(t, tab.Get(spec.ID).Phase, qt.Equals, tt.end)
 		})
 	}
 }
@@ -194,13 +179,11 @@
 		{name: "gone", lease: time.Minute, end: func(tab *Table) { tab.Free(spec.ID) }},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				tab := NewTable(Limits{Slots: 8})
-				tab.Admit(spec, tab.OpenSession("e", 1), time.Minute)
-				tt.end(tab)
-				qt.Assert(t, tab.ReleaseLocal(spec.ID, time.Now().Add(tt.lease)), qt.Equals, tt.ok)
-			})
+		inBubble(t, tt.name, func(t *testing.T) {
+			tab := NewTable(Limits{Slots: 8})
+			tab.Admit(spec, tab.OpenSession("e", 1), time.Minute)
+			tt.end(tab)
+			qt.Assert(t, tab.ReleaseLocal(spec.ID, time.Now().Add(tt.lease)), qt.Equals, tt.ok)
 		})
 	}
 }
