--- a/coordination/executor/fake_test.go
+++ b/coordination/executor/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc"
@@ -18,7 +19,6 @@
 type fakeTask struct {
 	released time.Time // zero while held
 	lease    time.Time
-	ended    chan struct{}
 	result   *Result
 	endedAt  time.Time
 }
@@ -45,25 +45,22 @@
 
 func (w *fakeWorker) Launch(ctx context.Context, l Launch) (*Result, error) {
 	w.mu.Lock()
+	lose := w.loseReply
 	if w.refuse {
 		w.mu.Unlock()
 		return nil, &RefusedError{Reason: "full"}
 	}
 	w.launches++
-	t := &fakeTask{lease: time.Now().Add(l.Lease), ended: make(chan struct{})}
+	t := &fakeTask{lease: time.Now().Add(l.Lease)}
 	w.tasks[l.ID] = t
 	if !l.Held {
 		t.released = time.Now()
 	}
-	lose := w.loseReply
 	w.mu.Unlock()
 	if lose {
 		return nil, errCut
 	}
-	if l.Wait > 0 {
-		return w.Wait(ctx, l.ID, l.Wait)
-	}
-	return nil, nil
+	return w.Wait(ctx, l.ID, l.Wait)
 }
 
 // stepLocked applies what has happened to a task until now.
@@ -81,35 +78,23 @@
 
 func (t *fakeTask) endLocked(r *Result, at time.Time) {
 	t.result, t.endedAt = r, at
-	close(t.ended)
 }
 
 func (w *fakeWorker) Wait(ctx context.Context, id string, wait time.Duration) (*Result, error) {
-	deadline := time.Now().Add(wait)
-	for {
-		w.mu.Lock()
-		t, ok := w.tasks[id]
-		if !ok {
-			w.mu.Unlock()
-			return nil, ErrUnknownTask
-		}
-		w.stepLocked(t)
-		res := t.result
-		w.mu.Unlock()
-		if res != nil || !time.Now().Before(deadline) {
-			return res, nil
+	for deadline := time.Now().Add(wait); ; {
+		var res *Result
+		err := w.with(id, func(*fakeTask) {}, func(t *fakeTask) { res = t.result })
+		if err != nil || res != nil || !time.Now().Before(deadline) {
+			return res, err
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, 10*time.Millisecond) {
 			return nil, ctx.Err()
-		case <-t.ended:
-		case <-time.After(10 * time.Millisecond):
 		}
 	}
 }
 
-// with calls f on a task that has not ended.
-func (w *fakeWorker) with(id string, f func(*fakeTask)) error {
+// with calls the first of do on a task that has not ended, the second on others.
+func (w *fakeWorker) with(id string, do ...func(*fakeTask)) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t, ok := w.tasks[id]
@@ -117,7 +102,9 @@
 		return ErrUnknownTask
 	}
 	if w.stepLocked(t); t.result == nil {
-		f(t)
+		do[0](t)
+	} else if len(do) > 1 {
+		do[1](t)
 	}
 	return nil
 }
@@ -172,24 +159,27 @@
 // fakeNet connects executors and entries within the process. An address in cut
 // has no connection: calls hang until their context ends.
 type fakeNet struct {
+	targets sync.Map                                             // *Executor by address
+	cut     sync.Map                                             // bool by address
+	onPulse func(from string, reply *targetrpc.PulseReply) error // may lose a reply
+	reply   atomic.Pointer[entryrpc.HeartbeatReply]              // of all entries
 	mu      sync.Mutex
-	targets map[string]*Executor
-	cut     map[string]bool
-	onPulse func(from, to string, reply *targetrpc.PulseReply) error // may lose a reply
 	beats   map[string][]*entryrpc.HeartbeatRequest
-	reply   entryrpc.HeartbeatReply
 }
 
-func (n *fakeNet) setCut(address string, cut bool) {
+// takeBeats returns the heartbeats to an entry since the last call.
+func (n *fakeNet) takeBeats(entry string) []*entryrpc.HeartbeatRequest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[address] = cut
+	defer delete(n.beats, entry)
+	return n.beats[entry]
 }
 
+func (n *fakeNet) setCut(address string, cut bool) { n.cut.Store(address, cut) }
+
 func (n *fakeNet) isCut(address string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.cut[address]
+	cut, _ := n.cut.Load(address)
+	return cut == true
 }
 
 // link is the view that one target has of a fakeNet.
@@ -199,9 +189,8 @@
 }
 
 func (l link) Hub(_ context.Context, address string) (targetrpc.DRPCTargetClient, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return directClient{Executor: l.targets[address], link: l, to: address}, nil
+	e, _ := l.targets.Load(address)
+	return directClient{Executor: e.(*Executor), link: l, to: address}, nil
 }
 
 func (l link) Entry(_ context.Context, address string) (entryrpc.DRPCEntryClient, error) {
@@ -218,32 +207,29 @@
 func (directClient) DRPCConn() drpc.Conn { return nil }
 
 func (c directClient) Pulse(ctx context.Context, r *targetrpc.PulseRequest) (*targetrpc.PulseReply, error) {
-	if c.link.isCut(c.link.from) || c.link.isCut(c.to) {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	reply, err := c.Executor.Pulse(ctx, r)
-	if err == nil && c.link.onPulse != nil {
-		err = c.link.onPulse(c.link.from, c.to, reply)
+	var reply *targetrpc.PulseReply
+	var err error
+	cut := func() bool { return c.link.isCut(c.link.from) || c.link.isCut(c.to) }
+	if !cut() {
+		reply, err = c.Executor.Pulse(ctx, r)
+		if err == nil && c.link.onPulse != nil {
+			err = c.link.onPulse(c.link.from, reply)
+		}
 	}
-	if c.link.isCut(c.link.from) || c.link.isCut(c.to) {
+	if cut() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
 	return reply, err
 }
 
+// fakeEntry is an entry of which only Heartbeat is called.
 type fakeEntry struct {
+	entryrpc.DRPCEntryClient
 	link    link
 	address string
 }
 
-func (fakeEntry) DRPCConn() drpc.Conn { return nil }
-
-func (f fakeEntry) FetchConfig(context.Context, *entryrpc.FetchConfigRequest) (*entryrpc.FetchConfigReply, error) {
-	return nil, errCut
-}
-
 func (f fakeEntry) Heartbeat(_ context.Context, r *entryrpc.HeartbeatRequest) (*entryrpc.HeartbeatReply, error) {
 	if f.link.isCut(f.address) || f.link.isCut(f.link.from) {
 		return nil, errCut
@@ -251,8 +237,6 @@
 	f.link.mu.Lock()
 	defer f.link.mu.Unlock()
 	f.link.beats[f.address] = append(f.link.beats[f.address], r)
-	return &entryrpc.HeartbeatReply{
-		Sequence: r.GetSequence(), Generation: f.link.reply.Generation,
-		NeedFull: f.link.reply.NeedFull, Entries: f.link.reply.Entries,
-	}, nil
+	n := f.link.reply.Load()
+	return &entryrpc.HeartbeatReply{Sequence: r.GetSequence(), NeedFull: n.GetNeedFull(), Entries: n.GetEntries()}, nil
 }
