Test the hold of a gang member for a claimant

Cause: a Preempt sent to a member other than the hub was not covered.

Change: TestPreempt sends it to one member of a gang and checks that only the slots of that member and of the hub are held.

Ruled out: a hold on all members by the hub, for which there is no message.

Conclusion: the hold works at each target that gets the Preempt.

--- a/coordination/executor/gang_test.go
+++ b/coordination/executor/gang_test.go
@@ -200,7 +200,7 @@
 				func() { s.cancel(pick()) },
 				func() { s.fence(pick()) },
 				func() { s.targets[pick()].Close() },
-				func() { go s.preempt("j", "claim") },
+				func() { go s.preempt(0, "j") },
 			}
 			s.net.onPulse = func(string, *targetrpc.PulseReply) error {
 				late := time.Duration(rand.IntN(500)) * time.Millisecond
--- a/coordination/executor/life_test.go
+++ b/coordination/executor/life_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -12,10 +11,11 @@
 	"github.com/medlargrade/medlargrade/protocol/targetrpc"
 )
 
-func (s *site) preempt(job, claim string) *targetrpc.PreemptReply {
-	r, err := s.targets[0].Preempt(s.ctx, &targetrpc.PreemptRequest{
-		Session: s.sessions[0], Incarnation: s.targets[0].Incarnation(), Generation: 5, GraceMillis: 3000,
-		Attempts: []*targetrpc.AttemptID{attemptID(job)}, Claim: attemptID(claim), Claimant: "owner",
+// preempt reclaims the slots of a job for the attempt "claim".
+func (s *site) preempt(i int, job string) *targetrpc.PreemptReply {
+	r, err := s.targets[i].Preempt(s.ctx, &targetrpc.PreemptRequest{
+		Session: s.sessions[i], Incarnation: s.targets[i].Incarnation(), Generation: 5, GraceMillis: 3000,
+		Attempts: []*targetrpc.AttemptID{attemptID(job)}, Claim: attemptID("claim"), Claimant: "owner",
 	})
 	s.check(err)
 	return r
@@ -33,12 +33,20 @@
 			}
 			s.pass(time.Second)
 			began := time.Now()
-			r := s.preempt("victim", "claim").Attempts[0]
+			if members > 0 { // A member only holds its slots; the hub stops the gang.
+				member := s.preempt(1, "victim").Attempts[0]
+				s.Assert(member.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
+				began = time.Now()
+			}
+			r := s.preempt(0, "victim").Attempts[0]
 			s.Assert(r.State, qt.Equals, targetrpc.AttemptState_ATTEMPT_STOPPED)
 			s.Assert(r.Preempted, qt.IsTrue)
 			s.Assert(time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 			s.stoppedBy("victim", time.Now())
-			s.Assert(s.workers[0].saved, qt.Equals, 1)
+			for i, e := range s.targets {
+				s.Assert(s.workers[i].saved, qt.Equals, 1)
+				s.Assert(e.table.FreeSlots() == 0, qt.Equals, i < 2)
+			}
 			other := s.start("other", longTask(1))
 			s.Assert(other.GetRefusal().GetCode(), qt.Equals, targetrpc.RefusalCode_REFUSAL_BUSY)
 			s.Assert(s.start("claim", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
@@ -46,7 +54,7 @@
 	}
 	inBubble(t, 1, func(s *site) {
 		s.start("victim", longTask(8))
-		s.preempt("victim", "claim")
+		s.preempt(0, "victim")
 		s.pass(ReservationTTL)
 		s.Assert(s.start("other", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
 	})
@@ -183,23 +191,21 @@
 		}, ended: true},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := &leaseSet{byName: make(map[string]*lease)}
-				l := s.add("t", time.Now(), func(time.Time) bool { return tt.valid })
-				if tt.do != nil {
-					tt.do(s, l)
-				}
-				time.Sleep(tt.wait)
-				s.lapse(time.Now())
-				qt.Assert(t, len(s.due(time.Now())) == 1, qt.Equals, tt.due)
-				select {
-				case <-l.ended:
-					qt.Assert(t, tt.ended, qt.IsTrue)
-				default:
-					qt.Assert(t, tt.ended, qt.IsFalse)
-				}
-			})
+		runSite(t, tt.name, 0, func(c *site) {
+			s := &leaseSet{byName: make(map[string]*lease)}
+			l := s.add("t", time.Now(), func(time.Time) bool { return tt.valid })
+			if tt.do != nil {
+				tt.do(s, l)
+			}
+			time.Sleep(tt.wait)
+			s.lapse(time.Now())
+			c.Assert(len(s.due(time.Now())) == 1, qt.Equals, tt.due)
+			select {
+			case <-l.ended:
+				c.Assert(tt.ended, qt.IsTrue)
+			default:
+				c.Assert(tt.ended, qt.IsFalse)
+			}
 		})
 	}
 }
