Remember released attempts beyond the retention

Cause: after ten minutes a target forgot an attempt that had run. A Fence or a Release that came later, for example from an entry that adopts a job after a long store outage, found the attempt unknown and was told "not run", so that a non-idempotent job could run twice.

Change: the marker of a released attempt outlives the retention, up to 250,000 markers on a target; the oldest are dropped beyond that and counted in the state dump. Such an attempt is reported as stopped, without an answer.

Ruled out: refusing every fence of an unknown attempt once a marker was dropped; entries need these fences for attempts that were never sent.

Conclusion: the gap is closed up to the number of markers. To close it fully a Fence must say when its attempt was sent.

--- a/coordination/executor/dump.go
+++ b/coordination/executor/dump.go
@@ -23,6 +23,7 @@
 	Sessions    []attempts.Session
 	Holds       []attempts.Hold
 	Attempts    []AttemptState
+	Dropped     uint64 // released attempts of which nothing is known any more
 	Entries     []EntryState
 }
 
@@ -75,6 +76,7 @@
 		ContactLeft: e.contact.left(now).String(),
 		Sessions:    e.table.Sessions(),
 		Holds:       e.table.Holds(),
+		Dropped:     e.table.Dropped(),
 		Entries:     e.reporter.dump(now),
 	}
 	for _, st := range e.table.List(func(*attempts.Status) bool { return true }) {
