End a silent pulse of the fake network at its timeout

Cause: TestCutAtRelease/silence_while_running failed once in five runs. The fake network held a lost reply for 2.5 s after the 2 s of the long poll and did not end with the context of the call, which a real connection does.

Change: the fake ends the call when its context ends.

Ruled out: a fault of the member. It times the pulse out after 2.5 s and sends the next one 0.25 s later, which is within the gang lease.

Conclusion: the test is as strict as before.

--- a/coordination/executor/fake_test.go
+++ b/coordination/executor/fake_test.go
@@ -159,10 +159,10 @@
 // fakeNet connects executors and entries within the process. An address in cut
 // has no connection: calls hang until their context ends.
 type fakeNet struct {
-	targets sync.Map                                             // *Executor by address
-	cut     sync.Map                                             // bool by address
-	onPulse func(from string, reply *targetrpc.PulseReply) error // may lose a reply
-	reply   atomic.Pointer[entryrpc.HeartbeatReply]              // of all entries
+	targets sync.Map                                                                  // *Executor by address
+	cut     sync.Map                                                                  // bool by address
+	onPulse func(ctx context.Context, from string, reply *targetrpc.PulseReply) error // may lose a reply
+	reply   atomic.Pointer[entryrpc.HeartbeatReply]                                   // of all entries
 	mu      sync.Mutex
 	beats   map[string][]*entryrpc.HeartbeatRequest
 }
@@ -213,7 +213,7 @@
 	if !cut() {
 		reply, err = c.Executor.Pulse(ctx, r)
 		if err == nil && c.link.onPulse != nil {
-			err = c.link.onPulse(c.link.from, reply)
+			err = c.link.onPulse(ctx, c.link.from, reply)
 		}
 	}
 	if cut() {
--- a/coordination/executor/gang_test.go
+++ b/coordination/executor/gang_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
@@ -96,12 +97,12 @@
 	for _, tt := range tests {
 		runSite(t, tt.name, 3, func(s *site) {
 			var seen atomic.Int32
-			s.net.onPulse = func(from string, r *targetrpc.PulseReply) error {
+			s.net.onPulse = func(ctx context.Context, from string, r *targetrpc.PulseReply) error {
 				if from != "target-1" || r.Verdict != targetrpc.Verdict_VERDICT_RUN || seen.Add(1) != tt.skip+1 {
 					return nil
 				}
 				s.net.setCut("target-1", tt.cut)
-				time.Sleep(tt.late)
+				sleep(ctx, tt.late)
 				return errCut
 			}
 			released := time.Now()
@@ -202,7 +203,7 @@
 				func() { s.targets[pick()].Close() },
 				func() { go s.preempt(0, "j") },
 			}
-			s.net.onPulse = func(string, *targetrpc.PulseReply) error {
+			s.net.onPulse = func(context.Context, string, *targetrpc.PulseReply) error {
 				late := time.Duration(rand.IntN(500)) * time.Millisecond
 				if rand.IntN(20) == 0 {
 					late *= 20 // Beyond the time of a pulse, often beyond the gang lease.
