Revert "Remember released attempts beyond the retention"

Change: revert the markers that outlive the retention, up to 250,000 on a target. Measured: TestFenceOfForgottenAttempt and the packages' tests pass.

--- a/coordination/executor/dump.go
+++ b/coordination/executor/dump.go
@@ -23,7 +23,6 @@
 	Sessions    []attempts.Session
 	Holds       []attempts.Hold
 	Attempts    []AttemptState
-	Dropped     uint64 // released attempts of which nothing is known any more
 	Entries     []EntryState
 }
 
@@ -76,7 +75,6 @@
 		ContactLeft: e.contact.left(now).String(),
 		Sessions:    e.table.Sessions(),
 		Holds:       e.table.Holds(),
-		Dropped:     e.table.Dropped(),
 		Entries:     e.reporter.dump(now),
 	}
 	for _, st := range e.table.List(func(*attempts.Status) bool { return true }) {
--- a/state/attempts/doc.go
+++ b/state/attempts/doc.go
@@ -9,9 +9,8 @@
 //
 // An attempt in phase NotRun stays there: it is the fence that refuses every
 // later copy of the attempt. Ended and fenced attempts are kept for the
-// retention, earlier as a mere marker if there are very many. Markers of released
-// attempts outlive the retention, so that a late fence does not take such an
-// attempt for one that never arrived.
+// retention and dropped by Sweep; when there are very many, Sweep keeps only a
+// marker of the older ones, which still refuses late copies.
 //
 // # Usage
 //
--- a/state/attempts/retain.go
+++ b/state/attempts/retain.go
@@ -8,14 +8,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// marker is what is kept of an ended attempt whose record was dropped. Short work
-// ends at up to some thousand attempts per second, and whole records of ten
-// minutes would not fit the memory of a target process. A marker still refuses
-// every late copy of the attempt.
-//
-// The marker of a released attempt is kept beyond the retention: a fence that
-// came later would otherwise find the attempt unknown and take it for one that
-// did not run.
+// marker is what is kept of an ended attempt whose record was dropped before the
+// end of the retention. Short work ends at up to some thousand attempts per
+// second, and whole records of ten minutes would not fit the memory of a target
+// process. A marker still refuses every late copy of the attempt.
 type marker struct {
 	ended time.Duration // since the start of the table
 	phase Phase
@@ -46,7 +42,7 @@
 	st := Status{Spec: Spec{ID: id}, Phase: m.phase, Code: m.code, Local: LocalGone, Reason: "ended earlier"}
 	if m.phase == Ran {
 		// Without its answer the attempt can't be reported as ran.
-		st.Phase, st.Reason = Stopped, "the answer is no longer kept"
+		st.Phase, st.Reason = Stopped, "the answer was fetched and is no longer kept"
 	}
 	return st, true
 }
@@ -56,10 +52,9 @@
 	return st
 }
 
-// Sweep drops refused attempts that are older than the retention and replaces
-// the records of released ones by markers. If there are more records or bytes of
-// answers than the limits, it replaces the oldest ended records earlier, but
-// keeps every answer that no entry has fetched for the whole retention.
+// Sweep drops what is older than the retention. If there are more records or
+// bytes of answers than the limits, it replaces the oldest ended records by
+// markers, but keeps every answer that no entry has fetched.
 func (t *Table) Sweep() {
 	t.sessions.sweep()
 	now := time.Now()
@@ -72,7 +67,7 @@
 			switch {
 			case !r.st.Phase.IsEnded() || r.owned:
 			case now.Sub(r.st.Ended) >= t.limits.Retention:
-				t.markLocked(s, id, r)
+				delete(s.records, id)
 				continue
 			case r.fetched || r.st.Phase != Ran:
 				old = append(old, r)
@@ -80,7 +75,11 @@
 			records++
 			bytes += r.st.size()
 		}
-		t.dropMarkersLocked(s, now)
+		for h, m := range s.markers {
+			if now.Sub(t.started)-m.ended >= t.limits.Retention {
+				delete(s.markers, h)
+			}
+		}
 		s.mu.Unlock()
 	}
 	if records <= t.limits.KeptRecords && bytes <= t.limits.KeptBytes {
@@ -104,47 +103,10 @@
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.markLocked(s, id, r)
-}
-
-func (t *Table) markLocked(s *shard, id ID, r *record) {
 	delete(s.records, id)
 	s.markers[id.hash()] = marker{ended: r.st.Ended.Sub(t.started), phase: r.st.Phase, code: r.st.Code}
 }
 
-// dropMarkersLocked drops the markers of refused attempts after the retention.
-// Those of released attempts give way, oldest first, only if there are too many.
-func (t *Table) dropMarkersLocked(s *shard, now time.Time) {
-	oldest := now.Sub(t.started) - t.limits.Retention
-	var released []time.Duration
-	for h, m := range s.markers {
-		switch {
-		case m.ended > oldest:
-		case m.phase == NotRun:
-			delete(s.markers, h)
-		default:
-			released = append(released, m.ended)
-		}
-	}
-	most := max(t.limits.KeptMarkers/shardCount, 1)
-	if len(released) <= most {
-		return
-	}
-	// Dropping a tenth more than needed keeps most sweeps free of the sort.
-	slices.Sort(released)
-	cut := released[len(released)-most+most/10]
-	for h, m := range s.markers {
-		if m.phase != NotRun && m.ended < cut {
-			delete(s.markers, h)
-			t.dropped.Add(1)
-		}
-	}
-}
-
-// Dropped returns the number of released attempts of which nothing is known any
-// more. A fence for one of them is granted as if it had never arrived.
-func (t *Table) Dropped() uint64 { return t.dropped.Load() }
-
 func (st *Status) size() int {
 	n := 0
 	for _, p := range st.Parts {
--- a/state/attempts/table.go
+++ b/state/attempts/table.go
@@ -16,7 +16,6 @@
 	Retention      time.Duration // 10 min
 	KeptRecords    int           // 10,000
 	KeptBytes      int           // 8 MiB, of answers
-	KeptMarkers    int           // 250,000, of released attempts beyond the retention
 }
 
 // Defaults of Limits.
@@ -27,7 +26,6 @@
 	DefaultRetention      = 10 * time.Minute
 	DefaultKeptRecords    = 10_000
 	DefaultKeptBytes      = 8 << 20
-	DefaultKeptMarkers    = 250_000 // about 11 MB
 )
 
 func (l Limits) withDefaults() Limits {
@@ -41,9 +39,6 @@
 	if l.KeptBytes == 0 {
 		l.KeptBytes = DefaultKeptBytes
 	}
-	if l.KeptMarkers == 0 {
-		l.KeptMarkers = DefaultKeptMarkers
-	}
 	return l
 }
 
@@ -64,7 +59,6 @@
 	slots    slots
 	sessions sessions
 	leaving  atomic.Bool
-	dropped  atomic.Uint64 // markers of released attempts
 }
 
 type shard struct {
