Answer callers before the end of the drain time; log probation

Cause: a caller whose job outlasts the drain time of its entry was cut off without an answer, and event 111 was defined but never logged. Change: 5 s before the end of the drain time, callers that still wait get what is known; recorded jobs are detached and go on at another entry. Ruled out: a longer default drain time, which only moves the cut.

--- a/coordination/scheduler/events.go
+++ b/coordination/scheduler/events.go
@@ -31,7 +31,7 @@
 	// time.
 	EventTargetJoined = 110
 	// EventTargetProbation occurs when a target is put on probation because it
-	// fails tasks that succeed elsewhere.
+	// fails tasks that succeed elsewhere, and when it returns from it.
 	EventTargetProbation = 111
 	// EventDetachFailed occurs when a job whose caller stopped waiting could not
 	// be queued for adoption by other entries.
--- a/coordination/scheduler/heartbeat.go
+++ b/coordination/scheduler/heartbeat.go
@@ -20,7 +20,6 @@
 		s.log.Info().Int("Event", EventTargetJoined).Str("Target", report.Target).
 			Str("Address", report.Address).Uint64("Incarnation", report.Incarnation).Send()
 	}
-	s.plan.observe(report)
 	s.plan.kick()
 	return &entryrpc.HeartbeatReply{
 		Generation: s.generation(),
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -257,11 +257,11 @@
 			p.health.JobEnded(r.job.ID())
 		}
 		if len(where.members) == 1 {
-			p.health.Observe(where.members[0].target, req.Workspace, req.Kind, o, now)
+			p.observeEnd(where.members[0].target, req, o, now)
 		}
 	case notRunResult:
 		if res.code == targetrpc.RefusalCode_REFUSAL_WORKER {
-			p.health.Observe(res.target, req.Workspace, req.Kind, health.Failed, now)
+			p.observeEnd(res.target, req, health.Failed, now)
 		} else {
 			p.endProbes(where)
 		}
@@ -271,6 +271,16 @@
 	p.kick()
 }
 
+// observeEnd counts the end of a task on a target.
+func (p *planner) observeEnd(target string, req Request, o health.Outcome, now time.Time) {
+	before := p.health.State(target, now)
+	p.health.Observe(target, req.Workspace, req.Kind, o, now)
+	after := p.health.State(target, now)
+	if before != after && (before == health.Healthy || after == health.Healthy) {
+		p.s.log.Warn().Int("Event", EventTargetProbation).Str("Target", target).Str("Health", healthName(after)).Send()
+	}
+}
+
 func (p *planner) endProbes(where place) {
 	for _, m := range where.members {
 		p.health.EndProbe(m.target)
@@ -282,9 +292,6 @@
 	return p.health.JobFailed(r.job.ID(), target, r.spec.request.Workspace, r.spec.request.Kind, time.Now())
 }
 
-// observe learns from a heartbeat.
-func (p *planner) observe(targets.Report) {}
-
 // grouped merges the tasks of a gang that share a target into one member.
 func grouped(pl placement.Placement) []member {
 	var out []member
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -46,6 +46,8 @@
 
 	draining atomic.Bool
 	accepted sync.WaitGroup // requests that callers wait for
+	leaving  chan struct{}  // closed shortly before the end of the drain time
+	leave    sync.Once
 
 	// Goroutines end with life, which Close ends.
 	life  context.Context
@@ -57,13 +59,14 @@
 func New(set Settings, peers Peers, log zerolog.Logger, reg *metrics.Set) *Scheduler {
 	life, end := context.WithCancel(context.Background())
 	s := &Scheduler{
-		set:   set,
-		peers: peers,
-		log:   log,
-		rec:   &recorder{store: peers.Store, entry: set.Entry},
-		jobs:  jobs.NewTable(resultRetention),
-		life:  life,
-		end:   end,
+		set:     set,
+		peers:   peers,
+		log:     log,
+		rec:     &recorder{store: peers.Store, entry: set.Entry},
+		jobs:    jobs.NewTable(resultRetention),
+		leaving: make(chan struct{}),
+		life:    life,
+		end:     end,
 	}
 	s.plan = newPlanner(s)
 	s.meter = newMeter(reg, s)
@@ -96,11 +99,23 @@
 	s.tasks.Wait()
 }
 
+// leaveMargin is the part of the drain time in which callers that still wait get
+// their answers.
+const leaveMargin = 5 * time.Second
+
 // Drain stops accepting requests and waits until every request that a caller
-// waits for has its outcome, or until ctx ends. Recorded jobs that nobody waits
+// waits for is answered. Shortly before the deadline of ctx, callers that still
+// wait are answered with what is known: a recorded job goes on at another entry and
+// can be looked up, an unrecorded one is canceled. Recorded jobs that nobody waits
 // for are left to the other entries.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		t := time.AfterFunc(max(time.Until(end)-leaveMargin, 1), func() {
+			s.leave.Do(func() { close(s.leaving) })
+		})
+		defer t.Stop()
+	}
 	done := make(chan struct{})
 	s.tasks.Go(func() {
 		s.accepted.Wait()
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -105,6 +105,8 @@
 	case <-j.Done():
 	case <-ctx.Done():
 		j.Cancel()
+	case <-s.leaving:
+		j.Cancel()
 	}
 	<-j.Done() // The deadline or the cancellation ends it.
 	if sp.request.Key == "" {
@@ -276,6 +278,7 @@
 	case <-j.Done():
 	case <-t.C:
 	case <-ctx.Done():
+	case <-s.leaving:
 	}
 	return statusOf(j.Workspace(), j.Key(), j.Record())
 }
