--- a/coordination/scheduler/events.go
+++ b/coordination/scheduler/events.go
@@ -36,4 +36,7 @@
 	// EventDetachFailed occurs when a job whose caller stopped waiting could not
 	// be queued for adoption by other entries.
 	EventDetachFailed = 112
+	// EventRowsRemoved occurs when rows of jobs that ended long ago were removed,
+	// or could not be.
+	EventRowsRemoved = 113
 )
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -302,7 +302,7 @@
 		return err
 	}
 	for wait := firstBackoff; ; wait = min(2*wait, lastBackoff) {
-		extra, err := r.s.rec.dequeue(ctx, r.s.set.Entry, r.job.Workspace(), r.job.Key())
+		extra, err := r.endWrites(ctx, final.Token)
 		if err == nil {
 			return r.replaceLocked(ctx, final, extra...)
 		}
@@ -312,6 +312,20 @@
 	}
 }
 
+// endWrites returns the writes that go with the final record: out of the queue,
+// into the ended jobs.
+func (r *run) endWrites(ctx context.Context, token string) ([]rows.Write, error) {
+	writes, err := r.s.rec.dequeue(ctx, r.s.set.Entry, r.job.Workspace(), r.job.Key())
+	if err != nil {
+		return nil, err
+	}
+	ended, err := r.s.rec.endedWrite(ctx, r.job.Workspace(), r.job.Key(), token)
+	if err != nil {
+		return nil, err
+	}
+	return append(writes, ended), nil
+}
+
 // handedOver ends the job here and follows the entry that has taken it over, so
 // that callers who wait here get its outcome.
 func (r *run) handedOver() {
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -43,6 +43,7 @@
 	jobs    *jobs.Table
 	plan    *planner
 	cancels *cancelBatcher
+	janitor *janitor
 
 	draining atomic.Bool
 	accepted sync.WaitGroup // requests that callers wait for
@@ -71,6 +72,7 @@
 	s.plan = newPlanner(s)
 	s.meter = newMeter(reg, s)
 	s.cancels = newCancelBatcher(s)
+	s.janitor = newJanitor(peers.Store)
 	return s
 }
 
@@ -78,6 +80,7 @@
 // until ctx ends, then ends all work and waits for it.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.background(s.plan.run)
+	s.background(s.retain)
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
 	for {
@@ -92,6 +95,23 @@
 	}
 }
 
+// retain removes the rows of jobs that ended long ago until ctx ends.
+func (s *Scheduler) retain(ctx context.Context) {
+	t := time.NewTicker(retentionPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		removed, err := s.janitor.sweep(ctx)
+		if removed > 0 || err != nil {
+			s.log.Info().Int("Event", EventRowsRemoved).Int("Jobs", removed).Err(err).Send()
+		}
+	}
+}
+
 // Close ends all work and waits for its goroutines. Attempts that run go on at
 // their targets; recorded jobs are taken over by another entry.
 func (s *Scheduler) Close() {
--- a/state/rows/formats.go
+++ b/state/rows/formats.go
@@ -12,6 +12,7 @@
 	TableJob    = "Job"    // <workspace>/<key>
 	TableQueue  = "Queue"  // <entry>/<workspace>/<key>
 	TableEntry  = "Entry"  // <entry>
+	TableEnded  = "Ended"  // <workspace>/<key> of jobs that have ended
 )
 
 // HeadKey is the key of the configuration's head row.
@@ -33,6 +34,9 @@
 // QueueKey returns the key of a job's place in an entry's queue.
 func QueueKey(entry, workspace, key string) string { return entry + "/" + workspace + "/" + key }
 
+// EndedKey returns the key of the row that marks a job as ended.
+func EndedKey(workspace, key string) string { return JobKey(workspace, key) }
+
 // AnswerKey returns the object key of an answer that is too large for its row.
 func AnswerKey(job string, attempt uint32) string { return fmt.Sprintf("Answer/%s/%d", job, attempt) }
 
@@ -115,6 +119,13 @@
 	Key       string
 }
 
+// Ended marks a job that has ended, so that its row is removed after a time.
+type Ended struct {
+	Token     string // of the final job row
+	Workspace string
+	Key       string
+}
+
 // Entry is the row by which an entry shows that it is alive. Observers watch
 // Beat change on their own clock and never compare clocks.
 type Entry struct {
