Take the locks of the planner and its queue in one order

Cause: enqueue, drop and configure held planner.mu and then took the lock of the queue, while a pass holds the lock of the queue during Scan and takes planner.mu for each visited job. With four callers at once an entry froze for good, usually within some thousand requests: every request then hung in enqueue, and so did the pass and every cancellation.

Change: no method of the queue is called under planner.mu any more. A waiter is registered before its job is queued, because a pass discards a queued job that has no waiter. The configuration of the queue has a lock of its own, so that two configurations can't be taken over in the wrong order.

Ruled out: letting visit read the waiters without the lock (a pass and a submission change the map at the same time); making Scan release its lock during visit (its cursors point into the lists).

--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -197,7 +197,7 @@
 		ps.p.view.Dispatched(m.target, task, ps.now)
 		ps.ledger.Add(task)
 	}
-	ps.p.forget(w.run.job.ID())
+	ps.p.takeWaiter(w.run.job.ID())
 	if v == nil {
 		w.granted <- where
 		return
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -73,12 +73,18 @@
 	queue  *admission.Queue
 	events chan struct{} // asks for a pass
 
-	mu         sync.Mutex
-	waiters    map[string]*waiter // by job ID
-	generation uint64             // that the queue is configured for
-	configured bool
+	// Lock order: passMu or configMu, then the lock of queue, then mu. A pass
+	// holds the lock of queue while it decides on the waiters, so no method of
+	// queue is called under mu.
 
 	passMu sync.Mutex // held during a pass
+
+	configMu   sync.Mutex // held while the queue is configured
+	generation uint64     // that the queue is configured for
+	configured bool
+
+	mu      sync.Mutex
+	waiters map[string]*waiter // by job ID; a queued job is always among them
 }
 
 func newPlanner(s *Scheduler) *planner {
@@ -127,16 +133,15 @@
 // configure takes over the workspaces of the current configuration and refuses
 // the jobs of workspaces that are gone.
 func (p *planner) configure() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.configMu.Lock()
+	defer p.configMu.Unlock()
 	snap := p.s.peers.Config.Current()
 	if p.configured && snap.Generation == p.generation {
 		return
 	}
 	p.configured, p.generation = true, snap.Generation
 	for _, it := range p.queue.Configure(snap.Config) {
-		if w, ok := p.waiters[it.ID]; ok {
-			delete(p.waiters, it.ID)
+		if w := p.takeWaiter(it.ID); w != nil {
 			w.refused <- outcome.NotRun{Reason: outcome.ReasonConfigChanged, Detail: "the workspace was removed"}
 		}
 	}
@@ -197,21 +202,38 @@
 	if d := r.spec.request.Deadline; d > 0 {
 		it.Deadline = r.job.Created().Add(d)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	only = p.addWaiter(it.ID, w)
 	if w.front {
 		if !p.queue.PushFront(it) {
+			p.takeWaiter(it.ID)
 			return false, refuse(outcome.ReasonConfigChanged, "the workspace was removed")
 		}
-	} else {
-		p.budget.First(now)
-		if refusal, ok := p.queue.Push(it, now); !ok {
-			p.s.meter.refused(refusal.Reason)
-			return false, &refusal
-		}
+		return only, nil
+	}
+	p.budget.First(now)
+	if refusal, ok := p.queue.Push(it, now); !ok {
+		p.takeWaiter(it.ID)
+		p.s.meter.refused(refusal.Reason)
+		return false, &refusal
 	}
-	p.waiters[it.ID] = w
-	return len(p.waiters) == 1, nil
+	return only, nil
+}
+
+// addWaiter stores the waiter of a job. It reports whether it is the only one.
+func (p *planner) addWaiter(id string, w *waiter) (only bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiters[id] = w
+	return len(p.waiters) == 1
+}
+
+// takeWaiter removes the waiter of a job and returns it, or nil.
+func (p *planner) takeWaiter(id string) *waiter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w := p.waiters[id]
+	delete(p.waiters, id)
+	return w
 }
 
 // drop takes a waiter out of the queue.
@@ -219,11 +241,9 @@
 	// A pass that is under way may be granting the waiter; let it finish.
 	p.passMu.Lock()
 	defer p.passMu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	// A job has one waiter at a time, so this is w if it has not been granted.
 	id := w.run.job.ID()
-	if p.waiters[id] == w {
-		delete(p.waiters, id)
+	if p.takeWaiter(id) != nil {
 		p.queue.Remove(id)
 	}
 }
@@ -234,12 +254,6 @@
 	return p.waiters[id]
 }
 
-func (p *planner) forget(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.waiters, id)
-}
-
 // release frees the place of an attempt that has ended and learns from its end.
 func (p *planner) release(r *run, where place, res result) {
 	now := time.Now()
