--- a/cmd/medlargrade/client.go
+++ b/cmd/medlargrade/client.go
@@ -6,41 +6,51 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"time"
 
+	"github.com/medlargrade/medlargrade/coordination/outcome"
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/process"
 	"github.com/medlargrade/medlargrade/protocol/callerapi"
 	"github.com/medlargrade/medlargrade/transport/caller"
 )
 
-// callerFlags are common to the commands that act as a caller.
-type callerFlags struct {
-	Entry string           `long:"entry" default:"http://127.0.0.1:8080" description:"URL of an entry's callers' API"`
-	Wait  process.Duration `long:"wait" default:"30s" description:"how long to wait for the end of the job"`
+// entryFlags name the entry to call.
+type entryFlags struct {
+	Entry string `long:"entry" default:"http://127.0.0.1:8080" description:"URL of an entry's callers' API"`
 }
 
 // clientMargin is how much longer than the wait a call may take.
 const clientMargin = 15 * time.Second
 
-func (f callerFlags) client() caller.Client { return caller.Client{Base: f.Entry} }
+func (f entryFlags) client() caller.Client { return caller.Client{Base: f.Entry} }
 
-func (f callerFlags) context() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), time.Duration(f.Wait)+clientMargin)
+// context bounds a call that waits at the entry for up to wait.
+func (f entryFlags) context(wait time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), wait+clientMargin)
 }
 
+// waitFlags are those of the commands that wait for the end of a job.
+type waitFlags struct {
+	Wait process.Duration `long:"wait" default:"30s" description:"how long to wait for the end of the job; 0s returns at once"`
+}
+
+func (f waitFlags) duration() time.Duration { return time.Duration(f.Wait) }
+
 // submitCommand submits a job.
 type submitCommand struct {
-	callerFlags
+	entryFlags
+	waitFlags
 	Workspace     string `long:"workspace" required:"true" description:"workspace that submits the job"`
 	Kind          string `long:"kind" required:"true" description:"kind of work"`
 	Workers       int    `long:"workers" default:"1" description:"number of workers"`
 	Accelerators  int    `long:"accelerators" default:"1" description:"accelerators on each worker"`
 	Adjacent      string `long:"adjacent" default:"none" choice:"none" choice:"rack" choice:"worker" description:"how close the tasks must be"`
 	DeclaredTime  string `long:"declared-time" description:"expected run time, such as 90s"`
-	Deadline      string `long:"deadline" description:"time until the result is useless"`
-	Key           string `long:"key" description:"idempotency key"`
+	Deadline      string `long:"deadline" description:"time until the result is useless, such as 10m"`
+	Key           string `long:"key" description:"idempotency key; the job ID if missing"`
 	Payload       string `long:"payload" description:"JSON value for the tasks, or @FILE"`
 	NonIdempotent bool   `long:"at-most-once" description:"run at most once, whatever the kind says"`
 }
@@ -60,9 +70,9 @@
 		no := false
 		req.Idempotent = &no
 	}
-	ctx, cancel := c.context()
+	ctx, cancel := c.context(c.duration())
 	defer cancel()
-	resp, err := c.client().Submit(ctx, req, time.Duration(c.Wait))
+	resp, err := c.client().Submit(ctx, req, c.duration())
 	return printResponse(os.Stdout, resp, err)
 }
 
@@ -92,27 +102,28 @@
 
 // jobCommand looks up a job.
 type jobCommand struct {
-	callerFlags
+	entryFlags
+	waitFlags
 	Args jobArgs `positional-args:"true"`
 }
 
 // Execute looks the job up and prints the response.
 func (c *jobCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.context(c.duration())
 	defer cancel()
-	resp, err := c.client().Lookup(ctx, c.Args.Workspace, c.Args.Key, time.Duration(c.Wait))
+	resp, err := c.client().Lookup(ctx, c.Args.Workspace, c.Args.Key, c.duration())
 	return printResponse(os.Stdout, resp, err)
 }
 
 // cancelCommand cancels a job.
 type cancelCommand struct {
-	callerFlags
+	entryFlags
 	Args jobArgs `positional-args:"true"`
 }
 
 // Execute cancels the job and prints the response.
 func (c *cancelCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.context(0)
 	defer cancel()
 	resp, err := c.client().Cancel(ctx, c.Args.Workspace, c.Args.Key)
 	if err == nil {
@@ -123,15 +134,15 @@
 
 // listCommand lists the jobs of a workspace.
 type listCommand struct {
-	callerFlags
+	entryFlags
 	Workspace string `long:"workspace" required:"true" description:"workspace whose jobs are listed"`
 	After     string `long:"after" description:"list only keys after this one"`
-	Limit     int    `long:"limit" default:"100" description:"number of jobs"`
+	Limit     int    `long:"limit" default:"100" description:"largest number of jobs to list, up to 1000"`
 }
 
 // Execute prints the list.
 func (c *listCommand) Execute([]string) error {
-	ctx, cancel := c.context()
+	ctx, cancel := c.context(0)
 	defer cancel()
 	list, err := c.client().List(ctx, c.Workspace, c.After, c.Limit)
 	if err != nil {
@@ -150,7 +161,11 @@
 	}
 	switch resp.Outcome {
 	case callerapi.NotRun:
-		return &ExitError{ExitNotRun, fmt.Errorf("not run: %s", resp.Reason)}
+		code := ExitNotRun
+		if resp.Reason == string(outcome.ReasonInvalid) {
+			code = ExitProblems
+		}
+		return &ExitError{code, notRunError(resp)}
 	case callerapi.Unknown:
 		return &ExitError{ExitUndecided, errors.New("the outcome is unknown")}
 	case callerapi.Ran:
@@ -161,9 +176,25 @@
 	return nil
 }
 
+// notRunError names the reason and all problems of a request that did not run.
+func notRunError(resp callerapi.Response) error {
+	text := "not run: " + resp.Reason
+	if resp.Detail != "" {
+		text += ": " + resp.Detail
+	}
+	if len(resp.Errors) > 0 {
+		text += ": " + (&callerapi.InvalidError{Problems: resp.Errors}).Error()
+	}
+	return errors.New(text)
+}
+
+// callError turns an error of a call into an exit code.
 func callError(err error) error {
 	var status *caller.StatusError
-	if errors.As(err, &status) && len(status.Problems) > 0 {
+	switch {
+	case errors.Is(err, callerapi.ErrNotFound):
+		return callerapi.ErrNotFound
+	case errors.As(err, &status) && status.Status == http.StatusBadRequest:
 		return &ExitError{ExitProblems, err}
 	}
 	return err
--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -104,6 +104,9 @@
 
 func newParser() *flags.Parser {
 	parser := flags.NewNamedParser("medlargrade", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = `Runs and operates a medlargrade site.
+
+Exit codes: 0 success, 1 failure, 2 invalid input or settings, 3 a conflict with another operator, 4 the request did not run, 5 the outcome is unknown, 6 differences found by "config diff --exit-code".`
 	for _, c := range commands() {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			panic(err) // The definition of the command is malformed.
--- a/process/settings.go
+++ b/process/settings.go
@@ -41,8 +41,8 @@
 	TargetAddress   string   `long:"target-address" description:"IP:port to serve target processes"`
 	OperatorAddress string   `long:"operator-address" description:"IP:port to serve operators"`
 	Platform        string   `long:"platform" description:"URL of the platform's table service and object store"`
-	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress"`
-	LogLevel        string   `long:"log-level" description:"debug, info, warn or error"`
+	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress; 1m if missing"`
+	LogLevel        string   `long:"log-level" description:"debug, info, warn or error; info if missing"`
 }
 
 // TargetSettings are the settings of a target process.
@@ -54,11 +54,11 @@
 	OperatorAddress string   `long:"operator-address" description:"IP:port to serve operators"`
 	Worker          string   `long:"worker" description:"URL of the worker's interface"`
 	Entries         []string `long:"entry" description:"IP:port of an entry; may be repeated"`
-	Slots           int      `long:"slots" description:"slots of the worker"`
-	Connections     int      `long:"connections" description:"connections of the target"`
-	ReportTo        int      `long:"report-to" description:"number of entries to report to"`
-	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for tasks"`
-	LogLevel        string   `long:"log-level" description:"debug, info, warn or error"`
+	Slots           int      `long:"slots" description:"slots of the worker; 8 if missing"`
+	Connections     int      `long:"connections" description:"connections of the target; 64 if missing"`
+	ReportTo        int      `long:"report-to" description:"number of entries to report to; 4 if missing"`
+	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for tasks; 10m if missing"`
+	LogLevel        string   `long:"log-level" description:"debug, info, warn or error; info if missing"`
 }
 
 // DefaultEntrySettings returns the settings that have defaults.
@@ -167,7 +167,7 @@
 
 func checkLevel(value string) error {
 	if _, err := zerolog.ParseLevel(value); err != nil || value == "" {
-		return fmt.Errorf("LogLevel: %q is not debug, info, warn or error", value)
+		return fmt.Errorf("LogLevel: %q is not debug, info, warn or error; info if missing", value)
 	}
 	return nil
 }
