--- a/coordination/scheduler/events.go
+++ b/coordination/scheduler/events.go
@@ -31,9 +31,12 @@
 	// time.
 	EventTargetJoined = 110
 	// EventTargetProbation occurs when a target is put on probation because it
-	// fails tasks that succeed elsewhere.
+	// fails tasks that succeed elsewhere, and when it returns from it.
 	EventTargetProbation = 111
 	// EventDetachFailed occurs when a job whose caller stopped waiting could not
 	// be queued for adoption by other entries.
 	EventDetachFailed = 112
+	// EventRowsRemoved occurs when rows of jobs that ended long ago were removed,
+	// or could not be.
+	EventRowsRemoved = 113
 )
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -43,9 +43,12 @@
 	jobs    *jobs.Table
 	plan    *planner
 	cancels *cancelBatcher
+	janitor *janitor
 
 	draining atomic.Bool
 	accepted sync.WaitGroup // requests that callers wait for
+	leaving  chan struct{}  // closed shortly before the end of the drain time
+	leave    sync.Once
 
 	// Goroutines end with life, which Close ends.
 	life  context.Context
@@ -57,17 +60,19 @@
 func New(set Settings, peers Peers, log zerolog.Logger, reg *metrics.Set) *Scheduler {
 	life, end := context.WithCancel(context.Background())
 	s := &Scheduler{
-		set:   set,
-		peers: peers,
-		log:   log,
-		rec:   &recorder{store: peers.Store, entry: set.Entry},
-		jobs:  jobs.NewTable(resultRetention),
-		life:  life,
-		end:   end,
+		set:     set,
+		peers:   peers,
+		log:     log,
+		rec:     &recorder{store: peers.Store, entry: set.Entry},
+		jobs:    jobs.NewTable(resultRetention),
+		leaving: make(chan struct{}),
+		life:    life,
+		end:     end,
 	}
 	s.plan = newPlanner(s)
 	s.meter = newMeter(reg, s)
 	s.cancels = newCancelBatcher(s)
+	s.janitor = newJanitor(peers.Store)
 	return s
 }
 
@@ -75,6 +80,7 @@
 // until ctx ends, then ends all work and waits for it.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.background(s.plan.run)
+	s.background(s.retain)
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
 	for {
@@ -89,6 +95,23 @@
 	}
 }
 
+// retain removes the rows of jobs that ended long ago until ctx ends.
+func (s *Scheduler) retain(ctx context.Context) {
+	t := time.NewTicker(retentionPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		removed, err := s.janitor.sweep(ctx)
+		if removed > 0 || err != nil {
+			s.log.Info().Int("Event", EventRowsRemoved).Int("Jobs", removed).Err(err).Send()
+		}
+	}
+}
+
 // Close ends all work and waits for its goroutines. Attempts that run go on at
 // their targets; recorded jobs are taken over by another entry.
 func (s *Scheduler) Close() {
@@ -96,11 +119,23 @@
 	s.tasks.Wait()
 }
 
+// leaveMargin is the part of the drain time in which callers that still wait get
+// their answers.
+const leaveMargin = 5 * time.Second
+
 // Drain stops accepting requests and waits until every request that a caller
-// waits for has its outcome, or until ctx ends. Recorded jobs that nobody waits
+// waits for is answered. Shortly before the deadline of ctx, callers that still
+// wait are answered with what is known: a recorded job goes on at another entry and
+// can be looked up, an unrecorded one is canceled. Recorded jobs that nobody waits
 // for are left to the other entries.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	s.draining.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		t := time.AfterFunc(max(time.Until(end)-leaveMargin, 1), func() {
+			s.leave.Do(func() { close(s.leaving) })
+		})
+		defer t.Stop()
+	}
 	done := make(chan struct{})
 	s.tasks.Go(func() {
 		s.accepted.Wait()
