Record the ends of jobs before an entry leaves

Cause: a graceful stop of an entry waited for its callers only. The write of a job's last row runs in the background after the caller has its answer, and the end of the process cancelled it: event 105 in every stop with a recorded job in flight. The row then said that the job still ran, and its answer was lost for good when the target left too.

Change: Drain also waits for the rows of ended jobs, up to the drain time. The job counts as unrecorded before its callers hear of the end, so there is no gap between the two waits.

Ruled out: answering the caller only after the write, which would hold answers back during an outage of the store.

--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -247,15 +247,20 @@
 // job in the background, through an outage of the store if need be.
 func (r *run) finish(out outcome.Outcome) {
 	r.s.meter.ended(r, out)
-	final, ended := r.endAtOnce(out)
 	if !r.recorded {
+		r.endAtOnce(out)
 		return
 	}
-	if !ended {
-		r.s.background(func(ctx context.Context) { r.endAfterRow(ctx, final) })
-		return
-	}
+	// Before the callers hear of the end, so that Drain, which waits for them
+	// first, sees it.
+	r.s.recording.Add(1)
+	final, ended := r.endAtOnce(out)
 	r.s.background(func(ctx context.Context) {
+		defer r.s.recording.Add(-1)
+		if !ended {
+			r.endAfterRow(ctx, final)
+			return
+		}
 		if err := r.recordEnd(ctx, final); err != nil {
 			r.s.log.Warn().Int("Event", EventEndNotRecorded).Str("Job", r.job.ID()).Err(err).Send()
 		}
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -47,8 +47,10 @@
 
 	draining atomic.Bool
 	accepted sync.WaitGroup // requests that callers wait for
-	leaving  chan struct{}  // closed shortly before the end of the drain time
-	leave    sync.Once
+	// recording counts the ended jobs whose rows are not written yet.
+	recording atomic.Int64
+	leaving   chan struct{} // closed shortly before the end of the drain time
+	leave     sync.Once
 
 	// Goroutines end with life, which Close ends.
 	life  context.Context
@@ -123,11 +125,16 @@
 // their answers.
 const leaveMargin = 5 * time.Second
 
+// drainPoll is how often a drain looks whether the ends of jobs are recorded.
+const drainPoll = 10 * time.Millisecond
+
 // Drain stops accepting requests and waits until every request that a caller
 // waits for is answered. Shortly before the deadline of ctx, callers that still
 // wait are answered with what is known: a recorded job goes on at another entry and
 // can be looked up, an unrecorded one is canceled. Recorded jobs that nobody waits
-// for are left to the other entries.
+// for are left to the other entries. At last it waits for the rows of the jobs that
+// have ended: without them the answers would be lost with the targets that hold
+// them.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 	if end, ok := ctx.Deadline(); ok {
@@ -143,10 +150,15 @@
 	})
 	select {
 	case <-done:
-		return nil
 	case <-ctx.Done():
 		return fmt.Errorf("drain: %w", ctx.Err())
 	}
+	for s.recording.Load() > 0 {
+		if !sleep(ctx, drainPoll) {
+			return fmt.Errorf("drain: ends of %d jobs not recorded: %w", s.recording.Load(), ctx.Err())
+		}
+	}
+	return nil
 }
 
 // start runs a job in the background.
