Don't count tasks from before a probation as its probes

Cause: when a worker began to fail everything, the tasks that it was running failed within the same moment. The first failures put the target on probation, the others counted as failed probes, each doubling the pause: from 5 s to the limit of 5 min at once.

Change: an end counts for the probation only while a probe is running.

Ruled out: telling probes by attempt ID, which the tracker does not know; one old task that ends during a probe may still be taken for it, and does no more harm than one failed probe.

Result: the new test fails without the change.

--- a/coordination/health/tracker.go
+++ b/coordination/health/tracker.go
@@ -129,7 +129,11 @@
 	defer t.mu.Unlock()
 	x, k := t.targetLocked(name), kindKey{workspace, kind}
 	if x.probation {
-		t.observeProbe(x, k, o, now)
+		// Tasks that started before the probation say nothing new: counted as
+		// probes, a few that fail together would lengthen the pause to its limit.
+		if !x.probe.IsZero() {
+			t.observeProbe(x, k, o, now)
+		}
 		return
 	}
 	counter(x.kinds, k, now).add(o, 1, now)
--- a/coordination/health/tracker_test.go
+++ b/coordination/health/tracker_test.go
@@ -155,3 +155,22 @@
 		}
 	})
 }
+
+// Guards against a target that stays out of service for minutes because tasks
+// that ran when its probation began are taken for failed probes.
+func TestTasksFromBeforeProbation(t *testing.T) {
+	var x Tracker
+	for range 20 {
+		x.Observe("t0", "w", "k", Succeeded, start)
+	}
+	for range 8 {
+		x.Observe("t1", "w", "k", Failed, start) // one burst on all slots
+	}
+	qt.Assert(t, x.State("t1", start), qt.Equals, Paused)
+	now := start.Add(firstPause)
+	for range probeSuccesses {
+		qt.Assert(t, x.StartProbe("t1", now), qt.IsTrue)
+		x.Observe("t1", "w", "k", Succeeded, now)
+	}
+	qt.Assert(t, x.State("t1", now), qt.Equals, Healthy)
+}
