--- a/coordination/executor/hub.go
+++ b/coordination/executor/hub.go
@@ -38,15 +38,20 @@
 	}
 	st := e.table.Release(id, r.GetSession())
 	if held {
-		event, msg := EventGangReleased, "gang released"
-		if st.Phase == attempts.NotRun {
-			event, msg = EventGangRefused, "release of a gang refused"
-		}
-		e.log.Info().Int(eventField, event).Stringer("Attempt", id).Int("Members", len(st.Members)).Str("Reason", st.Reason).Msg(msg)
+		e.logRelease(id, st)
 	}
 	return e.await(ctx, id, millis(r.GetWaitMillis()))
 }
 
+// logRelease logs the hub's decision on a held gang.
+func (e *Executor) logRelease(id attempts.ID, st attempts.Status) {
+	if st.Phase == attempts.NotRun {
+		e.log.Info().Int(eventField, EventGangRefused).Stringer("Attempt", id).Str("Reason", st.Reason).Msg("release of a gang refused")
+		return
+	}
+	e.log.Info().Int(eventField, EventGangReleased).Stringer("Attempt", id).Int("Members", len(st.Members)).Msg("gang released")
+}
+
 // awaitMembers waits a while until all members of a held gang are attached. It
 // reports whether the gang was held.
 func (e *Executor) awaitMembers(ctx context.Context, id attempts.ID) (bool, error) {
