Test the command line, and stops of working processes in the demonstration

Cause: the command had no tests besides those of its config subcommand, and the demonstration always started its processes in the same order and stopped them idle.

Change: tests of the settings (all faults at once, unknown fields, flags over the file, the example files), of the help of each subcommand, of wrong use, of the exit codes of submit, job, cancel and list against an HTTP server, and of the status table. The demonstration starts a target first, before its worker and any entry, and the platform last. At its end, an entry and a target get SIGTERM while a request of 4 s runs: both finish it and exit with 0. A target gets two SIGTERM with an at-most-once request in flight: it exits with 1 within 0.5 s, and the outcome is unknown once its replacement has reported.

Ruled out: waiting for that outcome without a replacement.

--- /dev/null
+++ b/cmd/medlargrade/command_test.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/coordination/guarantee"
+	"github.com/medlargrade/medlargrade/coordination/scheduler"
+	"github.com/medlargrade/medlargrade/state/targets"
+)
+
+// runCommand executes the command line and returns its exit code and output. It
+// redirects the standard streams, so tests that use it can't run in parallel.
+func runCommand(t *testing.T, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	oldOut, oldErr := os.Stdout, os.Stderr
+	defer func() { os.Stdout, os.Stderr = oldOut, oldErr }()
+	var files [2]*os.File
+	for i := range files {
+		f, err := os.CreateTemp(t.TempDir(), "")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = f.Close() }()
+		files[i] = f
+	}
+	os.Stdout, os.Stderr = files[0], files[1]
+	code = execute(args)
+	var texts [2]string
+	for i, f := range files {
+		_, err := f.Seek(0, io.SeekStart)
+		qt.Assert(t, err, qt.IsNil)
+		b, err := io.ReadAll(f)
+		qt.Assert(t, err, qt.IsNil)
+		texts[i] = string(b)
+	}
+	return code, texts[0], texts[1]
+}
+
+// Guards against a subcommand without help, and against a flag without a
+// description or with one that does not fit the others' style.
+func TestHelp(t *testing.T) {
+	code, stdout, stderr := runCommand(t, "--help")
+	qt.Check(t, code, qt.Equals, ExitOK)
+	qt.Check(t, stderr, qt.Equals, "")
+	for _, c := range commands() {
+		qt.Check(t, stdout, qt.Contains, c.name+" ")
+		qt.Check(t, stdout, qt.Contains, c.short)
+	}
+	for _, c := range newParser().Commands() {
+		t.Run(c.Name, func(t *testing.T) {
+			code, stdout, stderr := runCommand(t, c.Name, "--help")
+			qt.Check(t, code, qt.Equals, ExitOK)
+			qt.Check(t, stderr, qt.Equals, "")
+			qt.Check(t, stdout, qt.Contains, "medlargrade [OPTIONS] "+c.Name)
+			if c.Name != "config" { // has subcommands
+				qt.Check(t, strings.HasSuffix(c.LongDescription, "."), qt.IsTrue)
+			}
+			for _, g := range append(c.Groups(), c.Group) {
+				for _, o := range g.Options() {
+					qt.Check(t, o.Description, qt.Not(qt.Equals), "", qt.Commentf("--%s", o.LongName))
+					qt.Check(t, strings.HasSuffix(o.Description, "."), qt.IsFalse, qt.Commentf("--%s", o.LongName))
+				}
+			}
+		})
+	}
+}
+
+// Guards against a wrong use that looks like a success in a script.
+func TestUsageErrors(t *testing.T) {
+	for _, args := range [][]string{
+		{},
+		{"unknown"},
+		{"submit"},
+		{"submit", "--unknown"},
+		{"job", "ws"},
+		{"entry", "--drain-time", "soon"},
+		{"submit", "--workspace", "w", "--kind", "k", "--payload", "{"},
+		{"submit", "--workspace", "w", "--kind", "k", "--payload", "@/nonexistent"},
+		{"submit", "--workspace", "w", "--kind", "k", "--adjacent", "near"},
+	} {
+		code, stdout, stderr := runCommand(t, args...)
+		qt.Check(t, code, qt.Equals, ExitProblems, qt.Commentf("%q", args))
+		qt.Check(t, stdout, qt.Equals, "")
+		qt.Check(t, stderr, qt.Not(qt.Equals), "")
+	}
+}
+
+// Guards against a script that takes a request that did not run, may have run or
+// failed for a success.
+func TestSubmitExitCodes(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+		code   int
+		stderr string
+	}{
+		{"ran", 200, `{"Outcome":"Ran","Answer":{"Parts":[1]}}`, ExitOK, ""},
+		{"accepted", 202, `{"State":"Queued","Key":"k"}`, ExitOK, ""},
+		{"failed", 200, `{"Outcome":"Ran","Answer":{"Parts":[""],"Failed":true,"Error":"blunt"}}`, ExitFailed, "the task failed: blunt"},
+		{"not run", 503, `{"Outcome":"NotRun","Reason":"StoreDown","Detail":"not recorded"}`, ExitNotRun, "not run: StoreDown: not recorded"},
+		{"key conflict", 409, `{"Outcome":"NotRun","Reason":"KeyConflict"}`, ExitNotRun, "not run: KeyConflict"},
+		{"unknown", 200, `{"Outcome":"Unknown","Detail":"stopped"}`, ExitUndecided, "the outcome is unknown"},
+		{"unknown by an internal error", 500, `{"Outcome":"Unknown"}`, ExitUndecided, "the outcome is unknown"},
+		{
+			"invalid", 400, `{"Outcome":"NotRun","Reason":"Invalid","Errors":[{"Field":"Deadline","Message":"must be above zero"},{"Field":"Key","Message":"is bad"}]}`,
+			ExitProblems, "Deadline: must be above zero; Key: is bad",
+		},
+		{"unknown workspace", 400, `{"Outcome":"NotRun","Reason":"Invalid","Detail":"unknown workspace \"w\""}`, ExitProblems, `unknown workspace "w"`},
+		{"no entry behind the address", 502, `<html>`, ExitFailed, "502"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got string
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				b, _ := io.ReadAll(r.Body)
+				got = r.Method + " " + r.URL.String() + " " + string(b)
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer srv.Close()
+			code, stdout, stderr := runCommand(t, "submit", "--entry", srv.URL, "--wait", "3s",
+				"--workspace", "w", "--kind", "k", "--workers", "2", "--at-most-once", "--payload", `{"A": 1}`)
+			qt.Check(t, code, qt.Equals, tt.code)
+			qt.Check(t, stderr, qt.Contains, tt.stderr)
+			qt.Check(t, stderr == "", qt.Equals, tt.stderr == "")
+			qt.Check(t, strings.HasPrefix(stdout, "{"), qt.Equals, tt.body[0] == '{')
+			qt.Check(t, got, qt.Equals, `POST /v1/jobs?wait=3s {"Workspace":"w","Kind":"k","Shape":{"Workers":2,"Accelerators":1,"Adjacent":"none"},`+
+				`"Idempotent":false,"Payload":{"A":1}}`)
+		})
+	}
+}
+
+// Guards against the same for the other commands of a caller.
+func TestCallerExitCodes(t *testing.T) {
+	tests := []struct {
+		args   []string
+		status int
+		body   string
+		code   int
+		want   string
+	}{
+		{[]string{"job", "w", "k"}, 200, `{"Outcome":"Ran"}`, ExitOK, "GET /v1/workspaces/w/jobs/k?wait=30s"},
+		{[]string{"job", "w", "k"}, 404, `{"Errors":[{"Field":"key","Message":"no such job"}]}`, ExitFailed, "GET /v1/workspaces/w/jobs/k?wait=30s"},
+		{[]string{"job", "w", "a b"}, 400, `{"Errors":[{"Field":"key","Message":"bad"}]}`, ExitProblems, "GET /v1/workspaces/w/jobs/a%20b?wait=30s"},
+		{[]string{"job", "w", "k"}, 500, `{"Errors":[{"Field":"","Message":"internal error"}]}`, ExitFailed, "GET /v1/workspaces/w/jobs/k?wait=30s"},
+		{[]string{"cancel", "w", "k"}, 202, `{"State":"Dispatched"}`, ExitOK, "DELETE /v1/workspaces/w/jobs/k"},
+		{[]string{"list", "--workspace", "w", "--limit", "2", "--after", "j"}, 200, `{"Jobs":[]}`, ExitOK, "GET /v1/workspaces/w/jobs?after=j&limit=2"},
+	}
+	for _, tt := range tests {
+		t.Run(strings.Join(tt.args, " ")+fmt.Sprint(tt.status), func(t *testing.T) {
+			var got string
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				got = r.Method + " " + r.URL.String()
+				w.WriteHeader(tt.status)
+				_, _ = io.WriteString(w, tt.body)
+			}))
+			defer srv.Close()
+			code, _, _ := runCommand(t, append(tt.args, "--entry", srv.URL)...)
+			qt.Check(t, code, qt.Equals, tt.code)
+			qt.Check(t, got, qt.Equals, tt.want)
+		})
+	}
+	code, _, stderr := runCommand(t, "job", "--entry", "http://127.0.0.1:1", "w", "k")
+	qt.Check(t, code, qt.Equals, ExitFailed)
+	qt.Check(t, stderr, qt.Contains, "look up http://127.0.0.1:1")
+}
+
+// Guards against a table whose columns don't match their heads.
+func TestStatusTable(t *testing.T) {
+	st := scheduler.State{
+		Entry: "e1", Generation: 7, Ready: true,
+		Targets: []scheduler.TargetState{
+			{Target: targets.Target{Name: "t1", DataCentre: "dc1", Rack: "r1", Slots: 8, Free: 3, Ready: true}, Health: "Healthy", KeepFree: 1},
+			{Target: targets.Target{Name: "target-2", DataCentre: "dc2", Rack: "r2", Slots: 8, Ready: true, Leaving: true}, Health: "Probation"},
+			{Target: targets.Target{Name: "t3", DataCentre: "dc2", Rack: "r2", Slots: 16, Free: 16}, Health: "ProbeDue"},
+		},
+		Workspaces: []scheduler.WorkspaceState{
+			{Workspace: "ws", Queued: 4, Use: guarantee.Use{Guarantee: 20, Slots: 5, Lent: 2, Unused: 17}},
+		},
+		Tasks: []targets.Task{
+			{Target: "t1", Job: "j", Number: 2, Workspace: "ws", Kind: "k", Class: "long", Slots: 5, Lent: true, Run: 61*time.Second + 300*time.Millisecond},
+		},
+	}
+	var out strings.Builder
+	qt.Assert(t, writeStatus(&out, st), qt.IsNil)
+	qt.Check(t, out.String(), qt.Equals, `entry e1  generation 7  ready true  leaving false
+
+TARGET    DATA CENTRE  RACK  SLOTS  FREE  LANE  HEALTH     STATE
+t1        dc1          r1    8      3     1     Healthy    ready
+target-2  dc2          r2    8      0     0     Probation  leaving
+t3        dc2          r2    16     16    0     ProbeDue   not ready
+
+WORKSPACE  GUARANTEE  IN USE  LENT  UNUSED  QUEUED
+ws         20         5       2     17      4
+
+TASK  WORKSPACE  KIND  CLASS  TARGET  SLOTS  LENT  RUNS
+j/2   ws         k     long   t1      5      true  1m1s
+`)
+}
--- /dev/null
+++ b/cmd/medlargrade/settings_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/medlargrade/medlargrade/process"
+)
+
+// parseFlags fills a command from arguments without executing it.
+func parseFlags(t *testing.T, command any, args ...string) {
+	t.Helper()
+	_, err := flags.NewParser(command, flags.Default).ParseArgs(args)
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func writeFile(t *testing.T, body string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	qt.Assert(t, os.WriteFile(path, []byte(body), 0o600), qt.IsNil)
+	return path
+}
+
+// Guards against example settings that a user copies and that don't work.
+func TestExampleSettings(t *testing.T) {
+	e := entryCommand{Settings: "../../examples/settings/entry.json"}
+	entry, err := e.settings()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, time.Duration(entry.DrainTime), qt.Equals, time.Minute)
+	c := targetCommand{Settings: "../../examples/settings/target.json"}
+	target, err := c.settings()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, target.Entries, qt.DeepEquals, []string{entry.TargetAddress})
+}
+
+// Guards against flags that are ignored, against a flag that is not given and
+// erases a value of the file, and against lost defaults.
+func TestFlagsOverFile(t *testing.T) {
+	path := writeFile(t, `{"Name": "e1", "DataCentre": "dc1", "CallerAddress": "127.0.0.1:1", "TargetAddress": "127.0.0.1:2",
+		"OperatorAddress": "127.0.0.1:3", "Platform": "http://127.0.0.1:4", "DrainTime": "5s"}`)
+	var e entryCommand
+	parseFlags(t, &e, "--settings", path, "--name", "e2", "--caller-address", "127.0.0.1:9")
+	entry, err := e.settings()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, entry, qt.Equals, process.EntrySettings{
+		Name: "e2", DataCentre: "dc1", CallerAddress: "127.0.0.1:9", TargetAddress: "127.0.0.1:2",
+		OperatorAddress: "127.0.0.1:3", Platform: "http://127.0.0.1:4", DrainTime: process.Duration(5 * time.Second), LogLevel: "info",
+	})
+
+	path = writeFile(t, `{"Name": "t1", "DataCentre": "dc1", "Rack": "r1", "Address": "127.0.0.1:1", "OperatorAddress": "127.0.0.1:2",
+		"Worker": "http://127.0.0.1:3", "Entries": ["127.0.0.1:4"], "Slots": 16}`)
+	var c targetCommand
+	parseFlags(t, &c, "--settings", path, "--entry", "127.0.0.1:5", "--entry", "127.0.0.1:6", "--drain-time", "90s")
+	target, err := c.settings()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, target, qt.DeepEquals, process.TargetSettings{
+		Name: "t1", DataCentre: "dc1", Rack: "r1", Address: "127.0.0.1:1", OperatorAddress: "127.0.0.1:2", Worker: "http://127.0.0.1:3",
+		Entries: []string{"127.0.0.1:5", "127.0.0.1:6"}, Slots: 16, Connections: 64, ReportTo: 4,
+		DrainTime: process.Duration(90 * time.Second), LogLevel: "info",
+	})
+}
+
+// Guards against settings whose faults are found one start at a time, and against
+// a misspelt field that is ignored.
+func TestInvalidSettings(t *testing.T) {
+	tests := []struct {
+		name    string
+		command string
+		file    string
+		args    []string
+		want    []string
+	}{
+		{
+			name: "empty entry", command: "entry",
+			want: []string{"Name:", "DataCentre:", "CallerAddress:", "TargetAddress:", "OperatorAddress:", "Platform:"},
+		},
+		{
+			name: "empty target", command: "target",
+			want: []string{"Name:", "DataCentre:", "Rack:", "Address:", "OperatorAddress:", "Worker:", "Entries:"},
+		},
+		{
+			name: "values", command: "target",
+			args: []string{
+				"--address", "localhost:1", "--worker", "https://127.0.0.1:1", "--entry", "127.0.0.1:1", "--entry", "x",
+				"--slots", "-1", "--connections=-1", "--report-to=-1", "--drain-time=-1s", "--log-level", "loud",
+			},
+			want: []string{
+				`Address: "localhost:1"`, "Worker:", `Entries[1]: "x"`, "Slots:", "Connections:", "ReportTo:", "DrainTime:", "LogLevel:",
+			},
+		},
+		{name: "unknown field", command: "entry", file: `{"Name": "e1", "DrianTime": "1s"}`, want: []string{`unknown field "DrianTime"`}},
+		{name: "two values", command: "entry", file: `{"Name": "e1"} {}`, want: []string{"data after the end"}},
+		{name: "duration without unit", command: "target", file: `{"DrainTime": "10"}`, want: []string{"duration"}},
+		{name: "missing file", command: "target", args: []string{"--settings", "/nonexistent.json"}, want: []string{"/nonexistent.json"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			args := append([]string{tt.command}, tt.args...)
+			if tt.file != "" {
+				args = append(args, "--settings", writeFile(t, tt.file))
+			}
+			code, _, stderr := runCommand(t, args...)
+			qt.Check(t, code, qt.Equals, ExitProblems)
+			for _, want := range tt.want {
+				qt.Check(t, strings.Contains(stderr, want), qt.IsTrue, qt.Commentf("%q lacks %q", stderr, want))
+			}
+		})
+	}
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts the stand-ins, two entries and six targets as separate processes on
-# loopback, applies an example configuration, runs jobs of every kind and checks
-# each outcome. Exits 0 only if all are as promised.
+# loopback, applies an example configuration, runs jobs of every kind, stops
+# processes while they work, and checks each outcome. Exits 0 only if all are as
+# promised.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -9,6 +10,7 @@
 base=${DEMO_PORT:-17000}
 logs=$(mktemp -d)
 pids=()
+declare -A pid_of
 failures=0
 
 start() { # NAME COMMAND...
@@ -16,6 +18,7 @@
 	shift
 	"$bin" "$@" >"$logs/$name.log" 2>&1 &
 	pids+=($!)
+	pid_of[$name]=$!
 }
 
 stop_all() {
@@ -60,8 +63,20 @@
 e1=http://127.0.0.1:$((base + 11)) e2=http://127.0.0.1:$((base + 21))
 ops=http://127.0.0.1:$((base + 13))
 
-start platform standin-platform --address "$platform"
-for i in 1 2 3 4 5 6; do
+start_target() { # NUMBER
+	local i=$1 rack=$((($1 + 2) / 3))
+	start "target$i" target --name "t$i" --data-centre "dc$rack" --rack "dc$rack-r1" \
+		--address "127.0.0.1:$((base + 200 + i))" \
+		--operator-address "127.0.0.1:$((base + 300 + i))" \
+		--worker "http://127.0.0.1:$((base + 100 + i))" \
+		--entry "127.0.0.1:$((base + 12))" --entry "127.0.0.1:$((base + 22))"
+}
+
+# The order of starts must not matter: a target comes first, before its worker and
+# any entry, and the platform comes last.
+start_target 1
+sleep 0.5
+for i in 6 5 4 3 2 1; do
 	start "worker$i" standin-worker --address "127.0.0.1:$((base + 100 + i))"
 done
 for i in 1 2; do
@@ -71,14 +86,11 @@
 		--operator-address "127.0.0.1:$((base + 10 * i + 3))" \
 		--platform "http://$platform"
 done
-for i in 1 2 3 4 5 6; do
-	rack=$(((i + 2) / 3))
-	start "target$i" target --name "t$i" --data-centre "dc$rack" --rack "dc$rack-r1" \
-		--address "127.0.0.1:$((base + 200 + i))" \
-		--operator-address "127.0.0.1:$((base + 300 + i))" \
-		--worker "http://127.0.0.1:$((base + 100 + i))" \
-		--entry "127.0.0.1:$((base + 12))" --entry "127.0.0.1:$((base + 22))"
-done
+for i in 2 3 4 5 6; do start_target "$i"; done
+sleep 1
+out=$("$bin" submit --entry "$e1" --workspace roller --kind cut-check 2>/dev/null)
+check "request before the platform is up is not run" NotReady "$(field Reason <<<"$out")"
+start platform standin-platform --address "$platform"
 
 url=http://$platform
 await "apply of the configuration" 50 "$bin" config apply --platform "$url" examples/quillfold/config.json
@@ -142,5 +154,54 @@
 curl -fsS -X POST "$url/fault" -d '{}' >/dev/null
 
 "$bin" status --process "$ops"
+
+running_on() { # OPERATORS-URL KIND: prints the target of a running task of the kind
+	"$bin" status --process "$1" | awk -v kind="$2" '$3 == kind && $7 != "" { print $5; exit }'
+}
+is_running() { [[ -n $(running_on "$@") ]]; }
+millis() { date +%s%3N; }
+
+# A long request is in flight when its entry and its target are asked to leave.
+"$bin" submit --entry "$e1" --workspace roller --kind roll-nesting \
+	--payload '{"RunMillis": 4000, "Result": "whole plan"}' >"$logs/long.json" 2>&1 &
+long=$!
+await "start of the long request" 50 is_running "$ops" roll-nesting
+name=$(running_on "$ops" roll-nesting)
+entry_pid=${pid_of[entry1]} target_pid=${pid_of[target${name#t}]}
+kill -TERM "$entry_pid" "$target_pid"
+sleep 0.5
+out=$(submit "$e1" --workspace roller --kind cut-check)
+check "leaving entry refuses new work" Leaving "$(field Reason <<<"$out")"
+check "leaving entry is not ready" 503 "$(curl -s -o /dev/null -w '%{http_code}' "$ops/ready")"
+out=$(submit "$e2" --workspace roller --kind cut-check --payload '{"Result": "cut"}')
+check "the other entry serves on" Ran "$(field Outcome <<<"$out")"
+wait "$long"
+check "the long request was not cut short" "0 Ran 1" "$? $(field Outcome <"$logs/long.json") $(grep -c '"whole plan"' "$logs/long.json")"
+wait "$entry_pid"
+check "its entry has ended gracefully" "0" "$?"
+wait "$target_pid"
+check "its target $name has ended gracefully" "0" "$?"
+
+# A second signal ends a process at once, whatever it holds.
+ops2=http://127.0.0.1:$((base + 23))
+"$bin" submit --entry "$e2" --workspace roller --kind plan-release --key order-3 \
+	--payload '{"RunMillis": 20000}' >"$logs/cut.json" 2>&1 &
+cut=$!
+await "start of the request to be cut" 50 is_running "$ops2" plan-release
+name=$(running_on "$ops2" plan-release)
+target_pid=${pid_of[target${name#t}]}
+kill -TERM "$target_pid"
+sleep 0.3
+check "target goes on after the first signal" 0 "$(kill -0 "$target_pid" && echo $?)"
+begin=$(millis)
+kill -TERM "$target_pid"
+wait "$target_pid"
+check "the second signal ends target $name with code 1" 1 "$?"
+check "and at once" yes "$( (($(millis) - begin < 500)) && echo yes)"
+# Its answer could still be there, until a new process takes its address.
+start_target "${name#t}"
+wait "$cut"
+check "the outcome of its at-most-once request is unknown" "5 Unknown" "$? $(field Outcome <"$logs/cut.json")"
+
 printf '\n%d failures, %d s, logs in %s\n' "$failures" "$SECONDS" "$logs"
 exit $((failures > 0))
