--- a/coordination/scheduler/planner_test.go
+++ b/coordination/scheduler/planner_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,72 +15,97 @@
 
 	"github.com/medlargrade/medlargrade/coordination/configsync"
 	"github.com/medlargrade/medlargrade/operator"
-	"github.com/medlargrade/medlargrade/state/jobs"
-	"github.com/medlargrade/medlargrade/state/rows"
-	"github.com/medlargrade/medlargrade/state/rows/rowstest"
 	"github.com/medlargrade/medlargrade/state/targets"
 )
 
-// fixedConfig is a configuration that is known from the start.
+// fixedConfig is a configuration of which each look may show a new generation.
 type fixedConfig struct {
-	*configsync.Holder
+	config     operator.Config
+	generation atomic.Uint64
 }
 
-func (fixedConfig) IsReady() bool { return true }
-func (fixedConfig) Learn(uint64)  {}
+func (c *fixedConfig) Current() configsync.Snapshot {
+	return configsync.Snapshot{Generation: c.generation.Load(), Config: c.config}
+}
+func (c *fixedConfig) Changed() <-chan struct{} { return nil }
+func (c *fixedConfig) IsReady() bool            { return true }
+func (c *fixedConfig) Learn(uint64)             {}
+
+// newTestPlanner returns a planner with the first example configuration and n
+// live targets of eight slots, three to a rack.
+func newTestPlanner(tb testing.TB, n int) (*planner, *fixedConfig) {
+	tb.Helper()
+	body, err := os.ReadFile("../../examples/quillfold/config.json")
+	qt.Assert(tb, err, qt.IsNil)
+	cfg, err := operator.Parse(body)
+	qt.Assert(tb, err, qt.IsNil)
+	config := &fixedConfig{config: cfg}
+	config.generation.Store(1)
+	s := New(Settings{Entry: "e1"}, Peers{Config: config}, zerolog.Nop(), metrics.NewSet())
+	tb.Cleanup(s.Close)
+	for i := range n {
+		s.plan.view.Apply(testReport(i, 1), time.Now())
+	}
+	return s.plan, config
+}
+
+func testReport(i int, sequence uint64) targets.Report {
+	return targets.Report{
+		Target: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), DataCentre: fmt.Sprintf("dc%d", i/480),
+		Rack: fmt.Sprintf("dc%d-r%d", i/480, i/3), Incarnation: 1, Sequence: sequence,
+		Slots: 8, Connections: 64, Free: 8, Ready: true, Generation: 1,
+	}
+}
 
-func testScheduler(t *testing.T) *Scheduler {
-	t.Helper()
-	site := operator.NewSite("s").WithDataCentre(operator.NewDataCentre("dc").WithRack("r", 2))
-	holder := new(configsync.Holder)
-	holder.Advance(configsync.Snapshot{Generation: 1, Config: operator.NewConfig(site).
-		WithWorkspace(operator.NewWorkspace("ws")).
-		WithKind(operator.NewKind("ws", "k", operator.ClassShort).WithIdempotent(true))})
-	s := New(Settings{Entry: "e1"}, Peers{Store: rowstest.New(), Config: fixedConfig{holder}}, zerolog.Nop(), metrics.NewSet())
-	return s
+// testRun returns a run of a new job of the kind.
+func testRun(tb testing.TB, p *planner, r Request) *run {
+	tb.Helper()
+	sp, refusal := resolve(r, p.s.peers.Config.Current().Config)
+	qt.Check(tb, refusal, qt.IsNil)
+	j, err := p.s.newJob(sp, false)
+	qt.Check(tb, err, qt.IsNil)
+	return &run{s: p.s, job: j, spec: sp}
 }
 
-// Guards against a deadlock between jobs that enter the queue, jobs that leave it
-// and a pass that offers them: the locks of the planner and of its queue were taken
-// in both orders.
-func TestPlannerUnderConcurrentUse(t *testing.T) {
-	s := testScheduler(t)
-	sp, refusal := resolve(Request{Workspace: "ws", Kind: "k", Workers: 1, Accelerators: 1, Adjacent: operator.AdjacentNone}, s.peers.Config.Current().Config)
-	qt.Assert(t, refusal, qt.IsNil)
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-	defer cancel()
-	s.background(s.plan.run)
-	var wg sync.WaitGroup
-	for i := range 8 {
-		wg.Go(func() {
-			for n := range 200 {
-				id := fmt.Sprintf("j%d-%d", i, n)
-				r := &run{s: s, spec: sp, job: jobs.New(id, "ws", id, rows.Job{ID: id})}
-				short, stop := context.WithTimeout(ctx, time.Duration(n%5)*time.Millisecond)
-				where, _ := s.plan.acquire(short, &waiter{run: r, number: 1, front: n%3 == 0})
-				if len(where.members) > 0 {
-					s.plan.release(r, where, lostResult{})
+// Guards against a freeze of the entry when requests are queued, given up and
+// planned at the same time while the configuration changes: the locks of the
+// planner and of its queue must be taken in one order.
+func TestPlannerUnderConcurrentRequests(t *testing.T) {
+	p, config := newTestPlanner(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops, callers sync.WaitGroup
+	loops.Go(func() { p.run(ctx) })
+	for caller := range 32 {
+		callers.Go(func() {
+			for range 100 {
+				r := testRun(t, p, Request{Workspace: "roller", Kind: "cut-check", Workers: 1, Accelerators: 1, Adjacent: operator.AdjacentNone})
+				limit := time.Minute
+				if caller%4 == 0 {
+					limit = 50 * time.Microsecond // given up, mostly while it waits
+					config.generation.Add(1)
 				}
+				wait, stop := context.WithTimeout(ctx, limit)
+				where, refusal := p.acquire(wait, &waiter{run: r, number: 1})
 				stop()
-			}
-		})
-		wg.Go(func() {
-			for n := range 200 {
-				s.plan.view.Apply(targets.Report{
-					Target: fmt.Sprintf("t%d", i%2), Address: "a", DataCentre: "dc", Rack: "r", Incarnation: 1,
-					Sequence: uint64(n + 1), Slots: 8, Free: 8, Ready: true,
-				}, time.Now())
-				s.Summary()
-				s.plan.kick()
+				if refusal == nil {
+					p.release(r, where, notRunResult{})
+				}
 			}
 		})
 	}
 	done := make(chan struct{})
-	go func() { wg.Wait(); close(done) }()
+	go func() {
+		callers.Wait()
+		close(done)
+	}()
 	select {
 	case <-done:
-		s.Close()
-	case <-ctx.Done():
-		t.Fatal("the planner is stuck") // Close would wait for it.
+	case <-time.After(30 * time.Second):
+		t.Fatal("the planner is stuck")
 	}
+	cancel()
+	loops.Wait()
+	qt.Check(t, p.queue.Len(""), qt.Equals, 0)
+	qt.Check(t, p.waiters, qt.HasLen, 0)
+	qt.Check(t, p.freeSlots(), qt.Equals, 8.0)
 }
