Start the fault matrix: a site of real processes in one bubble

A Site runs the entry and target processes, the stand-ins and callers in a testing/synctest bubble, and sees every drpc message, row write and worker call as a step.

pipenet no longer makes timers that are over at once: the race detector of Go 1.26 crashed on them with several bubbles in parallel.

--- /dev/null
+++ b/matrix/history_test.go
@@ -0,0 +1,131 @@
+package matrix
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/medlargrade/medlargrade/protocol/callerapi"
+	"github.com/medlargrade/medlargrade/standin/worker"
+)
+
+// request is one unit of work that a caller asks for. Its label is in the
+// payload and in the answer, so that an execution is traced to it.
+type request struct {
+	label         string
+	workspace     string
+	kind          string
+	key           string // empty: each try has a label of its own
+	parts         int    // size of the gang
+	slots         int    // on each worker
+	run           time.Duration
+	async         bool
+	nonIdempotent bool
+	lent          bool // runs beyond its workspace's guarantee
+	claim         bool // claims its workspace's guarantee
+	canceled      bool // somebody cancels it
+}
+
+// told is one response, or the failure to get one.
+type told struct {
+	label      string
+	req        request
+	entry      string
+	lookup     bool // of a lookup or a cancellation, not of a submission
+	start, end time.Time
+	resp       callerapi.Response
+	err        string // of a call without a response
+}
+
+// launch is a launch that a worker took.
+type launch struct {
+	worker string
+	task   string // job/number
+	label  string
+	at     time.Time
+	held   bool
+}
+
+// execution is user code that ran on a worker.
+type execution struct {
+	worker string
+	target string
+	label  string
+	worker0
+}
+
+type worker0 = worker.Record
+
+// held is a configuration generation that a process came to hold.
+type held struct {
+	process    string
+	generation uint64
+	at         time.Time
+}
+
+// leave is a graceful shutdown of a process.
+type leave struct {
+	process string
+	from    time.Time
+	until   time.Time // the process had ended; zero while it runs
+}
+
+// outage is a time in which no entry could reach a target.
+type outage struct {
+	target   string
+	from, to time.Time
+}
+
+// history is all that a run was seen to do.
+type history struct {
+	mu       sync.Mutex
+	requests map[string]request // by label
+	told     []told
+	launches []launch
+	ran      []execution
+	held     []held
+	accepted []held // generations, when the head row was written
+	leaves   []leave
+	outages  []outage
+	touched  map[string]bool // hosts that a fault struck, other than by a graceful shutdown
+	faults   []time.Time     // starts of faults
+	faultEnd time.Time       // of the last fault
+	ended    time.Time       // of the run
+	slots    []string        // slots that are neither free nor owned at the end
+	pending  []string        // requests without an outcome at the bound
+	live     []string        // processes that run at the end
+	log      string          // of all processes, if MATRIX_LOG is set
+}
+
+func newHistory() *history {
+	return &history{requests: make(map[string]request), touched: make(map[string]bool)}
+}
+
+func (h *history) add(f func(h *history)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f(h)
+}
+
+// payload returns the payload of a request. Its answer is {"Label": label}.
+func payload(label string, run time.Duration) json.RawMessage {
+	b, _ := json.Marshal(map[string]any{
+		"RunMillis": run.Milliseconds(), "Result": map[string]string{"Label": label},
+	})
+	return b
+}
+
+// labelIn returns the label of a payload or an answer.
+func labelIn(b []byte) string {
+	var p struct {
+		Label  string
+		Result struct{ Label string }
+	}
+	if json.Unmarshal(b, &p) != nil {
+		return ""
+	}
+	if p.Label != "" {
+		return p.Label
+	}
+	return p.Result.Label
+}
--- /dev/null
+++ b/matrix/scenarios_test.go
@@ -0,0 +1,159 @@
+package matrix
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/configsync"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+// scenario is a kind of work whose steps faults strike.
+type scenario struct {
+	name string
+	// prepare brings the site into the state in which the work begins, before
+	// steps count. It may be nil.
+	prepare func(s *Site)
+	// work begins the work. It returns once its requests have been sent; they go
+	// on in goroutines of the site.
+	work func(s *Site)
+}
+
+var scenarios = []scenario{
+	{name: "short", work: func(s *Site) {
+		for i := range 3 {
+			s.do(ask(fmt.Sprintf("short-%d", i), 300*time.Millisecond))
+			time.Sleep(100 * time.Millisecond)
+		}
+	}},
+	{name: "keyed", work: func(s *Site) {
+		s.do(order("order-1", 500*time.Millisecond))
+		time.Sleep(time.Second)
+		s.do(order("order-2", 2*time.Second))
+	}},
+	{name: "async", work: func(s *Site) {
+		s.do(plan("async-1", 1, 1, 3*time.Second))
+		s.do(plan("async-2", 1, 1, time.Second))
+	}},
+	{name: "gang", work: func(s *Site) {
+		s.do(plan("gang-1", 3, 1, 4*time.Second))
+		time.Sleep(time.Second)
+		s.do(ask("beside", 200*time.Millisecond))
+	}},
+	{name: "claim", prepare: fillWithLent, work: func(s *Site) {
+		r := plan("claim-1", 3, 2, 3*time.Second)
+		r.async, r.key, r.claim = false, "", true
+		s.do(r)
+	}},
+	{name: "change", work: func(s *Site) {
+		s.change("new-kind")
+		s.do(ask("after-change", 200*time.Millisecond))
+	}},
+	{name: "target-leaves", prepare: func(s *Site) {
+		s.do(plan("held-1", 1, 3, 8*time.Second))
+		time.Sleep(time.Second)
+	}, work: func(s *Site) {
+		s.leave(s.busiest())
+		for i := range 4 {
+			s.do(ask(fmt.Sprintf("during-%d", i), 300*time.Millisecond))
+			time.Sleep(500 * time.Millisecond)
+		}
+	}},
+	{name: "entry-leaves", prepare: func(s *Site) {
+		s.do(ask("waiting", 4*time.Second))
+		s.do(plan("queued", 1, 1, 5*time.Second))
+		time.Sleep(time.Second)
+	}, work: func(s *Site) {
+		s.leave(s.entries[0])
+		s.do(order("order-1", 500*time.Millisecond))
+	}},
+}
+
+// ask is a short idempotent request.
+func ask(label string, run time.Duration) request {
+	return request{label: label, workspace: "home", kind: "ask", parts: 1, slots: 1, run: run}
+}
+
+// order is a short request that runs at most once.
+func order(key string, run time.Duration) request {
+	return request{label: key, key: key, workspace: "home", kind: "order", parts: 1, slots: 1, run: run, nonIdempotent: true}
+}
+
+// plan is a long job to look up later.
+func plan(key string, parts, slots int, run time.Duration) request {
+	return request{label: key, key: key, workspace: "home", kind: "plan", parts: parts, slots: slots, run: run, async: true}
+}
+
+// lentRun is the run time of lent work: longer than a fault lasts, so that it
+// is there to be reclaimed.
+const lentRun = 25 * time.Second
+
+// fillWithLent takes all slots that the lane for short work leaves.
+func fillWithLent(s *Site) {
+	for i := range targetCount * slotCount {
+		s.do(request{
+			label: fmt.Sprintf("lent-%d", i), workspace: "guest", kind: "batch", parts: 1, slots: 1, run: lentRun, lent: true,
+		})
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// leave begins the graceful shutdown of a process.
+func (s *Site) leave(p *proc) {
+	s.wg.Go(func() {
+		if !p.isUp() {
+			return
+		}
+		s.stop(p)
+		s.revive(p)
+	})
+	time.Sleep(time.Millisecond)
+}
+
+// busiest returns the target with the most occupied slots.
+func (s *Site) busiest() *proc {
+	best, used := s.targets[0], -1
+	for i, w := range s.workers {
+		if u := w.Usage().UsedSlots; u > used {
+			best, used = s.targets[i], u
+		}
+	}
+	return best
+}
+
+// change accepts a configuration with one more kind, like an operator who tries
+// again until it is accepted.
+func (s *Site) change(kind string) {
+	s.wg.Go(func() {
+		for began := time.Now(); !s.overdue(request{}, began); time.Sleep(time.Second) {
+			if s.tryChange(kind) {
+				return
+			}
+		}
+		s.hist.add(func(h *history) { h.pending = append(h.pending, "change "+kind) })
+	})
+}
+
+func (s *Site) tryChange(kind string) bool {
+	store, done := s.store()
+	defer done()
+	ctx := s.t.Context()
+	snap, err := configsync.Read(ctx, store)
+	if err != nil {
+		return false
+	}
+	if _, ok := snap.Config.Kind("home", kind); ok {
+		return true // An earlier try took effect.
+	}
+	cfg := snap.Config.WithKind(operator.NewKind("home", kind, operator.ClassShort).WithIdempotent(true))
+	_, err = configsync.Apply(ctx, store, snap.Generation, cfg)
+	var race *configsync.RaceError
+	if errors.As(err, &race) {
+		return false
+	}
+	return err == nil
+}
+
+var _ rows.Store // The operator's store is that of the processes.
--- /dev/null
+++ b/matrix/site_test.go
@@ -0,0 +1,393 @@
+package matrix
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/coordination/configsync"
+	"github.com/medlargrade/medlargrade/coordination/executor"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/process"
+	"github.com/medlargrade/medlargrade/protocol/workerapi"
+	"github.com/medlargrade/medlargrade/standin/pipenet"
+	"github.com/medlargrade/medlargrade/standin/platform"
+	"github.com/medlargrade/medlargrade/standin/worker"
+	"github.com/medlargrade/medlargrade/state/rows"
+	platformclient "github.com/medlargrade/medlargrade/transport/platform"
+)
+
+// Size of the site. Two racks in two data centres leave a gang of three to spare
+// a target, and a lost rack leaves half of the site.
+const (
+	entryCount  = 2
+	targetCount = 4
+	slotCount   = 4
+	rackSize    = 2
+)
+
+const (
+	platformHost = "10.3.0.1"
+	callerHost   = "10.4.0.1"
+	operatorHost = "10.5.0.1"
+)
+
+// Site is a whole site in a synctest bubble.
+type Site struct {
+	t        *testing.T
+	net      *pipenet.Network
+	obs      *observer
+	hist     *history
+	platform *platform.Server
+	entries  []*proc
+	targets  []*proc
+	workers  []*worker.Worker
+	cfg      operator.Config
+
+	mu    sync.Mutex
+	log   bytes.Buffer
+	tasks map[string]string // label by task
+	stops []func()
+	wg    sync.WaitGroup // of what the site runs beside the processes
+}
+
+// proc is a process that can be killed and started again under its address.
+type proc struct {
+	name string
+	host string
+	run  func(ctx context.Context, network process.Network) error
+
+	mu     sync.Mutex
+	plug   *plug
+	cancel context.CancelFunc
+	done   chan struct{}
+	all    sync.WaitGroup // every incarnation
+}
+
+func newSite(t *testing.T) *Site {
+	s := &Site{t: t, net: new(pipenet.Network), obs: newObserver(), hist: newHistory(), tasks: make(map[string]string)}
+	s.platform = platform.New(platform.Settings{}, zerolog.Nop())
+	s.serve(platformHost, s.platform, s.sawWrite)
+	for i := range targetCount {
+		w := worker.New(worker.Settings{Slots: slotCount}, zerolog.Nop())
+		s.workers = append(s.workers, w)
+		s.serve(workerHost(i), w, s.sawLaunch(workerHost(i)))
+	}
+	for i := range entryCount {
+		s.entries = append(s.entries, s.newEntry(i))
+	}
+	for i := range targetCount {
+		s.targets = append(s.targets, s.newTarget(i))
+	}
+	s.cfg = siteConfig()
+	s.apply(0, s.cfg)
+	for _, p := range s.procs() {
+		s.start(p)
+	}
+	s.waitReady()
+	return s
+}
+
+func entryHost(i int) string  { return fmt.Sprintf("10.0.0.%d", i+1) }
+func targetHost(i int) string { return fmt.Sprintf("10.1.0.%d", i+1) }
+func workerHost(i int) string { return fmt.Sprintf("10.2.0.%d", i+1) }
+
+// workerOf returns the host of the worker beside a target.
+func workerOf(target string) string { return strings.Replace(target, "10.1.", "10.2.", 1) }
+
+// targetOf returns the host of the target beside a worker.
+func targetOf(worker string) string { return strings.Replace(worker, "10.2.", "10.1.", 1) }
+
+func rackOf(i int) string { return fmt.Sprintf("dc%d-r1", i/rackSize+1) }
+
+func (s *Site) serve(host string, h http.Handler, seen func(string, []byte, int)) {
+	stop, err := s.net.Host(host).ServeHTTP(host+":80", observed(s.obs, host, h, seen))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.stops = append(s.stops, stop)
+}
+
+func (s *Site) newEntry(i int) *proc {
+	set := process.DefaultEntrySettings()
+	set.Name = fmt.Sprintf("e%d", i+1)
+	set.DataCentre = fmt.Sprintf("dc%d", i+1)
+	set.CallerAddress, set.TargetAddress, set.OperatorAddress = entryHost(i)+":1", entryHost(i)+":2", entryHost(i)+":3"
+	set.Platform = "http://" + platformHost + ":80"
+	return &proc{name: set.Name, host: entryHost(i), run: func(ctx context.Context, n process.Network) error {
+		return process.RunEntry(ctx, set, n, s.logger(set.Name))
+	}}
+}
+
+func (s *Site) newTarget(i int) *proc {
+	set := process.DefaultTargetSettings()
+	set.Name = fmt.Sprintf("t%d", i+1)
+	set.DataCentre, set.Rack = fmt.Sprintf("dc%d", i/rackSize+1), rackOf(i)
+	set.Address, set.OperatorAddress = targetHost(i)+":1", targetHost(i)+":2"
+	set.Worker = "http://" + workerHost(i) + ":80"
+	set.Slots = slotCount
+	set.DrainTime = process.Duration(time.Minute)
+	for e := range entryCount {
+		set.Entries = append(set.Entries, entryHost(e)+":2")
+	}
+	return &proc{name: set.Name, host: targetHost(i), run: func(ctx context.Context, n process.Network) error {
+		return process.RunTarget(ctx, set, n, s.logger(set.Name))
+	}}
+}
+
+func (s *Site) procs() []*proc { return append(append([]*proc{}, s.entries...), s.targets...) }
+
+func (s *Site) procAt(host string) *proc {
+	for _, p := range s.procs() {
+		if p.host == host {
+			return p
+		}
+	}
+	return nil
+}
+
+// siteConfig gives the workspace home half of the site, and guest nothing.
+func siteConfig() operator.Config {
+	site := operator.NewSite("matrix").WithSlotsPerWorker(slotCount)
+	for d := range targetCount / rackSize {
+		name := fmt.Sprintf("dc%d", d+1)
+		site = site.WithDataCentre(operator.NewDataCentre(name).WithRack(name+"-r1", rackSize))
+	}
+	return operator.NewConfig(site).
+		WithWorkspace(operator.NewWorkspace("home").WithGuarantee(operator.NewShape(3, 2)).WithGuarantee(operator.NewShape(2, 1))).
+		WithWorkspace(operator.NewWorkspace("guest")).
+		WithKind(operator.NewKind("home", "ask", operator.ClassShort).WithIdempotent(true).WithLimit(30 * time.Second)).
+		WithKind(operator.NewKind("home", "order", operator.ClassShort).WithLimit(30 * time.Second)).
+		WithKind(operator.NewKind("home", "plan", operator.ClassLong).WithIdempotent(true).WithLimit(time.Hour)).
+		WithKind(operator.NewKind("guest", "batch", operator.ClassFill).WithIdempotent(true).WithLimit(time.Hour))
+}
+
+// store returns a client of the platform for an operator.
+func (s *Site) store() (rows.Store, func()) {
+	p := newPlug(s.net.Host(operatorHost), s.obs)
+	n := p.network()
+	return platformclient.New(n.HTTP, platformclient.Settings{Address: "http://" + platformHost + ":80"}), n.HTTP.CloseIdleConnections
+}
+
+func (s *Site) apply(expected uint64, cfg operator.Config) {
+	store, done := s.store()
+	defer done()
+	if _, err := configsync.Apply(s.t.Context(), store, expected, cfg); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *Site) start(p *proc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	pl := newPlug(s.net.Host(p.host), s.obs)
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.plug, p.cancel, p.done = pl, cancel, done
+	p.mu.Unlock()
+	p.all.Go(func() {
+		defer close(done)
+		network := pl.network()
+		defer network.HTTP.CloseIdleConnections()
+		if err := p.run(ctx, network); err != nil && !pl.isPulled() && !errors.Is(err, context.Canceled) {
+			s.logLine([]byte(fmt.Sprintf("%s ended: %v\n", p.name, err)))
+		}
+	})
+}
+
+func (p *proc) state() (*plug, context.CancelFunc, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.plug, p.cancel, p.done
+}
+
+// isUp reports whether the process runs and is not leaving the network.
+func (p *proc) isUp() bool {
+	pl, _, done := p.state()
+	select {
+	case <-done:
+		return false
+	default:
+		return !pl.isPulled()
+	}
+}
+
+// kill ends a process at once. Its peers see their connections reset, or with
+// silent nothing at all.
+func (s *Site) kill(p *proc, silent bool) {
+	pl, cancel, _ := p.state()
+	pl.pull(func() {
+		if silent {
+			s.net.Freeze(p.host, pipenet.Any)
+		} else {
+			s.net.Reset(p.host, pipenet.Any)
+		}
+	})
+	cancel()
+}
+
+// revive starts a process again that was killed or has ended.
+func (s *Site) revive(p *proc) {
+	if !p.isUp() {
+		s.start(p)
+	}
+}
+
+// stop ends a process gracefully and returns when it has ended.
+func (s *Site) stop(p *proc) {
+	_, cancel, done := p.state()
+	at := time.Now()
+	i := 0
+	s.hist.add(func(h *history) {
+		i = len(h.leaves)
+		h.leaves = append(h.leaves, leave{process: p.host, from: at})
+	})
+	cancel()
+	<-done
+	s.hist.add(func(h *history) { h.leaves[i].until = time.Now() })
+}
+
+// close ends everything. The bubble reports goroutines that are left.
+func (s *Site) close() {
+	s.wg.Wait()
+	s.hist.add(func(h *history) {
+		h.ended = time.Now()
+		for i, w := range s.workers {
+			for _, r := range w.History() {
+				h.ran = append(h.ran, execution{worker: workerHost(i), target: targetHost(i), label: s.label(r.ID), worker0: r})
+			}
+		}
+	})
+	for _, p := range s.procs() {
+		_, cancel, _ := p.state()
+		cancel()
+	}
+	for _, p := range s.procs() {
+		p.all.Wait()
+	}
+	for _, stop := range s.stops {
+		stop()
+	}
+	for _, w := range s.workers {
+		w.Close()
+	}
+}
+
+func (s *Site) logger(name string) zerolog.Logger {
+	return zerolog.New(logWriter{s, name}).Level(zerolog.InfoLevel).With().Timestamp().Str("Process", name).Logger()
+}
+
+type logWriter struct {
+	s    *Site
+	name string
+}
+
+// Write records the configuration that a process comes to hold.
+func (w logWriter) Write(b []byte) (int, error) {
+	if bytes.Contains(b, []byte(`"Event":400`)) || bytes.Contains(b, []byte(`"Event":405`)) {
+		var line struct{ Generation uint64 }
+		if json.Unmarshal(b, &line) == nil {
+			w.s.hist.add(func(h *history) {
+				h.held = append(h.held, held{process: w.name, generation: line.Generation, at: time.Now()})
+			})
+		}
+	}
+	w.s.logLine(b)
+	return len(b), nil
+}
+
+func (s *Site) logLine(b []byte) {
+	if os.Getenv("MATRIX_LOG") == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(&s.log, "%8.3f %s", float64(time.Now().UnixMilli()%1e8)/1e3, b)
+}
+
+func (s *Site) label(task string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tasks[task]
+}
+
+// sawWrite notes accepted configurations.
+func (s *Site) sawWrite(_ string, body []byte, status int) {
+	if status != http.StatusOK || !bytes.Contains(body, []byte(rows.HeadKey)) {
+		return
+	}
+	for _, row := range s.platform.Rows(rows.TableConfig) {
+		var head rows.Head
+		if row.Key == rows.HeadKey && json.Unmarshal(row.Value, &head) == nil {
+			s.hist.add(func(h *history) {
+				h.accepted = append(h.accepted, held{generation: head.Generation, at: time.Now()})
+			})
+		}
+	}
+}
+
+// sawLaunch notes the launches that a worker took. The reply to a launch may
+// wait for the end of its task, so the launch is noted with a lag.
+func (s *Site) sawLaunch(host string) func(string, []byte, int) {
+	return func(path string, body []byte, status int) {
+		var req workerapi.LaunchRequest
+		if path != workerapi.PathTasks || json.Unmarshal(body, &req) != nil {
+			return
+		}
+		label := labelIn(req.Payload)
+		s.mu.Lock()
+		s.tasks[req.ID] = label
+		s.mu.Unlock()
+		if status == http.StatusOK {
+			s.hist.add(func(h *history) {
+				h.launches = append(h.launches, launch{worker: host, task: req.ID, label: label, at: time.Now(), held: req.Held})
+			})
+		}
+	}
+}
+
+// dump returns the state of a target process over its operators' interface.
+func (s *Site) dump(p *proc) (executor.State, error) {
+	client := s.net.Host(operatorHost).HTTPClient()
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.host+":2/dump", nil)
+	if err != nil {
+		return executor.State{}, err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return executor.State{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var st executor.State
+	return st, json.NewDecoder(resp.Body).Decode(&st)
+}
+
+// waitReady waits until every process knows the configuration and every entry
+// has heard of every target.
+func (s *Site) waitReady() {
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		ready := true
+		for _, p := range s.targets {
+			st, err := s.dump(p)
+			ready = ready && err == nil && st.Ready
+		}
+		if ready {
+			time.Sleep(2500 * time.Millisecond) // A heartbeat tells the entries.
+			return
+		}
+	}
+	s.t.Fatal("the site did not become ready")
+}
--- /dev/null
+++ b/matrix/steps_test.go
@@ -0,0 +1,243 @@
+package matrix
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/medlargrade/medlargrade/protocol/platformapi"
+	"github.com/medlargrade/medlargrade/protocol/workerapi"
+	"github.com/medlargrade/medlargrade/state/rows"
+)
+
+// phase says on which side of a step's effect a fault strikes.
+type phase string
+
+const (
+	before phase = "before" // the request has not left the caller
+	after  phase = "after"  // the request has taken effect, its reply has not left
+)
+
+// point is a step and a side of it.
+type point struct {
+	step  string
+	phase phase
+}
+
+func (p point) String() string { return p.step + "-" + string(p.phase) }
+
+// hit is one occurrence of a point, between two hosts.
+type hit struct {
+	point
+	from, to string // the sender of the message that is about to leave, and its receiver
+}
+
+// trigger fires once, at the nth occurrence of a point after it was armed.
+type trigger struct {
+	point
+	nth  int
+	seen int
+	fire func(hit)
+}
+
+// observer sees every step. Its methods are safe for concurrent use.
+type observer struct {
+	mu       sync.Mutex
+	armed    bool
+	counts   map[point]int // since it was armed
+	triggers []*trigger
+}
+
+func newObserver() *observer { return &observer{counts: make(map[point]int)} }
+
+// arm starts to count and to watch for the triggers.
+func (o *observer) arm(triggers ...*trigger) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.armed = true
+	o.triggers = append(o.triggers, triggers...)
+}
+
+func (o *observer) snapshot() map[point]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := make(map[point]int, len(o.counts))
+	for p, n := range o.counts {
+		out[p] = n
+	}
+	return out
+}
+
+// hit counts an occurrence and fires its triggers before it returns, so that the
+// fault takes effect before the message leaves.
+func (o *observer) hit(p point, from, to string) {
+	o.mu.Lock()
+	if !o.armed {
+		o.mu.Unlock()
+		return
+	}
+	o.counts[p]++
+	var due []*trigger
+	for _, t := range o.triggers {
+		if t.point != p {
+			continue
+		}
+		if t.seen++; t.seen == t.nth {
+			due = append(due, t)
+		}
+	}
+	o.mu.Unlock()
+	for _, t := range due {
+		t.fire(hit{point: p, from: from, to: to})
+	}
+}
+
+// roundTripper reports the calls of a process to the platform and the worker.
+type roundTripper struct {
+	obs  *observer
+	host string
+	next *http.Transport
+}
+
+// RoundTrip reports the steps of a request before it leaves.
+func (rt *roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.GetBody != nil {
+		if b, err := r.GetBody(); err == nil {
+			body, _ = io.ReadAll(b)
+		}
+	}
+	for _, s := range httpSteps(r.Method, r.URL.Path, body) {
+		rt.obs.hit(point{s, before}, rt.host, hostOf(r.URL.Host))
+	}
+	return rt.next.RoundTrip(r)
+}
+
+// CloseIdleConnections is called through the http.Client.
+func (rt *roundTripper) CloseIdleConnections() { rt.next.CloseIdleConnections() }
+
+// observed reports the steps of a stand-in's requests once they have taken
+// effect and before their replies leave. seen may be nil; it is called with
+// status 0 when a request arrives and with its status before the reply leaves.
+func observed(obs *observer, host string, next http.Handler, seen func(path string, body []byte, status int)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if seen != nil {
+			seen(r.URL.Path, body, 0)
+		}
+		ow := &observedWriter{ResponseWriter: w}
+		ow.first = func(status int) {
+			if seen != nil {
+				seen(r.URL.Path, body, status)
+			}
+			if status != http.StatusOK {
+				return
+			}
+			for _, s := range httpSteps(r.Method, r.URL.Path, body) {
+				obs.hit(point{s, after}, host, hostOf(r.RemoteAddr))
+			}
+		}
+		next.ServeHTTP(ow, r)
+	})
+}
+
+type observedWriter struct {
+	http.ResponseWriter
+	first   func(status int)
+	written bool
+}
+
+// WriteHeader reports the reply.
+func (w *observedWriter) WriteHeader(status int) {
+	if !w.written {
+		w.written = true
+		w.first(status)
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write reports the reply.
+func (w *observedWriter) Write(b []byte) (int, error) {
+	if !w.written {
+		w.written = true
+		w.first(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// httpSteps returns the names of the steps that a request to a stand-in makes.
+func httpSteps(method, path string, body []byte) []string {
+	switch {
+	case path == platformapi.PathRead, path == platformapi.PathScan:
+		return []string{"row-" + strings.TrimPrefix(path, "/table/")}
+	case path == platformapi.PathWrite:
+		return rowSteps(body)
+	case strings.HasPrefix(path, platformapi.PathObject):
+		return []string{"object-" + strings.ToLower(method)}
+	case path == workerapi.PathLeases, path == workerapi.PathUsage:
+		return []string{"worker-" + path[1:]}
+	case path == workerapi.PathTasks:
+		return []string{"worker-launch"}
+	case strings.HasPrefix(path, workerapi.PathTasks+"/") && method == http.MethodGet:
+		return []string{"worker-wait"}
+	case strings.HasPrefix(path, workerapi.PathTasks+"/"):
+		return []string{"worker-" + path[strings.LastIndexByte(path, '/')+1:]}
+	}
+	return nil
+}
+
+// rowSteps names each row of a write by what it does to the row.
+func rowSteps(body []byte) []string {
+	var req platformapi.WriteRequest
+	if json.Unmarshal(body, &req) != nil {
+		return nil
+	}
+	var steps []string
+	for _, w := range req.Writes {
+		steps = append(steps, rowStep(w))
+	}
+	return steps
+}
+
+func rowStep(w platformapi.Write) string {
+	switch w.Table {
+	case rows.TableJob:
+		return jobStep(w)
+	case rows.TableQueue:
+		if w.Delete {
+			return "row-dequeue"
+		}
+		return "row-queue"
+	case rows.TableEntry:
+		return "row-beat"
+	case rows.TableConfig:
+		if w.Key == rows.HeadKey {
+			return "row-head"
+		}
+		return "row-change"
+	}
+	return "row-other"
+}
+
+func jobStep(w platformapi.Write) string {
+	var job rows.Job
+	if json.Unmarshal(w.Value, &job) != nil {
+		return "row-other"
+	}
+	switch {
+	case w.IfVersion == 0:
+		return "row-claim"
+	case job.Final():
+		return "row-end"
+	case job.State == rows.JobDispatched:
+		return "row-dispatch"
+	}
+	return "row-requeue"
+}
--- a/standin/pipenet/conn.go
+++ b/standin/pipenet/conn.go
@@ -172,7 +172,7 @@
 	if s.arrivalTimer != nil {
 		s.arrivalTimer.Stop()
 	}
-	s.arrivalTimer = time.AfterFunc(time.Until(t), s.wake)
+	s.arrivalTimer = time.AfterFunc(max(time.Until(t), 1), s.wake)
 }
 
 func (s *stream) wake() {
@@ -267,8 +267,10 @@
 	defer s.mu.Unlock()
 	d.stop()
 	d.at = t
-	if !t.IsZero() {
-		d.timer = time.AfterFunc(time.Until(t), s.wake)
+	// A deadline that has passed needs no timer. A timer that is over at once is
+	// avoided: with several bubbles the race detector of Go 1.26 crashes on it.
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		d.timer = time.AfterFunc(left, s.wake)
 	}
 	s.cond.Broadcast()
 }
