Take the queue's lock outside the planner's lock

Cause: enqueue and configure called the admission queue under planner.mu, and a pass takes planner.mu (waiter, forget) under the lock of the queue, which Scan holds during its visits. A submission beside a pass could block both, and with them the whole entry, for good.

Change: the waiter is stored before its item is pushed, and the queue is never called under planner.mu. The generation that the queue is configured for has a lock of its own.

Ruled out: visiting without the lock of the queue would let items be pushed or removed during a scan.

--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -72,11 +72,15 @@
 	queue  *admission.Queue
 	events chan struct{} // asks for a pass
 
-	mu         sync.Mutex
-	waiters    map[string]*waiter // by job ID
-	generation uint64             // that the queue is configured for
+	configMu   sync.Mutex
+	generation uint64 // that the queue is configured for
 	configured bool
 
+	// A pass takes mu under the lock of the queue, so the queue is never called
+	// under mu.
+	mu      sync.Mutex
+	waiters map[string]*waiter // by job ID
+
 	passMu sync.Mutex // held during a pass
 }
 
@@ -126,16 +130,16 @@
 // configure takes over the workspaces of the current configuration and refuses
 // the jobs of workspaces that are gone.
 func (p *planner) configure() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.configMu.Lock()
+	defer p.configMu.Unlock()
 	snap := p.s.peers.Config.Current()
 	if p.configured && snap.Generation == p.generation {
 		return
 	}
 	p.configured, p.generation = true, snap.Generation
 	for _, it := range p.queue.Configure(snap.Config) {
-		if w, ok := p.waiters[it.ID]; ok {
-			delete(p.waiters, it.ID)
+		if w := p.waiter(it.ID); w != nil {
+			p.forget(it.ID)
 			w.refused <- outcome.NotRun{Reason: outcome.ReasonConfigChanged, Detail: "the workspace was removed"}
 		}
 	}
@@ -196,21 +200,31 @@
 	if d := r.spec.request.Deadline; d > 0 {
 		it.Deadline = r.job.Created().Add(d)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	// A pass may take the item as soon as it is in the queue, and drops one
+	// without a waiter.
+	only = p.add(it.ID, w)
 	if w.front {
 		if !p.queue.PushFront(it) {
+			p.forget(it.ID)
 			return false, refuse(outcome.ReasonConfigChanged, "the workspace was removed")
 		}
-	} else {
-		p.budget.First(now)
-		if refusal, ok := p.queue.Push(it, now); !ok {
-			p.s.meter.refused(refusal.Reason)
-			return false, &refusal
-		}
+		return only, nil
 	}
-	p.waiters[it.ID] = w
-	return len(p.waiters) == 1, nil
+	p.budget.First(now)
+	if refusal, ok := p.queue.Push(it, now); !ok {
+		p.forget(it.ID)
+		p.s.meter.refused(refusal.Reason)
+		return false, &refusal
+	}
+	return only, nil
+}
+
+// add stores a waiter and reports whether it is the only one.
+func (p *planner) add(id string, w *waiter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiters[id] = w
+	return len(p.waiters) == 1
 }
 
 // drop takes a waiter out of the queue.
@@ -218,11 +232,9 @@
 	// A pass that is under way may be granting the waiter; let it finish.
 	p.passMu.Lock()
 	defer p.passMu.Unlock()
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	id := w.run.job.ID()
-	if p.waiters[id] == w {
-		delete(p.waiters, id)
+	if p.waiter(id) == w {
+		p.forget(id)
 		p.queue.Remove(id)
 	}
 }
