Address the target of a single victim when a guarantee is claimed

Cause: targets name the hub only of gangs, so the victims of single tasks had a hub without address and incarnation.

Change: the entry fills in the address and incarnation of the victim's target from its view.

Ruled out: having targets report a hub for single tasks would add some 40 bytes per task to every full heartbeat.

Measured: TestWithoutFaults/claim: before, 18 to 20 refusals RetriesSpent and the claim ran when the lent tasks ended by themselves after 25 s; after, the first try runs and ends after 3.6 s, of which the job itself takes 3 s.

--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -218,6 +218,13 @@
 			}
 		}
 	}
+	for i := range v.ByHub {
+		// Targets name the hub of gangs only. A single task's hub is its target.
+		if h := &v.ByHub[i].Hub; h.Address == "" {
+			t := ps.live[h.Target]
+			h.Address, h.Incarnation = t.Address, t.Incarnation
+		}
+	}
 	ps.grant(w, v.Placement, &v)
 	// The victims are gone from the books: later claims of this pass must not
 	// count on them.
