Count the requests in progress with a gate instead of a WaitGroup

Cause: Submit added to a sync.WaitGroup that Drain waits for.

Change: requests are counted under a lock; once the entry drains, further ones are refused without being counted.

Ruled out: a check of the draining flag before Add leaves a gap between the two.

--- a/coordination/scheduler/orphans.go
+++ b/coordination/scheduler/orphans.go
@@ -13,7 +13,7 @@
 // adoptOrphans takes over the queued jobs of silent entries, and of former
 // processes of this entry.
 func (s *Scheduler) adoptOrphans(ctx context.Context) {
-	if !s.peers.Config.IsReady() || s.draining.Load() {
+	if !s.peers.Config.IsReady() || s.requests.isDraining() {
 		return
 	}
 	for _, entry := range append(s.peers.Members.SilentEntries(), s.set.Entry) {
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,8 +43,7 @@
 	plan    *planner
 	cancels *cancelBatcher
 
-	draining atomic.Bool
-	accepted sync.WaitGroup // requests that callers wait for
+	requests requests // that callers wait for
 
 	// Goroutines end with life, which Close ends.
 	life  context.Context
@@ -96,24 +94,6 @@
 	s.tasks.Wait()
 }
 
-// Drain stops accepting requests and waits until every request that a caller
-// waits for has its outcome, or until ctx ends. Recorded jobs that nobody waits
-// for are left to the other entries.
-func (s *Scheduler) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	done := make(chan struct{})
-	s.tasks.Go(func() {
-		s.accepted.Wait()
-		close(done)
-	})
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("drain: %w", ctx.Err())
-	}
-}
-
 // start runs a job in the background.
 func (s *Scheduler) start(r *run) {
 	s.background(r.execute)
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -43,8 +43,13 @@
 // other end is an Outcome. If ctx ends, an idempotent request without a row is
 // canceled, because nobody else can ask for its outcome.
 func (s *Scheduler) Submit(ctx context.Context, r Request, wait time.Duration) (Status, error) {
-	s.accepted.Add(1)
-	defer s.accepted.Done()
+	if !s.requests.begin() {
+		s.meter.refused(outcome.ReasonLeaving)
+		return ended(r.Workspace, r.Key, outcome.NotRun{
+			Reason: outcome.ReasonLeaving, Detail: "the entry is shutting down", RetryAfter: time.Second,
+		}), nil
+	}
+	defer s.requests.end()
 	sp, refusal := s.admit(r)
 	if refusal != nil {
 		s.meter.refused(refusal.Reason)
@@ -56,12 +61,9 @@
 	return s.submitRecorded(ctx, sp, wait)
 }
 
-// admit checks whether the entry takes requests and the configuration allows
-// this one.
+// admit checks whether the entry is ready and the configuration allows the
+// request.
 func (s *Scheduler) admit(r Request) (spec, *outcome.NotRun) {
-	if s.draining.Load() {
-		return spec{}, &outcome.NotRun{Reason: outcome.ReasonLeaving, Detail: "the entry is shutting down", RetryAfter: time.Second}
-	}
 	if !s.peers.Config.IsReady() {
 		return spec{}, &outcome.NotRun{Reason: outcome.ReasonNotReady, Detail: "the entry does not know the current configuration", RetryAfter: time.Second}
 	}
