Report a job as unknown if any of its attempts may have run

Cause: after an idempotent attempt was lost, a later attempt that was refused gave the job's outcome. The same held for a recorded job that another entry took over after its first attempt.

Change: a run notes that an attempt may have run, or ran and failed, and then ends as unknown where it ended as not run. A job that is taken over with an attempt number above 1 counts as one that may have run, unless it runs at most once: its former attempts are then proven not to have run.

Ruled out: a flag in the row would tell more exactly, at the price of one more write before each repetition.

--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -171,6 +171,9 @@
 		r.inherited = next.Attempt
 	}
 	r.spec, r.refusal = s.resolveAgain(request)
+	// The row does not tell how the former attempts ended. Those of a job that
+	// runs at most once are proven not to have run.
+	r.mayHaveRun = !record.Final() && next.Attempt > 1 && (r.spec.idempotent || r.refusal != nil)
 	return r, nil
 }
 
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -37,6 +37,10 @@
 	takenOver     bool
 	lastInherited uint32 // latest attempt number of the former owner
 	inherited     uint32 // attempt of the former owner that may run; 0 if none
+
+	// mayHaveRun is set once an attempt has ended without a proof that it did not
+	// run. The job can then no longer end as not run.
+	mayHaveRun bool
 }
 
 // replace writes the row of the job and keeps track of the tokens that it may
@@ -69,6 +73,9 @@
 		r.handedOver()
 		return
 	}
+	if refusal, ok := out.(outcome.NotRun); ok && r.mayHaveRun {
+		out = outcome.Unknown{Detail: "an earlier attempt may have run; the last one did not: " + refusal.Detail}
+	}
 	r.finish(out)
 }
 
@@ -92,6 +99,7 @@
 		}
 		switch res := res.(type) {
 		case ranResult:
+			r.mayHaveRun = true
 			if exclude, again := r.tryElsewhere(ctx, res, where); again {
 				avoid = exclude
 				front = true
@@ -110,6 +118,7 @@
 			}
 			front = true
 		case lostResult:
+			r.mayHaveRun = true
 			if !r.spec.idempotent || ctx.Err() != nil {
 				return outcome.Unknown{Detail: res.detail}
 			}
