--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -48,8 +48,13 @@
 // The error is ErrKeyConflict if the key belongs to another request; every
 // other end is an Outcome.
 func (s *Scheduler) Submit(ctx context.Context, r Request, wait time.Duration) (Status, error) {
-	s.accepted.Add(1)
-	defer s.accepted.Done()
+	if !s.requests.begin() {
+		s.meter.refused(outcome.ReasonLeaving)
+		return ended(r.Workspace, r.Key, outcome.NotRun{
+			Reason: outcome.ReasonLeaving, Detail: "the entry is shutting down", RetryAfter: time.Second,
+		}), nil
+	}
+	defer s.requests.end()
 	sp, refusal := s.admit(r)
 	if refusal != nil {
 		s.meter.refused(refusal.Reason)
@@ -71,12 +76,9 @@
 	return ok && o.Reason == outcome.ReasonStoreDown
 }
 
-// admit checks whether the entry takes requests and the configuration allows
-// this one.
+// admit checks whether the entry is ready and the configuration allows the
+// request.
 func (s *Scheduler) admit(r Request) (spec, *outcome.NotRun) {
-	if s.draining.Load() {
-		return spec{}, &outcome.NotRun{Reason: outcome.ReasonLeaving, Detail: "the entry is shutting down", RetryAfter: time.Second}
-	}
 	if !s.peers.Config.IsReady() {
 		return spec{}, &outcome.NotRun{Reason: outcome.ReasonNotReady, Detail: "the entry does not know the current configuration", RetryAfter: time.Second}
 	}
