Keep the slots of preempted work from other jobs; count probes apart

An 8-slot victim of a claim for one slot made seven slots look free while it was still being stopped, so that other jobs were sent there and refused. And a target on probation returned to service because tasks started before it went bad still succeeded. Change: View.Preempted no longer frees slots; View.Claimed takes them for the claim. Tracker.Observe ignores targets on probation; ProbeEnded counts. Ledger.Remove takes out an ended attempt without building a new ledger. Ruled out: counting the excess slots free at once, which relies on the victim stopping before the next job arrives.

--- a/coordination/guarantee/guarantee_test.go
+++ b/coordination/guarantee/guarantee_test.go
@@ -141,7 +141,9 @@
 	}
 	for _, tt := range tests {
 		l := NewLedger(config(), nil)
-		l.Add(targets.Task{Workspace: tt.workspace, Slots: tt.used})
+		l.Add(targets.Task{Job: "ended", Workspace: tt.workspace, Slots: 50})
+		l.Add(targets.Task{Job: "runs", Workspace: tt.workspace, Slots: tt.used})
+		l.Remove("ended", 0)
 		qt.Check(t, l.IsClaim(tt.workspace, tt.class, tt.shape), qt.Equals, tt.want, qt.Commentf("%+v", tt))
 	}
 }
--- a/coordination/guarantee/ledger.go
+++ b/coordination/guarantee/ledger.go
@@ -1,6 +1,8 @@
 package guarantee
 
 import (
+	"slices"
+
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/state/targets"
 )
@@ -58,6 +60,17 @@
 	l.use[t.Workspace] += t.Slots
 }
 
+// Remove takes out the tasks of an attempt that has ended since the ledger was made.
+func (l *Ledger) Remove(job string, number uint32) {
+	l.tasks = slices.DeleteFunc(slices.Clone(l.tasks), func(t targets.Task) bool {
+		gone := t.Job == job && t.Number == number
+		if gone {
+			l.use[t.Workspace] -= t.Slots
+		}
+		return gone
+	})
+}
+
 // Use returns the account of a workspace.
 func (l *Ledger) Use(workspace string) Use {
 	u := Use{Slots: l.use[workspace], Guarantee: l.guarantees[workspace]}
--- a/coordination/health/doc.go
+++ b/coordination/health/doc.go
@@ -23,7 +23,7 @@
 //		place(target)
 //	case health.ProbeDue:
 //		if t.StartProbe(target, now) {
-//			place(target) // one small idempotent task
+//			place(target) // one small idempotent task, to be reported by ProbeEnded
 //		}
 //	}
 //	t.Observe(target, workspace, kind, health.Failed, now)
--- a/coordination/health/tracker.go
+++ b/coordination/health/tracker.go
@@ -123,13 +123,13 @@
 }
 
 // Observe records how a task ended on a target. A target that thereby becomes
-// suspect goes on probation.
+// suspect goes on probation. During a probation only ProbeEnded counts: work that
+// was started before can still end well on a worker that fails all new tasks.
 func (t *Tracker) Observe(name, workspace, kind string, o Outcome, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	x, k := t.targetLocked(name), kindKey{workspace, kind}
 	if x.probation {
-		t.observeProbe(x, k, o, now)
 		return
 	}
 	counter(x.kinds, k, now).add(o, 1, now)
@@ -146,7 +146,14 @@
 	}
 }
 
-func (t *Tracker) observeProbe(x *target, k kindKey, o Outcome, now time.Time) {
+// ProbeEnded records how a probe ended and frees its place.
+func (t *Tracker) ProbeEnded(name, workspace, kind string, o Outcome, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x := t.targets[name]
+	if x == nil || !x.probation {
+		return
+	}
 	x.probe = time.Time{}
 	if o == Succeeded {
 		if x.successes++; x.successes >= probeSuccesses {
@@ -155,7 +162,7 @@
 		return
 	}
 	// The failure of a kind that mostly fails elsewhere too says nothing.
-	if rate(counter(t.kinds, k, now).decay(now)) < 0.5 {
+	if rate(counter(t.kinds, kindKey{workspace, kind}, now).decay(now)) < 0.5 {
 		x.successes = 0
 		x.pause = min(2*x.pause, maxPause)
 	}
@@ -205,7 +212,7 @@
 }
 
 // StartProbe takes the place of the target's probe. It returns false if no probe
-// is due. The place is free again after Observe or EndProbe.
+// is due. The place is free again after ProbeEnded or ProbeAbandoned.
 func (t *Tracker) StartProbe(name string, now time.Time) bool {
 	if t.State(name, now) != ProbeDue {
 		return false
@@ -220,8 +227,8 @@
 	return true
 }
 
-// EndProbe frees the place of a probe that was not started or said nothing.
-func (t *Tracker) EndProbe(name string) {
+// ProbeAbandoned frees the place of a probe that was not started or said nothing.
+func (t *Tracker) ProbeAbandoned(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if x := t.targets[name]; x != nil {
--- a/coordination/health/tracker_test.go
+++ b/coordination/health/tracker_test.go
@@ -98,19 +98,21 @@
 		case ProbeDue:
 			qt.Assert(t, s.StartProbe("t4", s.now), qt.IsTrue)
 			qt.Assert(t, s.StartProbe("t4", s.now), qt.IsFalse)
+			s.ProbeEnded("t4", "w", "k0", Failed, s.now)
+			drawn++
 		case Paused:
-			continue
+			s.Observe("t4", "w", "k0", Succeeded, s.now) // started before it went bad
 		case Healthy:
+			s.Observe("t4", "w", "k0", Failed, s.now)
+			drawn++
 		}
-		drawn++
-		s.Observe("t4", "w", "k0", Failed, s.now)
 	}
 	qt.Assert(t, drawn < 20, qt.IsTrue, qt.Commentf("%d tasks", drawn))
 	for s.State("t4", s.now) != Healthy { // repaired
 		s.now = s.now.Add(time.Second)
 		qt.Assert(t, s.now.Before(start.Add(20*time.Minute)), qt.IsTrue)
 		if s.StartProbe("t4", s.now) {
-			s.Observe("t4", "w", "k0", Succeeded, s.now)
+			s.ProbeEnded("t4", "w", "k0", Succeeded, s.now)
 		}
 	}
 }
--- a/state/targets/doc.go
+++ b/state/targets/doc.go
@@ -1,7 +1,7 @@
 // Package targets holds an entry's view of the targets that report to it.
 //
 // The view is fed by heartbeats (Apply) and by the entry's own effects
-// (Dispatched, Freed, Preempted). Reports lag behind the effects by up to a
+// (Dispatched, Freed, Preempted, Claimed). Reports lag behind the effects by up to a
 // heartbeat, so the effects are laid over the reported state until a report
 // agrees with them or EffectExpiry has passed. Without this overlay an entry
 // would dispatch twice onto the same slots, or preempt a second victim for the
--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -30,11 +30,22 @@
 
 // effect is an action of the entry that the target has not reported yet.
 type effect struct {
-	ended bool // freed or preempted; otherwise dispatched
-	task  Task // if dispatched
-	at    time.Time
+	kind effectKind
+	task Task // if dispatched or claimed
+	at   time.Time
 }
 
+type effectKind int
+
+const (
+	dispatched effectKind = iota
+	claimed               // dispatched onto slots of preempted work
+	freed
+	preempted // asked to stop, slots still in use
+)
+
+func (k effectKind) ended() bool { return k >= freed }
+
 func newTarget() *target {
 	return &target{
 		tasks:   make(map[string]reported),
@@ -112,7 +123,7 @@
 	for id, e := range t.effects {
 		_, listed := t.tasks[id]
 		// A dispatched task that the report names as ended was confirmed too.
-		if listed != e.ended || !e.ended && slices.Contains(r.Removed, id) {
+		if listed != e.kind.ended() || !e.kind.ended() && slices.Contains(r.Removed, id) {
 			delete(t.effects, id)
 		}
 	}
@@ -126,39 +137,46 @@
 	}
 }
 
-func (t *target) dispatched(task Task, now time.Time) {
+func (t *target) dispatched(task Task, kind effectKind, now time.Time) {
 	id := task.ID()
 	if _, ok := t.tasks[id]; ok {
 		return
 	}
-	if e, ok := t.effects[id]; ok && !e.ended {
+	if e, ok := t.effects[id]; ok && !e.kind.ended() {
 		task.Slots += e.task.Slots
 	}
 	task.Target = t.last.Target
-	t.effects[id] = effect{task: task, at: now}
+	t.effects[id] = effect{kind: kind, task: task, at: now}
 }
 
-// freed masks the task until a report lacks it. The mask is kept even if the task
+// end masks the task until a report lacks it. The mask is kept even if the task
 // was never reported: a report sent while it ran may still be on its way.
-func (t *target) freed(id string, now time.Time) {
-	t.effects[id] = effect{ended: true, at: now}
+func (t *target) end(id string, kind effectKind, now time.Time) {
+	t.effects[id] = effect{kind: kind, at: now}
 }
 
-// free returns the free slots with the effects applied.
+// free returns the free slots with the effects applied. Claims use the slots of
+// preempted work first; what that work frees beyond the claims is not free before
+// its end.
 func (t *target) free(now time.Time) int {
-	n := t.last.Free
+	n, claims, stopping := t.last.Free, 0, 0
 	for id, e := range t.effects {
 		if now.Sub(e.at) > EffectExpiry {
 			continue
 		}
 		r, listed := t.tasks[id]
 		switch {
-		case e.ended && listed:
+		case e.kind == freed && listed:
 			n += r.task.Slots
-		case !e.ended && !listed:
+		case e.kind == preempted && listed:
+			stopping += r.task.Slots
+		case e.kind == dispatched && !listed:
 			n -= e.task.Slots
+		case e.kind == claimed && !listed:
+			claims += e.task.Slots
 		}
 	}
+	n -= max(claims-stopping, 0)
 	return min(max(n, 0), t.last.Slots)
 }
 
@@ -191,7 +209,7 @@
 
 func (t *target) appendTasks(out []Task, name string, now time.Time) []Task {
 	for id, r := range t.tasks {
-		if e, ok := t.effects[id]; ok && e.ended && now.Sub(e.at) <= EffectExpiry {
+		if e, ok := t.effects[id]; ok && e.kind.ended() && now.Sub(e.at) <= EffectExpiry {
 			continue
 		}
 		if d := now.Sub(r.at); r.task.Released && d > 0 {
@@ -201,7 +219,7 @@
 		out = append(out, r.task)
 	}
 	for id, e := range t.effects {
-		if _, listed := t.tasks[id]; listed || e.ended || now.Sub(e.at) > EffectExpiry {
+		if _, listed := t.tasks[id]; listed || e.kind.ended() || now.Sub(e.at) > EffectExpiry {
 			continue
 		}
 		task := e.task
--- a/state/targets/view.go
+++ b/state/targets/view.go
@@ -92,20 +92,25 @@
 // Several members of one attempt on one target are recorded as one task with the
 // sum of their slots.
 func (v *View) Dispatched(name string, task Task, now time.Time) {
-	v.withTarget(name, func(t *target) { t.dispatched(task, now) })
+	v.withTarget(name, func(t *target) { t.dispatched(task, dispatched, now) })
 }
 
 // Freed records that the attempt has ended on the target, so that its slots
 // count as free.
 func (v *View) Freed(name, job string, number uint32, now time.Time) {
-	v.withTarget(name, func(t *target) { t.freed(ID(job, number), now) })
+	v.withTarget(name, func(t *target) { t.end(ID(job, number), freed, now) })
 }
 
-// Preempted records that the entry has asked the target to stop the attempt. Its
-// slots count as free and it is no longer a task, so that it is not chosen again.
-// The caller records the claim for which the slots are meant by Dispatched.
+// Preempted records that the entry has asked the target to stop the attempt. It is
+// no longer a task, so that it is not chosen again, but its slots are free only
+// once it has ended: call Claimed for the claim, and Freed when the end is known.
 func (v *View) Preempted(name, job string, number uint32, now time.Time) {
-	v.withTarget(name, func(t *target) { t.freed(ID(job, number), now) })
+	v.withTarget(name, func(t *target) { t.end(ID(job, number), preempted, now) })
+}
+
+// Claimed is like Dispatched for a task that waits for slots of preempted work.
+func (v *View) Claimed(name string, task Task, now time.Time) {
+	v.withTarget(name, func(t *target) { t.dispatched(task, claimed, now) })
 }
 
 // shardFor returns the shard of the report's rack. A target that reports from
--- a/state/targets/view_test.go
+++ b/state/targets/view_test.go
@@ -101,13 +101,16 @@
 	qt.Assert(t, free(at(4)), qt.Equals, 6)
 	qt.Assert(t, v.Tasks(at(5))[0].Run, qt.Equals, time.Second)
 
+	// The slots of a victim are for the claim, and free for others only after its end.
 	v.Preempted("t1", "a", 1, at(5))
-	qt.Assert(t, free(at(5)), qt.Equals, 8)
-	qt.Assert(t, v.Tasks(at(5)), qt.HasLen, 0)
+	v.Claimed("t1", Task{Job: "claim", Slots: 1}, at(5))
+	qt.Assert(t, free(at(5)), qt.Equals, 6)
+	qt.Assert(t, v.Tasks(at(5)), qt.HasLen, 1)
 	v.Apply(delta(4, 3, 6), at(6)) // the victim is still being stopped
-	qt.Assert(t, free(at(6)), qt.Equals, 8)
+	qt.Assert(t, free(at(6)), qt.Equals, 6)
 	v.Apply(delta(5, 4, 8, "a/1"), at(8))
-	qt.Assert(t, free(at(8)), qt.Equals, 8)
+	qt.Assert(t, free(at(8)), qt.Equals, 7)
+	v.Freed("t1", "claim", 0, at(8))
 
 	// An effect that the target never reports does not hold slots for good.
 	v.Dispatched("t1", Task{Job: "b", Slots: 8}, at(8))
@@ -135,7 +138,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			job := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 			task := Task{Job: job, Slots: rapid.IntRange(1, 8).Draw(t, "slots")}
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
 			case 0:
 				seq++
 				v.Apply(full(seq, 8-task.Slots, task), now)
@@ -145,6 +148,8 @@
 				v.Freed("t1", job, 0, now)
 			case 3:
 				v.Preempted("t1", job, 0, now)
+			case 4:
+				v.Claimed("t1", task, now)
 			}
 			for _, x := range v.Live(now) {
 				if x.Free < 0 || x.Free > x.Slots {
