Tie the slots of preempted work to their claim; spare held work

A running claim that no report listed yet was set off against the slots of another claim's victims, and work that was itself waiting for its victims was chosen as a victim, although its preemption frees nothing. Change: View.Preempted names the claim, and only that claim uses the slots until the victim has ended. Ledger.Victims leaves out attempts that are not released. Ruled out: sums of claimed and stopping slots per target, which can't tell whose victims have ended. Conclusion: the entry's account of a target agrees with the target while work is being reclaimed.

--- a/coordination/guarantee/doc.go
+++ b/coordination/guarantee/doc.go
@@ -8,7 +8,7 @@
 //
 // Victims are chosen among the work of workspaces above their guarantee, so that
 // the claim's shape becomes placeable with its adjacency. Whole attempts are
-// taken, never more than needed. Idempotent work goes before non-idempotent
+// taken, never more than needed, and no work that is still held. Idempotent work goes before non-idempotent
 // work, fill before long before short work, then what loses the least slot time
 // since its last checkpoint, then what has fewer slots. No choice takes a
 // workspace below its guarantee, with one exception: a gang that is partly within
--- a/coordination/guarantee/example_test.go
+++ b/coordination/guarantee/example_test.go
@@ -15,7 +15,7 @@
 		WithWorkspace(operator.NewWorkspace("batch")).
 		WithKind(operator.NewKind("batch", "scan", operator.ClassFill).WithIdempotent(true))
 	l := guarantee.NewLedger(cfg, []targets.Task{
-		{Target: "t1", Job: "j1", Number: 1, Workspace: "batch", Kind: "scan", Class: "fill", Slots: 8, Hub: targets.Hub{Target: "t1"}},
+		{Target: "t1", Job: "j1", Number: 1, Workspace: "batch", Kind: "scan", Class: "fill", Slots: 8, Released: true, Hub: targets.Hub{Target: "t1"}},
 	})
 	site := placement.NewSite([]placement.Node{{Name: "t1", Slots: 8}})
 	shape := operator.NewShape(1, 8)
--- a/coordination/guarantee/guarantee_test.go
+++ b/coordination/guarantee/guarantee_test.go
@@ -39,7 +39,7 @@
 	for _, t := range on {
 		out = append(out, targets.Task{
 			Target: t, Job: job, Number: 1, Workspace: workspace, Kind: kind, Class: class, Slots: slots,
-			Released: true, SinceCheckpoint: checkpoint, Members: len(on), Hub: targets.Hub{Target: on[0]},
+			Released: checkpoint >= 0, SinceCheckpoint: checkpoint, Members: len(on), Hub: targets.Hub{Target: on[0]},
 		})
 	}
 	return out
@@ -102,6 +102,7 @@
 		{"latest checkpoint", "guest pure long j1 8 2 t0; guest pure long j2 8 1 t1", one, "j2", false},
 		{"not more than needed", "guest pure long j1 8 1 t0; guest pure long j2 2 1 t1; a pure long a 6 1 t1", operator.NewShape(1, 2), "j2", false},
 		{"adjacency, not only slots", "guest pure fill j1 8 0 t0; b pure long b 8 0 t1; guest pure long j2 8 1 t2; guest pure long j3 8 1 t3", pair, "j2 j3", false},
+		{"held work frees nothing", "guest pure fill j1 8 -1 t0; guest pure long j2 8 1 t1", one, "j2", false},
 		{"whole gang", "guest pure fill j1 8 0 t1 t0", one, "j1", false},
 		{"owner within its guarantee", "b pure fill j1 8 0 t0 t1", one, "", false},
 		{"counted as chosen", "b pure fill j1 8 0 t0; b pure fill j2 8 0 t1; b pure fill j3 8 0 t2; a pure long a 8 0 t3", pair, "", false},
--- a/coordination/guarantee/victims.go
+++ b/coordination/guarantee/victims.go
@@ -39,6 +39,7 @@
 	idempotent bool
 	candidate  placement.Candidate
 	slots      int
+	released   bool
 }
 
 // Victims chooses the work whose preemption makes the claim's shape placeable on
@@ -53,7 +54,9 @@
 			budget.Slots[w] = lent
 		}
 	}
-	attempts = slices.DeleteFunc(attempts, func(a attempt) bool { return budget.Slots[a.workspace] == 0 })
+	// Work that has not been released may itself wait for slots of a victim, so its
+	// preemption would free nothing.
+	attempts = slices.DeleteFunc(attempts, func(a attempt) bool { return !a.released || budget.Slots[a.workspace] == 0 })
 	idempotent := slices.DeleteFunc(slices.Clone(attempts), func(a attempt) bool { return !a.idempotent })
 	// A gang that straddles its guarantee is eligible only if nothing else is, even
 	// if the alternative is non-idempotent.
@@ -116,6 +119,7 @@
 		}
 		a := &out[i]
 		a.slots += t.Slots
+		a.released = a.released || t.Released
 		a.candidate.Members = append(a.candidate.Members, placement.Member{Target: t.Target, Slots: t.Slots})
 		a.candidate.Cost += t.SinceCheckpoint.Seconds() * float64(t.Slots)
 	}
--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -30,9 +30,10 @@
 
 // effect is an action of the entry that the target has not reported yet.
 type effect struct {
-	kind effectKind
-	task Task // if dispatched or claimed
-	at   time.Time
+	kind  effectKind
+	task  Task   // if dispatched or claimed
+	claim string // if preempted: the claim for which it must stop
+	at    time.Time
 }
 
 type effectKind int
@@ -149,17 +150,16 @@
 	t.effects[id] = effect{kind: kind, task: task, at: now}
 }
 
-// end masks the task until a report lacks it. The mask is kept even if the task
+// freed masks the task until a report lacks it. The mask is kept even if the task
 // was never reported: a report sent while it ran may still be on its way.
-func (t *target) end(id string, kind effectKind, now time.Time) {
-	t.effects[id] = effect{kind: kind, at: now}
+func (t *target) freed(id string, now time.Time) {
+	t.effects[id] = effect{kind: freed, at: now}
 }
 
-// free returns the free slots with the effects applied. Claims use the slots of
-// preempted work first; what that work frees beyond the claims is not free before
-// its end.
+// free returns the free slots with the effects applied. Until its victims have
+// ended, a claim uses their slots; what they have beyond the claim is not free.
 func (t *target) free(now time.Time) int {
-	n, claims, stopping := t.last.Free, 0, 0
+	n := t.last.Free
 	for id, e := range t.effects {
 		if now.Sub(e.at) > EffectExpiry {
 			continue
@@ -168,18 +168,26 @@
 		switch {
 		case e.kind == freed && listed:
 			n += r.task.Slots
-		case e.kind == preempted && listed:
-			stopping += r.task.Slots
 		case e.kind == dispatched && !listed:
 			n -= e.task.Slots
 		case e.kind == claimed && !listed:
-			claims += e.task.Slots
+			n -= max(e.task.Slots-t.stopping(id, now), 0)
 		}
 	}
-	n -= max(claims-stopping, 0)
 	return min(max(n, 0), t.last.Slots)
 }
 
+// stopping returns the slots of work that is being stopped for the claim.
+func (t *target) stopping(claim string, now time.Time) int {
+	n := 0
+	for id, e := range t.effects {
+		if e.kind == preempted && e.claim == claim && now.Sub(e.at) <= EffectExpiry {
+			n += t.tasks[id].task.Slots
+		}
+	}
+	return n
+}
+
 func (t *target) snapshot(now time.Time) Target {
 	if t.sorted == nil {
 		t.sorted = make([]Result, 0, len(t.results))
--- a/state/targets/view.go
+++ b/state/targets/view.go
@@ -98,17 +98,19 @@
 // Freed records that the attempt has ended on the target, so that its slots
 // count as free.
 func (v *View) Freed(name, job string, number uint32, now time.Time) {
-	v.withTarget(name, func(t *target) { t.end(ID(job, number), freed, now) })
+	v.withTarget(name, func(t *target) { t.freed(ID(job, number), now) })
 }
 
-// Preempted records that the entry has asked the target to stop the attempt. It is
-// no longer a task, so that it is not chosen again, but its slots are free only
-// once it has ended: call Claimed for the claim, and Freed when the end is known.
-func (v *View) Preempted(name, job string, number uint32, now time.Time) {
-	v.withTarget(name, func(t *target) { t.end(ID(job, number), preempted, now) })
+// Preempted records that the entry has asked the target to stop the attempt for the
+// claim of the given ID. The attempt is no longer a task, so that it is not chosen
+// again, but its slots are free only once it has ended: call Claimed for the claim,
+// and Freed when the end is known.
+func (v *View) Preempted(name, job string, number uint32, claim string, now time.Time) {
+	v.withTarget(name, func(t *target) { t.effects[ID(job, number)] = effect{kind: preempted, claim: claim, at: now} })
 }
 
-// Claimed is like Dispatched for a task that waits for slots of preempted work.
+// Claimed is like Dispatched for a task that waits for the slots of work preempted
+// for it. Slots that it needs beyond those are taken at once.
 func (v *View) Claimed(name string, task Task, now time.Time) {
 	v.withTarget(name, func(t *target) { t.dispatched(task, claimed, now) })
 }
--- a/state/targets/view_test.go
+++ b/state/targets/view_test.go
@@ -102,10 +102,13 @@
 	qt.Assert(t, v.Tasks(at(5))[0].Run, qt.Equals, time.Second)
 
 	// The slots of a victim are for the claim, and free for others only after its end.
-	v.Preempted("t1", "a", 1, at(5))
+	v.Preempted("t1", "a", 1, "claim/0", at(5))
 	v.Claimed("t1", Task{Job: "claim", Slots: 1}, at(5))
 	qt.Assert(t, free(at(5)), qt.Equals, 6)
 	qt.Assert(t, v.Tasks(at(5)), qt.HasLen, 1)
+	v.Claimed("t1", Task{Job: "other", Slots: 1}, at(5)) // its victims have ended
+	qt.Assert(t, free(at(5)), qt.Equals, 5)
+	v.Freed("t1", "other", 0, at(5))
 	v.Apply(delta(4, 3, 6), at(6)) // the victim is still being stopped
 	qt.Assert(t, free(at(6)), qt.Equals, 6)
 	v.Apply(delta(5, 4, 8, "a/1"), at(8))
@@ -147,7 +150,7 @@
 			case 2:
 				v.Freed("t1", job, 0, now)
 			case 3:
-				v.Preempted("t1", job, 0, now)
+				v.Preempted("t1", job, 0, "c/0", now)
 			case 4:
 				v.Claimed("t1", task, now)
 			}
