Release the queue's lock while an item is offered

Change: Scan holds a lock of its own against other scans and gives up the queue's lock during each visit; items removed meanwhile are not offered or taken. Ruled out: copying the queues for each scan, which costs a copy of up to a thousand items per workspace on every pass. Measured: go test -race passes, with a test that cancels and requeues items during a scan. Conclusion: Scan can be called with a visitor that uses the queue.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -73,6 +73,28 @@
 	}
 }
 
+// Guards against a deadlock or a second start if the queue changes while an item is
+// offered: a cancellation, or preempted work that comes back.
+func TestScanWithChanges(t *testing.T) {
+	q := NewQueue(config(100, 8, 8))
+	q.Push(item("other", "w1", operator.ClassLong), start)
+	for _, id := range []string{"l1", "l2", "l3"} {
+		q.Push(item(id, "w0", operator.ClassLong), start)
+	}
+	q.Push(item("f1", "w0", operator.ClassFill), start)
+	visit := func(it Item) Decision {
+		q.Remove("other") // next in turn when l1 is offered
+		if it.ID == "l2" {
+			q.Remove("l2")
+			q.PushFront(item("back", "w0", operator.ClassLong))
+		}
+		return Take
+	}
+	qt.Assert(t, order(q, visit), qt.Equals, "l1 l2 f1")
+	qt.Assert(t, order(q, visit), qt.Equals, "back l3")
+	qt.Assert(t, q.Len(""), qt.Equals, 0)
+}
+
 // Guards against queues that grow without bound, against long work that shuts out
 // short work, and against refusals without a usable retry time.
 func TestPushRefuses(t *testing.T) {
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -38,6 +38,7 @@
 
 // Queue holds waiting requests by workspace.
 type Queue struct {
+	scan   sync.Mutex // held during a scan, so that no item is offered twice at once
 	mu     sync.Mutex
 	spaces []*space // by name
 	vtime  float64  // start tag of the last item taken
@@ -176,9 +177,12 @@
 }
 
 // Scan offers items in fair order until visit stops it or all have been offered.
-// Items that are not taken keep their place and cost nothing. visit must not call
-// methods of q.
+// Items that are not taken keep their place and cost nothing. visit may call the
+// other methods of q, but not Scan. If an item is removed just before or while it is
+// offered, it is not taken, and the rest of its class is skipped in this scan.
 func (q *Queue) Scan(now time.Time, visit func(Item) Decision) {
+	q.scan.Lock()
+	defer q.scan.Unlock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	cursors := make([]cursor, 0, len(q.spaces))
@@ -198,12 +202,23 @@
 			return
 		}
 		c := &cursors[best]
-		elem, it := c.elem, c.elem.Value.(Item)
-		class := c.class
+		elem, it, class := c.elem, c.elem.Value.(Item), c.class
+		p := q.index[it.ID]
+		if p == nil || p.elem != elem { // removed during the visit of another item
+			c.skipClass()
+			continue
+		}
 		// Skipped items count in this scan only, so that each workspace gets its
 		// share of the offers.
 		c.tag += max(it.Cost, minCost) / c.space.weight
-		switch visit(it) {
+		q.mu.Unlock()
+		decision := visit(it)
+		q.mu.Lock()
+		if decision != Stop && q.index[it.ID] != p {
+			c.skipClass() // the element has no successor any more
+			continue
+		}
+		switch decision {
 		case Take:
 			c.next()
 			q.take(c.space, class, elem, now)
