Take the queue's lock again after a visitor's panic

Cause: a panic in a visitor left Scan with its lock released, so that the deferred unlock stopped the process with a fatal error that hid the panic. Change: the visitor is called by a function that takes the lock again by defer. Ruled out: recovering the panic in Scan, which is the caller's to handle. Measured: go test -race of the package passes; the panic itself has no test. Conclusion: no change of behaviour for visitors that return.

--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -211,9 +211,7 @@
 		// Skipped items count in this scan only, so that each workspace gets its
 		// share of the offers.
 		c.tag += max(it.Cost, minCost) / c.space.weight
-		q.mu.Unlock()
-		decision := visit(it)
-		q.mu.Lock()
+		decision := q.offer(it, visit)
 		if decision != Stop && q.index[it.ID] != p {
 			c.skipClass() // the element has no successor any more
 			continue
@@ -234,6 +232,13 @@
 	}
 }
 
+// offer calls visit without the lock of q.
+func (q *Queue) offer(it Item, visit func(Item) Decision) Decision {
+	q.mu.Unlock()
+	defer q.mu.Lock()
+	return visit(it)
+}
+
 func (q *Queue) take(s *space, class int, elem *list.Element, now time.Time) {
 	it := s.lists[class].Remove(elem).(Item)
 	delete(q.index, it.ID)
