--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -106,6 +106,7 @@
 	}
 	sp := w.run.spec
 	if target, ok := ps.probe(sp); ok {
+		w.probe = true
 		ps.grant(w, placement.Placement{{Target: target, Slots: sp.shape.Accelerators()}}, nil)
 		return admission.Take
 	}
@@ -173,7 +174,7 @@
 // grant gives the waiter its place, or starts the reclaim that makes it free.
 func (ps *pass) grant(w *waiter, pl placement.Placement, v *guarantee.Victims) {
 	sp := w.run.spec
-	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape)}
+	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape), probe: w.probe}
 	ps.site.Take(pl)
 	members := grouped(pl)
 	useLane := sp.class == operator.ClassShort || v != nil
@@ -194,7 +195,11 @@
 			Slots: m.slots, Lent: where.lent, Members: len(members),
 			Hub: targets.Hub{Target: hub.Name, Address: hub.Address, Incarnation: hub.Incarnation},
 		}
-		ps.p.view.Dispatched(m.target, task, ps.now)
+		if v == nil {
+			ps.p.view.Dispatched(m.target, task, ps.now)
+		} else {
+			ps.p.view.Claimed(m.target, task, ps.now)
+		}
 		ps.ledger.Add(task)
 	}
 	ps.p.takeWaiter(w.run.job.ID())
@@ -205,28 +210,20 @@
 	ps.p.startReclaim(w, where, *v)
 }
 
-// reclaim preempts the victims and gives the waiter their place.
+// reclaim preempts the victims and gives the waiter their place. The pass goes on
+// with a new look at the targets, in which the slots of the victims are neither
+// free nor available to another claim.
 func (ps *pass) reclaim(w *waiter, v guarantee.Victims) {
+	claim := targets.ID(w.run.job.ID(), w.number)
 	for _, h := range v.ByHub {
 		for _, a := range h.Attempts {
 			for _, t := range ps.tasks {
 				if t.Job == a.Job && t.Number == a.Number {
-					ps.p.view.Preempted(t.Target, t.Job, t.Number, ps.now)
-					ps.site.Give(placement.Placement{{Target: t.Target, Slots: t.Slots}})
+					ps.p.view.Preempted(t.Target, t.Job, t.Number, claim, ps.now)
 				}
 			}
 		}
 	}
-	for i := range v.ByHub {
-		// Targets name the hub of gangs only. A single task's hub is its target.
-		if h := &v.ByHub[i].Hub; h.Address == "" {
-			t := ps.live[h.Target]
-			h.Address, h.Incarnation = t.Address, t.Incarnation
-		}
-	}
 	ps.grant(w, v.Placement, &v)
-	// The victims are gone from the books: later claims of this pass must not
-	// count on them.
-	ps.tasks = ps.p.view.Tasks(ps.now)
-	ps.ledger = guarantee.NewLedger(ps.p.s.peers.Config.Current().Config, ps.tasks)
+	*ps = *ps.p.newPass(ps.now)
 }
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -30,6 +30,7 @@
 	number  uint32
 	members []member // the hub first
 	lent    bool
+	probe   bool // the target is on probation
 }
 
 // member is the part of a gang on one target.
@@ -55,6 +56,7 @@
 	number uint32
 	avoid  []string
 	front  bool // it was admitted before
+	probe  bool // it probes a target on probation
 
 	since   time.Time
 	granted chan place
@@ -271,33 +273,38 @@
 			p.health.JobEnded(r.job.ID())
 		}
 		if len(where.members) == 1 {
-			p.observeEnd(where.members[0].target, req, o, now)
+			p.observeEnd(where, where.members[0].target, req, o, now)
 		}
 	case notRunResult:
 		if res.code == targetrpc.RefusalCode_REFUSAL_WORKER {
-			p.observeEnd(res.target, req, health.Failed, now)
+			p.observeEnd(where, res.target, req, health.Failed, now)
 		} else {
-			p.endProbes(where)
+			p.abandonProbe(where)
 		}
 	case lostResult, supersededResult:
-		p.endProbes(where)
+		p.abandonProbe(where)
 	}
 	p.kick()
 }
 
 // observeEnd counts the end of a task on a target.
-func (p *planner) observeEnd(target string, req Request, o health.Outcome, now time.Time) {
+func (p *planner) observeEnd(where place, target string, req Request, o health.Outcome, now time.Time) {
 	before := p.health.State(target, now)
-	p.health.Observe(target, req.Workspace, req.Kind, o, now)
+	if where.probe {
+		p.health.ProbeEnded(target, req.Workspace, req.Kind, o, now)
+	} else {
+		p.health.Observe(target, req.Workspace, req.Kind, o, now)
+	}
 	after := p.health.State(target, now)
 	if before != after && (before == health.Healthy || after == health.Healthy) {
 		p.s.log.Warn().Int("Event", EventTargetProbation).Str("Target", target).Str("Health", healthName(after)).Send()
 	}
 }
 
-func (p *planner) endProbes(where place) {
-	for _, m := range where.members {
-		p.health.EndProbe(m.target)
+// abandonProbe frees the place of a probe that says nothing about its target.
+func (p *planner) abandonProbe(where place) {
+	if where.probe {
+		p.health.ProbeAbandoned(where.members[0].target)
 	}
 }
 
--- a/state/targets/view_test.go
+++ b/state/targets/view_test.go
@@ -101,13 +101,19 @@
 	qt.Assert(t, free(at(4)), qt.Equals, 6)
 	qt.Assert(t, v.Tasks(at(5))[0].Run, qt.Equals, time.Second)
 
-	v.Preempted("t1", "a", 1, at(5))
-	qt.Assert(t, free(at(5)), qt.Equals, 8)
-	qt.Assert(t, v.Tasks(at(5)), qt.HasLen, 0)
+	// The slots of a victim are for the claim, and free for others only after its end.
+	v.Preempted("t1", "a", 1, "claim/0", at(5))
+	v.Claimed("t1", Task{Job: "claim", Slots: 1}, at(5))
+	qt.Assert(t, free(at(5)), qt.Equals, 6)
+	qt.Assert(t, v.Tasks(at(5)), qt.HasLen, 1)
+	v.Claimed("t1", Task{Job: "other", Slots: 1}, at(5)) // its victims have ended
+	qt.Assert(t, free(at(5)), qt.Equals, 5)
+	v.Freed("t1", "other", 0, at(5))
 	v.Apply(delta(4, 3, 6), at(6)) // the victim is still being stopped
-	qt.Assert(t, free(at(6)), qt.Equals, 8)
+	qt.Assert(t, free(at(6)), qt.Equals, 6)
 	v.Apply(delta(5, 4, 8, "a/1"), at(8))
-	qt.Assert(t, free(at(8)), qt.Equals, 8)
+	qt.Assert(t, free(at(8)), qt.Equals, 7)
+	v.Freed("t1", "claim", 0, at(8))
 
 	// An effect that the target never reports does not hold slots for good.
 	v.Dispatched("t1", Task{Job: "b", Slots: 8}, at(8))
@@ -135,7 +141,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			job := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "job")
 			task := Task{Job: job, Slots: rapid.IntRange(1, 8).Draw(t, "slots")}
-			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
 			case 0:
 				seq++
 				v.Apply(full(seq, 8-task.Slots, task), now)
@@ -144,7 +150,9 @@
 			case 2:
 				v.Freed("t1", job, 0, now)
 			case 3:
-				v.Preempted("t1", job, 0, now)
+				v.Preempted("t1", job, 0, "c/0", now)
+			case 4:
+				v.Claimed("t1", task, now)
 			}
 			for _, x := range v.Live(now) {
 				if x.Free < 0 || x.Free > x.Slots {
