--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -111,8 +111,11 @@
 	return out
 }
 
-// lost notes that an attempt may have run.
+// lost notes that an attempt may have run. The next write of the row records it;
+// until then the row names that attempt, and a later owner asks its hub.
 func (r *run) lost() {
+	r.rowMu.Lock()
+	defer r.rowMu.Unlock()
 	record := r.job.Record()
 	record.MayHaveRun = true
 	r.job.Update(record)
@@ -139,6 +142,7 @@
 		switch res := res.(type) {
 		case ranResult:
 			if exclude, again := r.tryElsewhere(ctx, res, where); again {
+				r.lost() // A later owner of the job must not report it as not run.
 				r.failedAnswer = &outcome.Ran{Answer: res.answer, Elapsed: res.elapsed}
 				avoid = exclude
 				front = true
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -45,8 +45,7 @@
 	cancels *cancelBatcher
 	janitor *janitor
 
-	draining atomic.Bool
-	accepted sync.WaitGroup // requests that callers wait for
+	requests requests // that callers wait for
 	// recording counts the ended jobs whose rows are not written yet.
 	recording atomic.Int64
 	leaving   chan struct{} // closed shortly before the end of the drain time
@@ -121,46 +120,6 @@
 	s.tasks.Wait()
 }
 
-// leaveMargin is the part of the drain time in which callers that still wait get
-// their answers.
-const leaveMargin = 5 * time.Second
-
-// drainPoll is how often a drain looks whether the ends of jobs are recorded.
-const drainPoll = 10 * time.Millisecond
-
-// Drain stops accepting requests and waits until every request that a caller
-// waits for is answered. Shortly before the deadline of ctx, callers that still
-// wait are answered with what is known: a recorded job goes on at another entry and
-// can be looked up, an unrecorded one is canceled. Recorded jobs that nobody waits
-// for are left to the other entries. At last it waits for the rows of the jobs that
-// have ended: without them the answers would be lost with the targets that hold
-// them.
-func (s *Scheduler) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	if end, ok := ctx.Deadline(); ok {
-		t := time.AfterFunc(max(time.Until(end)-leaveMargin, 1), func() {
-			s.leave.Do(func() { close(s.leaving) })
-		})
-		defer t.Stop()
-	}
-	done := make(chan struct{})
-	s.tasks.Go(func() {
-		s.accepted.Wait()
-		close(done)
-	})
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return fmt.Errorf("drain: %w", ctx.Err())
-	}
-	for s.recording.Load() > 0 {
-		if !sleep(ctx, drainPoll) {
-			return fmt.Errorf("drain: ends of %d jobs not recorded: %w", s.recording.Load(), ctx.Err())
-		}
-	}
-	return nil
-}
-
 // start runs a job in the background.
 func (s *Scheduler) start(r *run) {
 	s.background(r.execute)
