Plan without looking at the ended effects of each target

Cause: each short request leaves an effect at its target until the next report (2 s), so at 5,000 requests a second there are thousands, and every planning pass looked at all of them twice.

Change: the view keeps the IDs of the dispatched effects apart and looks up the ended ones by the listed tasks, of which a target has no more than slots.

--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -20,6 +20,7 @@
 	sorted     []Result // nil after a change of results
 	use        []Use    // sums of tasks; nil after a change of tasks
 	effects    map[string]effect
+	sent       map[string]struct{} // IDs of the effects that have not ended
 	superseded []uint64 // former incarnations, the newest last
 }
 
@@ -41,6 +42,7 @@
 		tasks:   make(map[string]reported),
 		results: make(map[[2]string]Result),
 		effects: make(map[string]effect),
+		sent:    make(map[string]struct{}),
 	}
 }
 
@@ -117,7 +119,7 @@
 		_, listed := t.tasks[id]
 		// A dispatched task that the report names as ended was confirmed too.
 		if listed != e.ended || !e.ended && slices.Contains(r.Removed, id) {
-			delete(t.effects, id)
+			t.drop(id)
 		}
 	}
 }
@@ -125,7 +127,7 @@
 func (t *target) expire(now time.Time) {
 	for id, e := range t.effects {
 		if now.Sub(e.at) > EffectExpiry {
-			delete(t.effects, id)
+			t.drop(id)
 		}
 	}
 }
@@ -135,6 +137,7 @@
 	if _, ok := t.tasks[id]; ok {
 		return
 	}
+	t.sent[id] = struct{}{}
 	if e, ok := t.effects[id]; ok && !e.ended {
 		task.Slots += e.task.Slots
 	}
@@ -146,26 +149,45 @@
 // was never reported: a report sent while it ran may still be on its way.
 func (t *target) freed(id string, now time.Time) {
 	t.effects[id] = effect{ended: true, at: now}
+	delete(t.sent, id)
+}
+
+// drop removes an effect.
+func (t *target) drop(id string) {
+	delete(t.effects, id)
+	delete(t.sent, id)
 }
 
 // free returns the free slots with the effects applied.
 func (t *target) free(now time.Time) int {
 	n := t.last.Free
-	for id, e := range t.effects {
-		if now.Sub(e.at) > EffectExpiry {
-			continue
-		}
-		r, listed := t.tasks[id]
-		switch {
-		case e.ended && listed:
+	for id, r := range t.tasks {
+		if t.isMasked(id, now) {
 			n += r.task.Slots
-		case !e.ended && !listed:
-			n -= e.task.Slots
 		}
 	}
+	t.eachSent(now, func(e effect) { n -= e.task.Slots })
 	return min(max(n, 0), t.last.Slots)
 }
 
+// isMasked reports whether the entry knows that a listed task has ended.
+func (t *target) isMasked(id string, now time.Time) bool {
+	e, ok := t.effects[id]
+	return ok && e.ended && now.Sub(e.at) <= EffectExpiry
+}
+
+// eachSent calls f with the dispatched tasks that are not listed. It does not look
+// at the ended effects: each short request leaves one until the next report, so
+// there are thousands of them.
+func (t *target) eachSent(now time.Time, f func(effect)) {
+	for id := range t.sent {
+		e := t.effects[id]
+		if _, listed := t.tasks[id]; !listed && now.Sub(e.at) <= EffectExpiry {
+			f(e)
+		}
+	}
+}
+
 func (t *target) snapshot(now time.Time) Target {
 	if t.sorted == nil {
 		t.sorted = make([]Result, 0, len(t.results))
@@ -195,7 +217,7 @@
 
 func (t *target) appendTasks(out []Task, name string, now time.Time) []Task {
 	for id, r := range t.tasks {
-		if e, ok := t.effects[id]; ok && e.ended && now.Sub(e.at) <= EffectExpiry {
+		if t.isMasked(id, now) {
 			continue
 		}
 		if d := now.Sub(r.at); r.task.Released && d > 0 {
@@ -204,10 +226,7 @@
 		}
 		out = append(out, r.task)
 	}
-	for id, e := range t.effects {
-		if _, listed := t.tasks[id]; listed || e.ended || now.Sub(e.at) > EffectExpiry {
-			continue
-		}
+	t.eachSent(now, func(e effect) {
 		task := e.task
 		task.Target = name
 		if d := now.Sub(e.at); task.Released && d > 0 {
@@ -215,6 +234,6 @@
 			task.SinceCheckpoint += d
 		}
 		out = append(out, task)
-	}
+	})
 	return out
 }
--- a/state/targets/use.go
+++ b/state/targets/use.go
@@ -38,18 +38,12 @@
 	for _, u := range t.use {
 		f(u)
 	}
-	for id, e := range t.effects {
-		if now.Sub(e.at) > EffectExpiry {
-			continue
-		}
-		r, listed := t.tasks[id]
-		switch {
-		case e.ended && listed:
+	for id, r := range t.tasks {
+		if t.isMasked(id, now) {
 			f(Use{r.task.Workspace, r.task.Class, -r.task.Slots})
-		case !e.ended && !listed:
-			f(Use{e.task.Workspace, e.task.Class, e.task.Slots})
 		}
 	}
+	t.eachSent(now, func(e effect) { f(Use{e.task.Workspace, e.task.Class, e.task.Slots}) })
 }
 
 // sumUse adds up the reported tasks. The result is kept until they change.
