--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -21,7 +21,7 @@
 	use        []Use    // sums of tasks; nil after a change of tasks
 	effects    map[string]effect
 	sent       map[string]struct{} // IDs of the effects that have not ended
-	superseded []uint64 // former incarnations, the newest last
+	superseded []uint64            // former incarnations, the newest last
 }
 
 // reported is a task as of the time of its report.
@@ -161,11 +161,7 @@
 // free returns the free slots with the effects applied.
 func (t *target) free(now time.Time) int {
 	n := t.last.Free
-	for id, r := range t.tasks {
-		if t.isMasked(id, now) {
-			n += r.task.Slots
-		}
-	}
+	t.eachMasked(now, func(task Task) { n += task.Slots })
 	t.eachSent(now, func(e effect) { n -= e.task.Slots })
 	return min(max(n, 0), t.last.Slots)
 }
@@ -176,9 +172,26 @@
 	return ok && e.ended && now.Sub(e.at) <= EffectExpiry
 }
 
-// eachSent calls f with the dispatched tasks that are not listed. It does not look
-// at the ended effects: each short request leaves one until the next report, so
-// there are thousands of them.
+// eachMasked calls f with the listed tasks that the entry knows to have ended. It
+// walks over the shorter one of the two lists: each short request leaves an ended
+// effect until the next report, so there can be thousands of them.
+func (t *target) eachMasked(now time.Time, f func(Task)) {
+	if len(t.effects)-len(t.sent) < len(t.tasks) {
+		for id, e := range t.effects {
+			if r, listed := t.tasks[id]; e.ended && listed && now.Sub(e.at) <= EffectExpiry {
+				f(r.task)
+			}
+		}
+		return
+	}
+	for id, r := range t.tasks {
+		if t.isMasked(id, now) {
+			f(r.task)
+		}
+	}
+}
+
+// eachSent calls f with the dispatched tasks that are not listed.
 func (t *target) eachSent(now time.Time, f func(effect)) {
 	for id := range t.sent {
 		e := t.effects[id]
--- a/state/targets/use.go
+++ b/state/targets/use.go
@@ -38,11 +38,7 @@
 	for _, u := range t.use {
 		f(u)
 	}
-	for id, r := range t.tasks {
-		if t.isMasked(id, now) {
-			f(Use{r.task.Workspace, r.task.Class, -r.task.Slots})
-		}
-	}
+	t.eachMasked(now, func(task Task) { f(Use{task.Workspace, task.Class, -task.Slots}) })
 	t.eachSent(now, func(e effect) { f(Use{e.task.Workspace, e.task.Class, e.task.Slots}) })
 }
 
