--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -18,8 +18,10 @@
 	tasks      map[string]reported
 	results    map[[2]string]Result
 	sorted     []Result // nil after a change of results
+	use        []Use    // sums of tasks; nil after a change of tasks
 	effects    map[string]effect
-	superseded []uint64 // former incarnations, the newest last
+	sent       map[string]struct{} // IDs of the effects that have not ended
+	superseded []uint64            // former incarnations, the newest last
 }
 
 // reported is a task as of the time of its report.
@@ -52,6 +54,7 @@
 		tasks:   make(map[string]reported),
 		results: make(map[[2]string]Result),
 		effects: make(map[string]effect),
+		sent:    make(map[string]struct{}),
 	}
 }
 
@@ -115,6 +118,9 @@
 	if len(r.Results) > 0 || r.Base == 0 {
 		t.sorted = nil
 	}
+	if len(r.Removed) > 0 || len(r.Tasks) > 0 || r.Base == 0 {
+		t.use = nil
+	}
 	t.listed = r.Sequence
 	t.confirm(r)
 }
@@ -125,7 +131,7 @@
 		_, listed := t.tasks[id]
 		// A dispatched task that the report names as ended was confirmed too.
 		if listed != e.kind.ended() || !e.kind.ended() && slices.Contains(r.Removed, id) {
-			delete(t.effects, id)
+			t.drop(id)
 		}
 	}
 }
@@ -133,7 +139,7 @@
 func (t *target) expire(now time.Time) {
 	for id, e := range t.effects {
 		if now.Sub(e.at) > EffectExpiry {
-			delete(t.effects, id)
+			t.drop(id)
 		}
 	}
 }
@@ -143,6 +149,7 @@
 	if _, ok := t.tasks[id]; ok {
 		return
 	}
+	t.sent[id] = struct{}{}
 	if e, ok := t.effects[id]; ok && !e.kind.ended() {
 		task.Slots += e.task.Slots
 	}
@@ -154,29 +161,77 @@
 // was never reported: a report sent while it ran may still be on its way.
 func (t *target) freed(id string, now time.Time) {
 	t.effects[id] = effect{kind: freed, at: now}
+	delete(t.sent, id)
+}
+
+// preempted masks the task until a report lacks it, for the claim of that ID.
+func (t *target) preempted(id, claim string, now time.Time) {
+	t.effects[id] = effect{kind: preempted, claim: claim, at: now}
+	delete(t.sent, id)
+}
+
+// drop removes an effect.
+func (t *target) drop(id string) {
+	delete(t.effects, id)
+	delete(t.sent, id)
 }
 
 // free returns the free slots with the effects applied. Until its victims have
 // ended, a claim uses their slots; what they have beyond the claim is not free.
 func (t *target) free(now time.Time) int {
 	n := t.last.Free
-	for id, e := range t.effects {
-		if now.Sub(e.at) > EffectExpiry {
-			continue
+	t.eachMasked(now, func(task Task, e effect) {
+		if e.kind == freed {
+			n += task.Slots
 		}
-		r, listed := t.tasks[id]
-		switch {
-		case e.kind == freed && listed:
-			n += r.task.Slots
-		case e.kind == dispatched && !listed:
-			n -= e.task.Slots
-		case e.kind == claimed && !listed:
+	})
+	t.eachSent(now, func(id string, e effect) {
+		if e.kind == claimed {
 			n -= max(e.task.Slots-t.stopping(id, now), 0)
+		} else {
+			n -= e.task.Slots
 		}
-	}
+	})
 	return min(max(n, 0), t.last.Slots)
 }
 
+// isMasked reports whether the entry knows that a listed task has ended or is
+// being stopped.
+func (t *target) isMasked(id string, now time.Time) bool {
+	e, ok := t.effects[id]
+	return ok && e.kind.ended() && now.Sub(e.at) <= EffectExpiry
+}
+
+// eachMasked calls f with the listed tasks that the entry knows to have ended or
+// to be stopped. It walks over the shorter one of the two lists: each short request
+// leaves an ended effect until the next report, so there can be thousands of them.
+func (t *target) eachMasked(now time.Time, f func(Task, effect)) {
+	if len(t.effects)-len(t.sent) < len(t.tasks) {
+		for id, e := range t.effects {
+			if r, listed := t.tasks[id]; listed && t.isMasked(id, now) {
+				f(r.task, e)
+			}
+		}
+		return
+	}
+	for id, r := range t.tasks {
+		if t.isMasked(id, now) {
+			f(r.task, t.effects[id])
+		}
+	}
+}
+
+// eachSent calls f with the attempts and effects of the dispatched tasks that are
+// not listed.
+func (t *target) eachSent(now time.Time, f func(string, effect)) {
+	for id := range t.sent {
+		e := t.effects[id]
+		if _, listed := t.tasks[id]; !listed && now.Sub(e.at) <= EffectExpiry {
+			f(id, e)
+		}
+	}
+}
+
 // stopping returns the slots of work that is being stopped for the claim.
 func (t *target) stopping(claim string, now time.Time) int {
 	n := 0
@@ -217,7 +272,7 @@
 
 func (t *target) appendTasks(out []Task, name string, now time.Time) []Task {
 	for id, r := range t.tasks {
-		if e, ok := t.effects[id]; ok && e.kind.ended() && now.Sub(e.at) <= EffectExpiry {
+		if t.isMasked(id, now) {
 			continue
 		}
 		if d := now.Sub(r.at); r.task.Released && d > 0 {
@@ -226,10 +281,7 @@
 		}
 		out = append(out, r.task)
 	}
-	for id, e := range t.effects {
-		if _, listed := t.tasks[id]; listed || e.kind.ended() || now.Sub(e.at) > EffectExpiry {
-			continue
-		}
+	t.eachSent(now, func(_ string, e effect) {
 		task := e.task
 		task.Target = name
 		if d := now.Sub(e.at); task.Released && d > 0 {
@@ -237,6 +289,6 @@
 			task.SinceCheckpoint += d
 		}
 		out = append(out, task)
-	}
+	})
 	return out
 }
--- a/state/targets/view.go
+++ b/state/targets/view.go
@@ -106,7 +106,7 @@
 // again, but its slots are free only once it has ended: call Claimed for the claim,
 // and Freed when the end is known.
 func (v *View) Preempted(name, job string, number uint32, claim string, now time.Time) {
-	v.withTarget(name, func(t *target) { t.effects[ID(job, number)] = effect{kind: preempted, claim: claim, at: now} })
+	v.withTarget(name, func(t *target) { t.preempted(ID(job, number), claim, now) })
 }
 
 // Claimed is like Dispatched for a task that waits for the slots of work preempted
