Trust a refusal of an old attempt only as long as its target remembers it

Cause: an entry that takes a job over asks the hub to fence the former owner's attempt. A target that had run the attempt and dropped its record at the end of the retention refused it as unknown, which counted as a proof that it had not run.

Change: the refusal of an inherited attempt counts only if the job was created less than 5 minutes ago by the reader's clock; otherwise the attempt may have run. The owner of an attempt that runs at most once stops asking 1 minute before the retention ends.

A number per session in the row and in Fence would prove it without clocks, and needs a change of the protocol; the rule now depends on clocks that differ by less than 5 minutes.

Measured: TestKeyAfterRetention/Start-after and /worker-launch-after: two executions before, one after.

--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -32,6 +32,11 @@
 	lostAfter = 15 * time.Second
 	// resultRetention is how long a target keeps the result of an attempt.
 	resultRetention = 10 * time.Minute
+	// proofAge is the age of a job up to which a target's refusal of an attempt of
+	// a former owner proves that the attempt did not run. Later the target may
+	// have run and forgotten it. Half of the retention leaves room for clocks that
+	// differ by minutes: it is the only use of a row's time for a decision.
+	proofAge = resultRetention / 2
 )
 
 // attempt is one try to run a job at a place.
@@ -56,7 +61,11 @@
 
 // resume settles an attempt that a former owner of the job may have sent.
 func (a *attempt) resume(ctx context.Context, record rows.Job) result {
-	return a.fence(ctx, Session{Target: record.Hub, Address: record.HubAddress, Incarnation: record.HubIncarnation})
+	res := a.fence(ctx, Session{Target: record.Hub, Address: record.HubAddress, Incarnation: record.HubIncarnation})
+	if _, ok := res.(notRunResult); ok && time.Since(time.UnixMilli(record.Created)).Abs() > proofAge {
+		return lostResult{detail: "target " + record.Hub + " may have forgotten the attempt"}
+	}
+	return res
 }
 
 func (a *attempt) hub() member { return a.place.members[0] }
@@ -192,7 +201,8 @@
 // running.
 func (a *attempt) reachLimit() time.Duration {
 	if !a.spec.idempotent {
-		return resultRetention
+		// The last question must arrive before the target forgets the attempt.
+		return resultRetention - time.Minute
 	}
 	if !a.recorded && !a.spec.isGang() {
 		return fenceTimeout
--- a/state/rows/formats.go
+++ b/state/rows/formats.go
@@ -65,7 +65,7 @@
 	State   JobState
 	Request json.RawMessage // the caller's request
 	Digest  uint64          // of the request, to tell a reused key
-	Created int64           // Unix milliseconds, for listings only
+	Created int64           // Unix milliseconds; for listings, and to tell a young job from an old one
 
 	// The owner: the entry that makes attempts.
 	Entry            string
