Record the end of a job that was learned from its hub

Cause: a caller that sends a keyed request again through another entry gets the answer from the hub. Its row went on naming the dead owner and its attempt for good, so that after the target's retention the answer was lost.

Change: an entry that has learned the answer from the hub watches the row, and takes the job over once its owner is known to have ended.

Ruled out: writing the end at once would take the row from an owner that lives and has a queue row to remove with it.

--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -114,6 +114,7 @@
 		return rows.Job{}, false
 	}
 	if ran, ok := resultOf(reply, record.Hub).(ranResult); ok {
+		f.s.background(func(ctx context.Context) { f.s.settle(ctx, f.workspace, f.key, record.Token) })
 		return finalRecord(record, outcome.Ran{Answer: ran.answer, Elapsed: ran.elapsed}), true
 	}
 	if reply.GetState() != targetrpc.AttemptState_ATTEMPT_RUNNING && time.Since(f.since) >= dispatchDoubt {
@@ -122,6 +123,28 @@
 	return rows.Job{}, false
 }
 
+// settlePeriod is how often a job is looked at whose owner may have ended before
+// it wrote the job's end.
+const settlePeriod = 3 * time.Second
+
+// settle waits until the row of a job that has ended changes, and takes the job
+// over if its owner has ended, so that the answer is recorded before its target
+// forgets it.
+func (s *Scheduler) settle(ctx context.Context, workspace, key, token string) {
+	ctx, cancel := context.WithTimeout(ctx, resultRetention)
+	defer cancel()
+	for sleep(ctx, settlePeriod) {
+		record, err := s.rec.read(ctx, workspace, key)
+		switch {
+		case errors.Is(err, rows.ErrNotFound), err == nil && (record.Token != token || record.Final()):
+			return
+		case err == nil && s.peers.Members.Silent(record.Entry, record.EntryIncarnation):
+			s.takeOver(ctx, workspace, key, record)
+			return
+		}
+	}
+}
+
 // takeOver makes this entry the owner of a recorded job, if the row still holds
 // the given record, and goes on with it. It returns the local job, or nil if
 // another entry was faster or the store is out.
