Wait for the records of ended jobs in a graceful shutdown

Cause: the end of a recorded job is written in the background after its callers have their answer. A graceful shutdown waited for the callers only and then canceled the write; the row stayed in state Dispatched.

Change: the write counts as a request in progress, up to the drain time.

Ruled out: writing before the answer would hold callers up in an outage.

Measured: TestSingleFaults/keyed/Start-after/leave-entry and /row-dispatch-before/leave-entry left the row in state Dispatched; they pass.

--- a/coordination/scheduler/drain.go
+++ b/coordination/scheduler/drain.go
@@ -27,6 +27,18 @@
 	return true
 }
 
+// extend counts one more part of a request in progress, also while the entry
+// drains. It reports false if none is in progress any more.
+func (r *requests) extend() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining && r.n == 0 {
+		return false
+	}
+	r.n++
+	return true
+}
+
 func (r *requests) end() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -56,8 +68,8 @@
 }
 
 // Drain stops accepting requests and waits until every request that a caller
-// waits for has its outcome, or until ctx ends. Recorded jobs that nobody waits
-// for are left to the other entries.
+// waits for has its outcome and the ends of these jobs are recorded, or until ctx
+// ends. Recorded jobs that nobody waits for are left to the other entries.
 func (s *Scheduler) Drain(ctx context.Context) error {
 	select {
 	case <-s.requests.drain():
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -210,11 +210,16 @@
 	record := r.job.Record()
 	final := finalRecord(record, out)
 	r.s.meter.ended(r, out)
+	// A graceful shutdown waits for the record of the end, as for the callers.
+	counted := r.recorded && r.s.requests.extend()
 	r.job.End(final)
 	if !r.recorded {
 		return
 	}
 	r.s.background(func(ctx context.Context) {
+		if counted {
+			defer r.s.requests.end()
+		}
 		ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
 		defer cancel()
 		if err := r.recordEnd(ctx, final); err != nil {
