--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -198,7 +198,8 @@
 // running.
 func (a *attempt) reachLimit() time.Duration {
 	if !a.spec.idempotent {
-		return resultRetention
+		// The last question must arrive before the target forgets the attempt.
+		return resultRetention - time.Minute
 	}
 	if !a.recorded && !a.spec.isGang() {
 		return fenceTimeout
--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -115,6 +115,7 @@
 		return rows.Job{}, false
 	}
 	if ran, ok := resultOf(reply, record.Hub).(ranResult); ok {
+		f.s.background(func(ctx context.Context) { f.s.settle(ctx, f.workspace, f.key, record.Token) })
 		return finalRecord(record, outcome.Ran{Answer: ran.answer, Elapsed: ran.elapsed}), true
 	}
 	if reply.GetState() != targetrpc.AttemptState_ATTEMPT_RUNNING && time.Since(f.since) >= dispatchDoubt {
@@ -152,6 +153,28 @@
 	cancellation
 )
 
+// settlePeriod is how often a job is looked at whose owner may have ended before
+// it wrote the job's end.
+const settlePeriod = 3 * time.Second
+
+// settle waits until the row of a job that has ended changes, and takes the job
+// over if its owner has ended, so that the answer is recorded before its target
+// forgets it.
+func (s *Scheduler) settle(ctx context.Context, workspace, key, token string) {
+	ctx, cancel := context.WithTimeout(ctx, resultRetention)
+	defer cancel()
+	for sleep(ctx, settlePeriod) {
+		record, err := s.rec.read(ctx, workspace, key)
+		switch {
+		case errors.Is(err, rows.ErrNotFound), err == nil && (record.Token != token || record.Final()):
+			return
+		case err == nil && s.peers.Members.Silent(record.Entry, record.EntryIncarnation):
+			s.takeOver(ctx, workspace, key, record, abandonment)
+			return
+		}
+	}
+}
+
 // takeOver makes this entry the owner of a recorded job, if the row still holds
 // the given record, and goes on with it. It returns the local job, or nil if
 // another entry was faster or the store is out.
@@ -183,7 +206,7 @@
 		next = requeued(next)
 	}
 	next.Attached = why == abandonment && record.Attached
-	moves, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next)
+	moves, err := s.moveQueueRow(ctx, workspace, key, record.Entry, next.Token)
 	if err != nil {
 		return nil, err
 	}
@@ -222,19 +245,16 @@
 }
 
 // moveQueueRow returns the writes that take a job out of the queue of its former
-// owner and, unless it is attached to a caller, put it into this entry's.
-func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from string, next rows.Job) ([]rows.Write, error) {
+// owner and put it into this entry's.
+func (s *Scheduler) moveQueueRow(ctx context.Context, workspace, key, from, token string) ([]rows.Write, error) {
 	writes, err := s.rec.dequeue(ctx, from, workspace, key)
 	if err != nil {
 		return nil, err
 	}
-	if next.Attached {
-		return writes, nil
-	}
 	if from == s.set.Entry && len(writes) > 0 {
 		return nil, nil
 	}
-	enqueue, err := s.rec.enqueue(workspace, key, next.Token)
+	enqueue, err := s.rec.enqueue(workspace, key, token)
 	if err != nil {
 		return nil, err
 	}
--- a/coordination/scheduler/record.go
+++ b/coordination/scheduler/record.go
@@ -44,10 +44,9 @@
 	lastBackoff  = 2 * time.Second
 )
 
-// claim inserts the row of a new job and, unless it is attached to a caller, its
-// place in the entry's queue, from which another entry adopts it if this one dies.
-// It returns the row of the key's first claimant: mine is true if that is job
-// itself.
+// claim inserts the row of a new job and its place in the entry's queue, from
+// which another entry adopts it if this one dies. It returns the row of the key's
+// first claimant: mine is true if that is job itself.
 func (r *recorder) claim(ctx context.Context, workspace, key string, job rows.Job) (found rows.Job, mine bool, err error) {
 	insert, err := r.claimWrites(workspace, key, job)
 	if err != nil {
@@ -86,9 +85,6 @@
 		return nil, err
 	}
 	insert := rows.Insert(rows.TableJob, rows.JobKey(workspace, key), value)
-	if job.Attached {
-		return []rows.Write{insert}, nil
-	}
 	enqueue, err := r.enqueue(workspace, key, job.Token)
 	if err != nil {
 		return nil, err
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -36,7 +36,7 @@
 
 	rowMu    sync.Mutex // held during a write of the row
 	tokens   []string   // that the row may carry as far as this entry knows
-	detached bool       // another entry may adopt the job
+	detached bool       // another entry may make attempts if this one dies
 
 	// Set if another entry, or a former process of this entry, owned the job.
 	takenOver     bool
@@ -45,7 +45,7 @@
 }
 
 // change changes the record of the job, and its row if it has one.
-func (r *run) change(ctx context.Context, f func(rows.Job) rows.Job, extra ...rows.Write) error {
+func (r *run) change(ctx context.Context, f func(rows.Job) rows.Job) error {
 	r.rowMu.Lock()
 	defer r.rowMu.Unlock()
 	record := r.job.Record()
@@ -55,7 +55,7 @@
 	next := f(record)
 	next.Token = rows.NewToken()
 	if r.recorded {
-		if err := r.replaceLocked(ctx, next, extra...); err != nil {
+		if err := r.replaceLocked(ctx, next); err != nil {
 			return err
 		}
 	}
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -169,18 +169,15 @@
 // detachTimeout bounds the write that detaches a job. Its caller waits for it.
 const detachTimeout = 3 * time.Second
 
-// detach puts the job into the entry's queue, from which another entry adopts it if
-// this one dies. If the store can't record that, the job goes on here, and after a
-// death of this entry it is settled without new attempts.
+// detach allows another entry to go on with the job if this one dies. If the store
+// can't record that, the job goes on here, and after a death of this entry it is
+// settled without new attempts.
 func (r *run) detach(ctx context.Context) {
-	enqueue, err := r.s.rec.enqueue(r.job.Workspace(), r.job.Key(), rows.NewToken())
-	if err == nil {
-		err = r.change(ctx, func(record rows.Job) rows.Job {
-			record.Attached = false
-			r.detached = true // Even if the answer to the write is lost.
-			return record
-		}, enqueue)
-	}
+	err := r.change(ctx, func(record rows.Job) rows.Job {
+		record.Attached = false
+		r.detached = true // Even if the answer to the write is lost.
+		return record
+	})
 	if err != nil {
 		r.s.log.Warn().Int("Event", EventDetachFailed).Str("Job", r.job.ID()).Err(err).Send()
 	}
