--- a/bench/short_test.go
+++ b/bench/short_test.go
@@ -38,10 +38,10 @@
 	return nil
 }
 
-// direct sends tasks to a target without an entry.
+// direct sends tasks to the targets in turn, without an entry.
 type direct struct {
-	session *target.Session
-	count   atomic.Uint64
+	sessions []*target.Session
+	count    atomic.Uint64
 }
 
 func newDirect(b *testing.B, s *site) *direct {
@@ -52,20 +52,26 @@
 	b.Cleanup(func() { _ = pool.Close() })
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	session, err := pool.Session(ctx, s.targets[0])
-	if err != nil {
-		b.Fatal(err)
+	d := new(direct)
+	for _, address := range s.targets {
+		session, err := pool.Session(ctx, address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.sessions = append(d.sessions, session)
 	}
-	return &direct{session: session}
+	return d
 }
 
 // start runs one task like that of shortRequest.
 func (d *direct) start() error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	id := &targetrpc.AttemptID{Job: "direct-" + strconv.FormatUint(d.count.Add(1), 10), Number: 1}
-	reply, err := d.session.Client().Start(ctx, &targetrpc.StartRequest{
-		Session: d.session.ID(), Incarnation: d.session.Incarnation(), Attempt: id, WaitMillis: 1000, Generation: 1,
+	n := d.count.Add(1)
+	session := d.sessions[n%uint64(len(d.sessions))]
+	id := &targetrpc.AttemptID{Job: "direct-" + strconv.FormatUint(n, 10), Number: 1}
+	reply, err := session.Client().Start(ctx, &targetrpc.StartRequest{
+		Session: session.ID(), Incarnation: session.Incarnation(), Attempt: id, WaitMillis: 1000, Generation: 1,
 		Task: &targetrpc.Task{Workspace: "roller", Kind: "cut-check", Class: "short", Slots: 1, Payload: payload},
 	})
 	if err != nil {
@@ -107,24 +113,51 @@
 }
 
 // BenchmarkAddedTime measures the time that an entry adds to a short idempotent
-// request. Requests through the entry and direct calls to the only target
-// alternate, so that both meet the same state of the machine.
+// request. Each caller alternates requests through the entry and direct calls to a
+// target, so that both meet the same state of the machine.
 func BenchmarkAddedTime(b *testing.B) {
-	s := newSite(b, 1)
-	d := newDirect(b, s)
-	through, straight := newLatencies(), newLatencies()
-	for b.Loop() {
-		if err := straight.measure(d.start); err != nil {
-			b.Fatal(err)
-		}
-		if err := through.measure(func() error { return s.submit(shortRequest()) }); err != nil {
-			b.Fatal(err)
-		}
+	for _, callers := range []int{1, 4, 8} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			s := newSite(b, 6)
+			d := newDirect(b, s)
+			through, straight := newLatencies(), newLatencies()
+			b.ResetTimer()
+			failed := runCallers(callers, b.N, func() error {
+				return errors.Join(
+					straight.measure(d.start),
+					through.measure(func() error { return s.submit(shortRequest()) }),
+				)
+			})
+			if len(failed) > 0 {
+				b.Fatalf("%d calls failed, the first with %v", len(failed), failed[0])
+			}
+			straight.report(b, "direct-")
+			through.report(b, "entry-")
+			b.ReportMetric(through.micros(50)-straight.micros(50), "added-p50-µs")
+			b.ReportMetric(through.micros(99)-straight.micros(99), "added-p99-µs")
+		})
 	}
-	straight.report(b, "direct-")
-	through.report(b, "entry-")
-	b.ReportMetric(through.micros(50)-straight.micros(50), "added-p50-µs")
-	b.ReportMetric(through.micros(99)-straight.micros(99), "added-p99-µs")
+}
+
+// runCallers calls f n times from several goroutines and returns its errors.
+func runCallers(callers, n int, f func() error) []error {
+	var wg sync.WaitGroup
+	var next atomic.Int64
+	var mu sync.Mutex
+	var failed []error
+	for range callers {
+		wg.Go(func() {
+			for next.Add(1) <= int64(n) {
+				if err := f(); err != nil {
+					mu.Lock()
+					failed = append(failed, err)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return failed
 }
 
 // BenchmarkThroughput measures short requests through one entry to six targets.
@@ -133,28 +166,16 @@
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
 			s := newSite(b, 6)
 			times := newLatencies()
-			var failed atomic.Int64
-			var firstErr atomic.Value
 			b.ResetTimer()
 			start := time.Now()
-			var wg sync.WaitGroup
-			var next atomic.Int64
-			for range callers {
-				wg.Go(func() {
-					for next.Add(1) <= int64(b.N) {
-						if err := times.measure(func() error { return s.submit(shortRequest()) }); err != nil {
-							failed.Add(1)
-							firstErr.CompareAndSwap(nil, err.Error())
-						}
-					}
-				})
-			}
-			wg.Wait()
+			failed := runCallers(callers, b.N, func() error {
+				return times.measure(func() error { return s.submit(shortRequest()) })
+			})
 			b.ReportMetric(float64(b.N)/time.Since(start).Seconds(), "requests/s")
-			b.ReportMetric(float64(failed.Load()), "failed")
+			b.ReportMetric(float64(len(failed)), "failed")
 			times.report(b, "")
-			if failed.Load() > 0 {
-				b.Logf("first failure: %v", firstErr.Load())
+			if len(failed) > 0 {
+				b.Logf("first failure: %v", failed[0])
 			}
 		})
 	}
