Don't refuse a burst after a quiet time

The early refusal divides the queue's length by its drain rate of the last 10 s. On an idle site that is the rate of the arrivals: after one request in 5 s, the fourth of a burst was told that its turn comes after its deadline of 10 s, although all would have run within milliseconds.

Change: the rate counts from the time at which the list was last empty, and is used only once the list has held items for a second.

Ruled out: a minimum number of drained items, which also counts arrivals of an idle site.

The bounds of the queues are unchanged, so a burst is still refused beyond them.

--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -57,7 +57,7 @@
 	limit  int
 	tag    float64 // start tag of its next item
 	lists  [3]*list.List
-	drain  [3]window
+	drain  [3]window // items taken since the list was last empty
 }
 
 // NewQueue returns an empty queue for the workspaces of cfg.
@@ -141,6 +141,9 @@
 	if s.len() == 0 {
 		s.tag = max(s.tag, q.vtime)
 	}
+	if s.lists[c].Len() == 0 {
+		s.drain[c] = window{start: it.Enqueued}
+	}
 	p := &place{space: s, class: c}
 	if front {
 		p.elem = s.lists[c].PushFront(it)
--- a/coordination/admission/refusal.go
+++ b/coordination/admission/refusal.go
@@ -27,13 +27,17 @@
 	return s.limit - s.limit/4
 }
 
+// minBacklog is how long a list must have held items before its drain rate says
+// how fast it can be drained. Before, the rate is that of the arrivals.
+const minBacklog = bucketWidth
+
 // wait estimates the time until a new item of the class has its turn. It returns
 // false if no drain rate is known.
 func (s *space) wait(class int, now time.Time) (time.Duration, bool) {
 	wait := time.Duration(0)
 	for c := 0; c <= class; c++ {
 		n := s.lists[c].Len()
-		if n == 0 {
+		if n == 0 || now.Sub(s.drain[c].start) < minBacklog {
 			continue
 		}
 		rate := s.drain[c].rate(now)
