--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -38,6 +38,7 @@
 
 // Queue holds waiting requests by workspace.
 type Queue struct {
+	scan   sync.Mutex // held during a scan, so that no item is offered twice at once
 	mu     sync.Mutex
 	spaces []*space // by name
 	vtime  float64  // start tag of the last item taken
@@ -179,9 +180,12 @@
 }
 
 // Scan offers items in fair order until visit stops it or all have been offered.
-// Items that are not taken keep their place and cost nothing. visit must not call
-// methods of q.
+// Items that are not taken keep their place and cost nothing. visit may call the
+// other methods of q, but not Scan. If an item is removed just before or while it is
+// offered, it is not taken, and the rest of its class is skipped in this scan.
 func (q *Queue) Scan(now time.Time, visit func(Item) Decision) {
+	q.scan.Lock()
+	defer q.scan.Unlock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	cursors := make([]cursor, 0, len(q.spaces))
@@ -201,12 +205,21 @@
 			return
 		}
 		c := &cursors[best]
-		elem, it := c.elem, c.elem.Value.(Item)
-		class := c.class
+		elem, it, class := c.elem, c.elem.Value.(Item), c.class
+		p := q.index[it.ID]
+		if p == nil || p.elem != elem { // removed during the visit of another item
+			c.skipClass()
+			continue
+		}
 		// Skipped items count in this scan only, so that each workspace gets its
 		// share of the offers.
 		c.tag += max(it.Cost, minCost) / c.space.weight
-		switch visit(it) {
+		decision := q.offer(it, visit)
+		if decision != Stop && q.index[it.ID] != p {
+			c.skipClass() // the element has no successor any more
+			continue
+		}
+		switch decision {
 		case Take:
 			c.next()
 			q.take(c.space, class, elem, now)
@@ -222,6 +235,13 @@
 	}
 }
 
+// offer calls visit without the lock of q.
+func (q *Queue) offer(it Item, visit func(Item) Decision) Decision {
+	q.mu.Unlock()
+	defer q.mu.Lock()
+	return visit(it)
+}
+
 func (q *Queue) take(s *space, class int, elem *list.Element, now time.Time) {
 	it := s.lists[class].Remove(elem).(Item)
 	delete(q.index, it.ID)
--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -118,6 +118,7 @@
 	}
 	sp := w.run.spec
 	if target, ok := ps.probe(sp); ok {
+		w.probe = true
 		ps.grant(w, placement.Placement{{Target: target, Slots: sp.shape.Accelerators()}}, nil)
 		return admission.Take
 	}
@@ -187,7 +188,7 @@
 // grant gives the waiter its place, or starts the reclaim that makes it free.
 func (ps *pass) grant(w *waiter, pl placement.Placement, v *guarantee.Victims) {
 	sp := w.run.spec
-	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape)}
+	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape), probe: w.probe}
 	ps.site.Take(pl)
 	members := grouped(pl)
 	useLane := sp.class == operator.ClassShort || v != nil
@@ -208,7 +209,11 @@
 			Slots: m.slots, Lent: where.lent, Members: len(members),
 			Hub: targets.Hub{Target: hub.Name, Address: hub.Address, Incarnation: hub.Incarnation},
 		}
-		ps.p.view.Dispatched(m.target, task, ps.now)
+		if v == nil {
+			ps.p.view.Dispatched(m.target, task, ps.now)
+		} else {
+			ps.p.view.Claimed(m.target, task, ps.now)
+		}
 		ps.ledger.Add(task)
 	}
 	ps.p.takeWaiter(w.run.job.ID())
@@ -220,27 +225,19 @@
 }
 
 // reclaim preempts the victims among the tasks and gives the waiter their place.
+// The pass goes on with a new look at the targets, in which the slots of the
+// victims are neither free nor available to another claim.
 func (ps *pass) reclaim(w *waiter, tasks []targets.Task, v guarantee.Victims) {
+	claim := targets.ID(w.run.job.ID(), w.number)
 	for _, h := range v.ByHub {
 		for _, a := range h.Attempts {
 			for _, t := range tasks {
 				if t.Job == a.Job && t.Number == a.Number {
-					ps.p.view.Preempted(t.Target, t.Job, t.Number, ps.now)
-					ps.site.Give(placement.Placement{{Target: t.Target, Slots: t.Slots}})
+					ps.p.view.Preempted(t.Target, t.Job, t.Number, claim, ps.now)
 				}
 			}
 		}
 	}
-	for i := range v.ByHub {
-		// Targets name the hub of gangs only. A single task's hub is its target.
-		if h := &v.ByHub[i].Hub; h.Address == "" {
-			t := ps.live[h.Target]
-			h.Address, h.Incarnation = t.Address, t.Incarnation
-		}
-	}
 	ps.grant(w, v.Placement, &v)
-	// The victims are gone from the books: later claims of this pass must not
-	// count on them.
-	use, _ := ps.p.useOf(ps.now)
-	ps.ledger = guarantee.NewUseLedger(ps.config(), use)
+	*ps = *ps.p.newPass(ps.now)
 }
--- a/state/targets/target.go
+++ b/state/targets/target.go
@@ -32,11 +32,23 @@
 
 // effect is an action of the entry that the target has not reported yet.
 type effect struct {
-	ended bool // freed or preempted; otherwise dispatched
-	task  Task // if dispatched
+	kind  effectKind
+	task  Task   // if dispatched or claimed
+	claim string // if preempted: the claim for which it must stop
 	at    time.Time
 }
 
+type effectKind int
+
+const (
+	dispatched effectKind = iota
+	claimed               // dispatched onto slots of preempted work
+	freed
+	preempted // asked to stop, slots still in use
+)
+
+func (k effectKind) ended() bool { return k >= freed }
+
 func newTarget() *target {
 	return &target{
 		tasks:   make(map[string]reported),
@@ -118,7 +130,7 @@
 	for id, e := range t.effects {
 		_, listed := t.tasks[id]
 		// A dispatched task that the report names as ended was confirmed too.
-		if listed != e.ended || !e.ended && slices.Contains(r.Removed, id) {
+		if listed != e.kind.ended() || !e.kind.ended() && slices.Contains(r.Removed, id) {
 			t.drop(id)
 		}
 	}
@@ -132,23 +144,29 @@
 	}
 }
 
-func (t *target) dispatched(task Task, now time.Time) {
+func (t *target) dispatched(task Task, kind effectKind, now time.Time) {
 	id := task.ID()
 	if _, ok := t.tasks[id]; ok {
 		return
 	}
 	t.sent[id] = struct{}{}
-	if e, ok := t.effects[id]; ok && !e.ended {
+	if e, ok := t.effects[id]; ok && !e.kind.ended() {
 		task.Slots += e.task.Slots
 	}
 	task.Target = t.last.Target
-	t.effects[id] = effect{task: task, at: now}
+	t.effects[id] = effect{kind: kind, task: task, at: now}
 }
 
 // freed masks the task until a report lacks it. The mask is kept even if the task
 // was never reported: a report sent while it ran may still be on its way.
 func (t *target) freed(id string, now time.Time) {
-	t.effects[id] = effect{ended: true, at: now}
+	t.effects[id] = effect{kind: freed, at: now}
+	delete(t.sent, id)
+}
+
+// preempted masks the task until a report lacks it, for the claim of that ID.
+func (t *target) preempted(id, claim string, now time.Time) {
+	t.effects[id] = effect{kind: preempted, claim: claim, at: now}
 	delete(t.sent, id)
 }
 
@@ -158,47 +176,71 @@
 	delete(t.sent, id)
 }
 
-// free returns the free slots with the effects applied.
+// free returns the free slots with the effects applied. Until its victims have
+// ended, a claim uses their slots; what they have beyond the claim is not free.
 func (t *target) free(now time.Time) int {
 	n := t.last.Free
-	t.eachMasked(now, func(task Task) { n += task.Slots })
-	t.eachSent(now, func(e effect) { n -= e.task.Slots })
+	t.eachMasked(now, func(task Task, e effect) {
+		if e.kind == freed {
+			n += task.Slots
+		}
+	})
+	t.eachSent(now, func(id string, e effect) {
+		if e.kind == claimed {
+			n -= max(e.task.Slots-t.stopping(id, now), 0)
+		} else {
+			n -= e.task.Slots
+		}
+	})
 	return min(max(n, 0), t.last.Slots)
 }
 
-// isMasked reports whether the entry knows that a listed task has ended.
+// isMasked reports whether the entry knows that a listed task has ended or is
+// being stopped.
 func (t *target) isMasked(id string, now time.Time) bool {
 	e, ok := t.effects[id]
-	return ok && e.ended && now.Sub(e.at) <= EffectExpiry
+	return ok && e.kind.ended() && now.Sub(e.at) <= EffectExpiry
 }
 
-// eachMasked calls f with the listed tasks that the entry knows to have ended. It
-// walks over the shorter one of the two lists: each short request leaves an ended
-// effect until the next report, so there can be thousands of them.
-func (t *target) eachMasked(now time.Time, f func(Task)) {
+// eachMasked calls f with the listed tasks that the entry knows to have ended or
+// to be stopped. It walks over the shorter one of the two lists: each short request
+// leaves an ended effect until the next report, so there can be thousands of them.
+func (t *target) eachMasked(now time.Time, f func(Task, effect)) {
 	if len(t.effects)-len(t.sent) < len(t.tasks) {
 		for id, e := range t.effects {
-			if r, listed := t.tasks[id]; e.ended && listed && now.Sub(e.at) <= EffectExpiry {
-				f(r.task)
+			if r, listed := t.tasks[id]; listed && t.isMasked(id, now) {
+				f(r.task, e)
 			}
 		}
 		return
 	}
 	for id, r := range t.tasks {
 		if t.isMasked(id, now) {
-			f(r.task)
+			f(r.task, t.effects[id])
 		}
 	}
 }
 
-// eachSent calls f with the dispatched tasks that are not listed.
-func (t *target) eachSent(now time.Time, f func(effect)) {
+// eachSent calls f with the attempts and effects of the dispatched tasks that are
+// not listed.
+func (t *target) eachSent(now time.Time, f func(string, effect)) {
 	for id := range t.sent {
 		e := t.effects[id]
 		if _, listed := t.tasks[id]; !listed && now.Sub(e.at) <= EffectExpiry {
-			f(e)
+			f(id, e)
+		}
+	}
+}
+
+// stopping returns the slots of work that is being stopped for the claim.
+func (t *target) stopping(claim string, now time.Time) int {
+	n := 0
+	for id, e := range t.effects {
+		if e.kind == preempted && e.claim == claim && now.Sub(e.at) <= EffectExpiry {
+			n += t.tasks[id].task.Slots
 		}
 	}
+	return n
 }
 
 func (t *target) snapshot(now time.Time) Target {
@@ -239,7 +281,7 @@
 		}
 		out = append(out, r.task)
 	}
-	t.eachSent(now, func(e effect) {
+	t.eachSent(now, func(_ string, e effect) {
 		task := e.task
 		task.Target = name
 		if d := now.Sub(e.at); task.Released && d > 0 {
--- a/state/targets/use.go
+++ b/state/targets/use.go
@@ -38,8 +38,8 @@
 	for _, u := range t.use {
 		f(u)
 	}
-	t.eachMasked(now, func(task Task) { f(Use{task.Workspace, task.Class, -task.Slots}) })
-	t.eachSent(now, func(e effect) { f(Use{e.task.Workspace, e.task.Class, e.task.Slots}) })
+	t.eachMasked(now, func(task Task, _ effect) { f(Use{task.Workspace, task.Class, -task.Slots}) })
+	t.eachSent(now, func(_ string, e effect) { f(Use{e.task.Workspace, e.task.Class, e.task.Slots}) })
 }
 
 // sumUse adds up the reported tasks. The result is kept until they change.
