--- a/bench/heartbeat_test.go
+++ b/bench/heartbeat_test.go
@@ -189,3 +189,25 @@
 		}
 	}
 }
+
+// BenchmarkHeartbeatReply measures the bytes of a reply, which names all entries.
+func BenchmarkHeartbeatReply(b *testing.B) {
+	for _, entries := range []int{3, 8, 24, 48} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			s := newHeartbeatServer(b, entries)
+			n := 0
+			for b.Loop() {
+				r := steadyHeartbeat(1, uint64(n+1))
+				if n == 0 {
+					r = fullHeartbeat(1, 0)
+				}
+				if _, err := s.client.Heartbeat(context.Background(), r); err != nil {
+					b.Fatal(err)
+				}
+				n++
+			}
+			b.ReportMetric(float64(s.received.Load())/float64(n), "received-B/op")
+			b.ReportMetric(float64(s.sent.Load())/float64(n), "sent-B/op")
+		})
+	}
+}
--- a/scripts/rest-memory.sh
+++ b/scripts/rest-memory.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prints the resident memory and the processor time of an entry and a target
-# process at rest, from /proc. Usage: rest-memory.sh [SECONDS]
+# process at rest and with running tasks, from /proc. Usage: rest-memory.sh [SECONDS]
 set -uo pipefail
 cd "$(dirname "$0")/.."
 
@@ -19,12 +19,12 @@
 }
 
 start platform standin-platform --address "127.0.0.1:$base"
-start worker standin-worker --address "127.0.0.1:$((base + 1))"
+start worker standin-worker --slots 16 --address "127.0.0.1:$((base + 1))"
 start entry entry --name e1 --data-centre dc1 --platform "http://127.0.0.1:$base" \
 	--caller-address "127.0.0.1:$((base + 2))" --target-address "127.0.0.1:$((base + 3))" \
 	--operator-address "127.0.0.1:$((base + 4))"
 entry=${pids[-1]}
-start target target --name t1 --data-centre dc1 --rack r1 --worker "http://127.0.0.1:$((base + 1))" \
+start target target --name t1 --slots 16 --data-centre dc1 --rack r1 --worker "http://127.0.0.1:$((base + 1))" \
 	--address "127.0.0.1:$((base + 5))" --operator-address "127.0.0.1:$((base + 6))" --entry "127.0.0.1:$((base + 3))"
 target=${pids[-1]}
 sleep 2
@@ -53,3 +53,15 @@
 	"$bin" submit --entry "http://127.0.0.1:$((base + 2))" --workspace roller --kind cut-check --payload 1 >/dev/null || exit 1
 done
 report "after 200"
+running=0
+for n in 4 12; do
+	for (( ; running < n; running++)); do
+		"$bin" submit --entry "http://127.0.0.1:$((base + 2))" --wait 0s --workspace roller --kind offcut-renest \
+			--payload '{"RunMillis": 600000}' >/dev/null || exit 1
+	done
+	sleep 1
+	report "$n tasks"
+done
+kill -TERM "$target" "$entry"
+sleep 0.2
+kill -TERM "$target" "$entry" # They would wait for the tasks.
