Start no goroutine of the scheduler after its Close

Cause: Close waits for the goroutines of the scheduler, and a request that was still being served could start one meanwhile, when a listener of the entry had failed. The race detector reported the concurrent Add and Wait; the goroutine could outlive the process's assembly.

Change: the start of goroutines is guarded against Close, as in the executor. After Close the work runs in the caller's goroutine with an ended context, so that a request that waits for its job's end gets it.

Ruled out: refusing to start would leave the request waiting for good.

--- a/coordination/scheduler/cancel.go
+++ b/coordination/scheduler/cancel.go
@@ -56,9 +56,10 @@
 func (b *cancelBatcher) add(to targetProcess, id *targetrpc.AttemptID) *cancellation {
 	c := &cancellation{id: id, done: make(chan struct{})}
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.waiting[to] = append(b.waiting[to], c)
-	if len(b.waiting[to]) == 1 {
+	first := len(b.waiting[to]) == 1
+	b.mu.Unlock()
+	if first {
 		b.s.background(func(ctx context.Context) {
 			sleep(ctx, cancelDelay)
 			b.flush(ctx, to)
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -46,9 +46,11 @@
 	requests requests // that callers wait for
 
 	// Goroutines end with life, which Close ends.
-	life  context.Context
-	end   context.CancelFunc
-	tasks sync.WaitGroup
+	life   context.Context
+	end    context.CancelFunc
+	mu     sync.Mutex // guards closed and the start of goroutines against Close
+	closed bool
+	tasks  sync.WaitGroup
 }
 
 // New returns a scheduler. Run must be called for it to plan anything.
@@ -90,6 +92,9 @@
 // Close ends all work and waits for its goroutines. Attempts that run go on at
 // their targets; recorded jobs are taken over by another entry.
 func (s *Scheduler) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.end()
 	s.tasks.Wait()
 }
@@ -99,9 +104,20 @@
 	s.background(r.execute)
 }
 
-// background runs f with a context that ends with the scheduler.
+// background runs f with a context that ends with the scheduler. f must return
+// when the context ends. After Close it runs in the caller's goroutine, with the
+// ended context, so that whoever waits for what f does is not left waiting.
 func (s *Scheduler) background(f func(ctx context.Context)) {
-	s.tasks.Go(func() { f(s.life) })
+	s.mu.Lock()
+	closed := s.closed
+	if !closed {
+		s.tasks.Go(func() { f(s.life) })
+	}
+	s.mu.Unlock()
+	if closed {
+		s.end()
+		f(s.life)
+	}
 }
 
 func (s *Scheduler) sleep(d time.Duration) bool { return sleep(s.life, d) }
