Close the pools of a process that can't listen

Cause: an entry or target process whose address was in use returned without closing its connection pools, and left their goroutines.

--- a/process/entry.go
+++ b/process/entry.go
@@ -124,7 +124,7 @@
 func (p entryProcess) run(ctx context.Context) error {
 	lis, err := p.Network.listenAll(ctx, p.Settings.CallerAddress, p.Settings.TargetAddress, p.Settings.OperatorAddress)
 	if err != nil {
-		return err
+		return errors.Join(err, p.Pool.Close())
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
--- a/process/target.go
+++ b/process/target.go
@@ -120,7 +120,7 @@
 	lis, err := p.Network.listenAll(ctx, p.Settings.Address, p.Settings.OperatorAddress)
 	if err != nil {
 		p.Exec.Close()
-		return err
+		return errors.Join(err, p.Hubs.Close(), p.Entries.Close())
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
