Tell that a recorded job did not run only once its row says so

Cause: an entry that canceled a job answered "not run" and wrote the row afterwards. The same held for a job to look up later whose claim was undecided: the entry refused it as not run, died, and the row that turned up was adopted.

Change: the end of a recorded job that did not run is written first; if another entry has taken the job over, its outcome counts, and if the end can't be written the outcome is unknown. The undecided claim of a queued job is answered as unknown. That of a job without a queue row stays not run: nobody adopts it.

Ruled out: adopting only jobs that the entry has not answered needs a row write before the answer too.

--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -61,7 +61,7 @@
 func (r *run) execute(ctx context.Context) {
 	ctx, cancel := r.deadline(ctx)
 	defer cancel()
-	r.s.tasks.Go(func() {
+	r.s.background(func(context.Context) {
 		select {
 		case <-r.job.Canceled():
 			cancel()
@@ -204,30 +204,53 @@
 	return outcome.NotRun{Reason: outcome.ReasonLeaving, Detail: "the entry is shutting down", RetryAfter: time.Second}
 }
 
-// finish ends the job for its callers at once and records the end of a recorded
-// job in the background, through an outage of the store if need be.
+// finish ends the job for its callers and records the end of a recorded job,
+// through an outage of the store if need be.
+//
+// Callers get an answer at once. That a recorded job did not run is told only
+// once its row says so: until then another entry may adopt the job and run it.
 func (r *run) finish(out outcome.Outcome) {
-	record := r.job.Record()
-	final := finalRecord(record, out)
+	final := finalRecord(r.job.Record(), out)
 	r.s.meter.ended(r, out)
-	// A graceful shutdown waits for the record of the end, as for the callers.
-	counted := r.recorded && r.s.requests.extend()
-	r.job.End(final)
 	if !r.recorded {
+		r.job.End(final)
 		return
 	}
+	// A graceful shutdown waits for the record of the end, as for the callers.
+	counted := r.s.requests.extend()
+	_, notRun := out.(outcome.NotRun)
+	if !notRun {
+		r.job.End(final)
+	}
 	r.s.background(func(ctx context.Context) {
 		if counted {
 			defer r.s.requests.end()
 		}
 		ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
 		defer cancel()
-		if err := r.recordEnd(ctx, final); err != nil {
+		err := r.recordEnd(ctx, final)
+		if err != nil {
 			r.s.log.Warn().Int("Event", EventEndNotRecorded).Str("Job", r.job.ID()).Err(err).Send()
 		}
+		if notRun {
+			r.endNotRun(final, err)
+		}
 	})
 }
 
+// endNotRun ends a job that did not run, after the write of its row.
+func (r *run) endNotRun(final rows.Job, err error) {
+	var superseded *supersededError
+	switch {
+	case err == nil:
+		r.job.End(final)
+	case errors.As(err, &superseded):
+		r.handedOver()
+	default:
+		r.job.End(finalRecord(final, outcome.Unknown{Detail: "the end could not be recorded; another entry may run the job"}))
+	}
+}
+
 // recordEnd writes the final record, the answer object of a large answer and the
 // removal of the queue row.
 func (r *run) recordEnd(ctx context.Context, final rows.Job) error {
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -116,7 +116,7 @@
 	record := j.Record()
 	found, mine, err := s.claim(ctx, j, wait == 0)
 	if err != nil {
-		return s.claimFailed(j, err), nil
+		return s.claimFailed(j, wait == 0, err), nil
 	}
 	if !mine {
 		s.jobs.Remove(j)
@@ -137,14 +137,16 @@
 
 // claimFailed refuses a request whose claim could not be recorded. The request
 // is never dispatched by this entry, so it did not run even if the claim row
-// turns up later; the row is then ended in the background.
-func (s *Scheduler) claimFailed(j *jobs.Job, err error) Status {
+// turns up later; the row is then ended in the background. If this entry dies
+// before, another one adopts and runs a queued job, so that an undecided claim of
+// one is unknown.
+func (s *Scheduler) claimFailed(j *jobs.Job, queued bool, err error) Status {
 	s.log.Warn().Int("Event", EventClaimFailed).Str("Job", j.ID()).Err(err).Send()
-	out := outcome.NotRun{Reason: outcome.ReasonStoreDown, Detail: "the request could not be recorded", RetryAfter: storeRetry}
+	var out outcome.Outcome = outcome.NotRun{
+		Reason: outcome.ReasonStoreDown, Detail: "the request could not be recorded", RetryAfter: storeRetry,
+	}
 	record := j.Record()
 	final := finalRecord(record, out)
-	j.End(final)
-	s.jobs.Remove(j)
 	var undecided *undecidedError
 	if errors.As(err, &undecided) {
 		s.background(func(ctx context.Context) {
@@ -155,7 +157,12 @@
 				s.log.Debug().Int("Event", EventEndNotRecorded).Str("Job", j.ID()).Err(err).Send()
 			}
 		})
+		if queued {
+			out = outcome.Unknown{Detail: "the request may have been recorded; look it up or repeat it with its key"}
+		}
 	}
+	j.End(finalRecord(record, out))
+	s.jobs.Remove(j)
 	return ended(j.Workspace(), j.Key(), out)
 }
 
