--- a/matrix/history_test.go
+++ b/matrix/history_test.go
@@ -97,6 +97,7 @@
 	faults   []time.Time     // starts of faults
 	struck   []string        // what the faults were
 	active   int             // faults that have not ended
+	waves    int             // waves of cancellations
 	canceled map[string]bool // labels that somebody cancels
 	changes  []string        // kinds that accepted changes added
 	kinds    []string        // in the configuration at the end
--- a/matrix/planted_test.go
+++ b/matrix/planted_test.go
@@ -73,6 +73,7 @@
 
 // Guards against a checker that sees nothing, or sees a fault in a sound history.
 func TestCheckersNoticePlantedFaults(t *testing.T) {
+	once(t)
 	qt.Assert(t, judge(sound()), qt.HasLen, 0)
 	find := func(h *history, label string) *execution {
 		return &h.ran[slices.IndexFunc(h.ran, func(x execution) bool { return x.label == label })]
--- a/matrix/retention_test.go
+++ b/matrix/retention_test.go
@@ -13,6 +13,7 @@
 // Guards against an attempt that counts as not run because its target no longer
 // keeps its record: a key that comes back after the retention must not run twice.
 func TestKeyAfterRetention(t *testing.T) {
+	once(t)
 	for _, p := range []point{{"worker-launch", after}, {"Start", before}, {"Start", after}, {"row-end", before}} {
 		t.Run(p.String(), func(t *testing.T) {
 			t.Parallel()
--- a/matrix/site_test.go
+++ b/matrix/site_test.go
@@ -54,6 +54,8 @@
 	workers  []*worker.Worker
 	cfg      operator.Config
 
+	revival sync.Mutex // so that two faults that end together start a process once
+
 	mu    sync.Mutex
 	log   bytes.Buffer
 	tasks map[string]string // label by task
@@ -237,6 +239,8 @@
 
 // revive starts a process again that was killed or has ended.
 func (s *Site) revive(p *proc) {
+	s.revival.Lock()
+	defer s.revival.Unlock()
 	if !p.isUp() {
 		s.start(p)
 	}
--- a/matrix/vehicle_test.go
+++ b/matrix/vehicle_test.go
@@ -132,6 +132,7 @@
 // Guards against a vehicle in which some kind of work does not run at all, so
 // that the faults would strike nothing.
 func TestWithoutFaults(t *testing.T) {
+	once(t)
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
 			t.Parallel()
