--- a/matrix/scenarios_test.go
+++ b/matrix/scenarios_test.go
@@ -49,6 +49,7 @@
 	{name: "change", work: func(s *Site) {
 		s.change("new-kind")
 		s.do(ask("after-change", 200*time.Millisecond))
+		time.Sleep(4 * time.Second) // The targets learn of it from heartbeats.
 	}},
 	{name: "target-leaves", prepare: func(s *Site) {
 		s.do(plan("held-1", 1, 3, 8*time.Second))
@@ -68,6 +69,44 @@
 		s.leave(s.entries[0])
 		s.do(order("order-1", 500*time.Millisecond))
 	}},
+	{name: "canceled", work: func(s *Site) {
+		for i := range 3 {
+			r := plan(fmt.Sprintf("canceled-%d", i), 1, 1, 5*time.Second)
+			s.hist.add(func(h *history) { h.canceled[r.label] = true })
+			s.do(r)
+		}
+		time.Sleep(time.Second)
+		for i, r := range s.keyedRequests() {
+			s.wg.Go(func() { s.cancel(r, s.entries[i%len(s.entries)]) })
+		}
+	}},
+	{name: "adoption", prepare: func(s *Site) {
+		s.do(plan("adopted", 1, 1, 3*time.Second))
+		s.do(plan("adopted-gang", 3, 3, 3*time.Second))
+		s.do(plan("adopted-later", 3, 3, time.Second)) // waits for the first gang
+		s.do(order("order-1", time.Second))
+		time.Sleep(500 * time.Millisecond)
+	}, work: func(s *Site) {
+		s.touch(s.entries[0].host)
+		s.kill(s.entries[0], false)
+		s.wg.Go(func() {
+			time.Sleep(faultTime)
+			s.revive(s.entries[0])
+		})
+	}},
+	{name: "contention", work: func(s *Site) {
+		// Callers of both entries ask for gangs of which one fits at a time.
+		for i := range 4 {
+			r := plan(fmt.Sprintf("rival-%d", i), 3, 3, time.Second)
+			r.at = i
+			s.do(r)
+		}
+	}},
+	{name: "large", work: func(s *Site) {
+		r := plan("large-1", 1, 1, 500*time.Millisecond)
+		r.size = 40 << 10
+		s.do(r)
+	}},
 }
 
 // ask is a short idempotent request.
