Let urgent short work reclaim lent slots; hold places only for long-waiting gangs

Cause: the measurement of the policy showed that the 95th percentile of short work's wait in a crest is over 30 s without reclaims by short work beyond its workspace's guarantee (the lane is full of lent work when a burst begins), and that the reservation for the first waiting gang costs 2.5% to 4.6% of the work done without a gain for gangs. Change: short work may reclaim lent slots until a quarter of the site serves short work, if what waits would keep its slots busy for more than 0.5 s. Slots are held for a gang only after it has waited for an hour. The scheduler itself was not measured under that load.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,18 @@
 demo: build
 	bash scripts/demo.sh
 
+# The table of the scheduling policy: ten seeds of eight hours take about 15 min.
+policy:
+	GOGC=400 go test ./coordination/policybench -run TestTable -count=1 -v -timeout 60m -args -seeds 10 -length 8h
+
+# The fault matrix with more random sequences of faults.
+SEEDS ?= 1000
+matrix:
+	MATRIX_SEEDS=$(SEEDS) go test ./matrix -count=1 -v -timeout 60m
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./bench ./coordination/...
+
 # Needs protoc 3.21, protoc-gen-go v1.36.12 and protoc-gen-go-drpc v1.1.0 on the
 # PATH. The generated code is committed, so that a build needs none of them.
 generate:
--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -22,8 +22,24 @@
 	site   *placement.Site
 	ledger *guarantee.Ledger // knows the use, not the tasks
 	held   bool              // a waiting gang holds its place
+	slots  int               // of all targets
+	short  int               // slots in use by short work, or being reclaimed for it
 }
 
+const (
+	// shortShare is the part of the site, 1/shortShare, up to which short work may
+	// reclaim lent slots beyond its workspace's guarantee. It is the largest size
+	// of the lane, which can be full of lent work when a burst begins.
+	shortShare = 4
+	// shortPayback limits such reclaims, which take seconds: a slot is reclaimed
+	// only if the slots in use by short work can't serve what waits in this time.
+	shortPayback = 500 * time.Millisecond
+	// reserveAfter is how long a gang waits before slots are held for it. A hold
+	// leaves slots idle: without any, the policy did 2.5% to 4.6% more work in the
+	// measurement, so it only guards against starvation.
+	reserveAfter = time.Hour
+)
+
 // pass plans all waiting work once.
 func (p *planner) pass() {
 	p.passMu.Lock()
@@ -38,9 +54,13 @@
 	ps := &pass{p: p, now: now, live: make(map[string]targets.Target, len(live))}
 	use, short := p.useOf(now)
 	ps.keep = p.laneOver(live, short, now)
+	for _, n := range short {
+		ps.short += n
+	}
 	nodes := make([]placement.Node, 0, len(live))
 	for _, t := range live {
 		ps.live[t.Name] = t
+		ps.slots += t.Slots
 		usable := t.Accepts()
 		switch p.health.State(t.Name, now) {
 		case health.Healthy:
@@ -128,14 +148,14 @@
 		ps.grant(w, pl, nil)
 		return admission.Take
 	}
-	if claim {
+	if claim || ps.isUrgent(sp) {
 		tasks := ps.p.view.Tasks(ps.now)
 		if v, ok := guarantee.NewLedger(ps.config(), tasks).Victims(sp.shape, ps.site); ok {
 			ps.reclaim(w, tasks, v)
 			return admission.Take
 		}
 	}
-	if sp.isGang() && !ps.held {
+	if sp.isGang() && !ps.held && ps.now.Sub(w.since) >= reserveAfter {
 		ps.hold(req)
 		return admission.Skip
 	}
@@ -145,6 +165,17 @@
 	return admission.Skip
 }
 
+// isUrgent reports whether a short job may reclaim lent slots although its
+// workspace's guarantee is in use.
+func (ps *pass) isUrgent(sp spec) bool {
+	if sp.class != operator.ClassShort || ps.short >= ps.slots/shortShare {
+		return false
+	}
+	e := ps.p.book.Estimate(sp.request.Workspace, sp.request.Kind, sp.request.Declared)
+	work := time.Duration(ps.p.waitingShort()) * e.Typical
+	return work > shortPayback*time.Duration(max(ps.short, 1))
+}
+
 // probe returns a target on probation on which the job can be the probe: a
 // small idempotent task whose failure costs little.
 func (ps *pass) probe(sp spec) (string, bool) {
@@ -190,6 +221,9 @@
 	sp := w.run.spec
 	where := place{number: w.number, lent: ps.ledger.Lends(sp.request.Workspace, sp.shape), probe: w.probe}
 	ps.site.Take(pl)
+	if sp.class == operator.ClassShort {
+		ps.short += sp.shape.Slots()
+	}
 	members := grouped(pl)
 	useLane := sp.class == operator.ClassShort || v != nil
 	for _, m := range members {
