Hand open listeners to the processes of the benchmarks

Cause: about one benchmark run in ten failed at a load above 14: the benchmark chose an address by opening and closing a listener, and an outgoing connection of another run took the port before the process listened on it.

Change: the network of a benchmark's processes returns the open listeners.

--- a/bench/capacity_test.go
+++ b/bench/capacity_test.go
@@ -115,8 +115,8 @@
 			for i := range entries {
 				set := process.DefaultEntrySettings()
 				set.Name, set.DataCentre, set.Platform = fmt.Sprintf("e%d", i), "dc1", "http://"+address
-				set.CallerAddress, set.TargetAddress, set.OperatorAddress = freeAddress(b), freeAddress(b), freeAddress(b)
-				go func() { done <- process.RunEntry(ctx, set, process.TCP(), zerolog.Nop()) }()
+				set.CallerAddress, set.TargetAddress, set.OperatorAddress = s.openAddress(b), s.openAddress(b), s.openAddress(b)
+				go func() { done <- process.RunEntry(ctx, set, s.processNetwork(), zerolog.Nop()) }()
 			}
 			s.configure(b, "http://"+address)
 			time.Sleep(4 * time.Second)
--- a/bench/site_test.go
+++ b/bench/site_test.go
@@ -37,6 +37,9 @@
 	network  process.Network
 
 	wg sync.WaitGroup
+
+	mu   sync.Mutex
+	open map[string]net.Listener // by address
 }
 
 // newSite starts a site with n targets, three to a rack, and waits until the
@@ -61,19 +64,19 @@
 	platformAddress := s.serve(b, standins, standinplatform.New(standinplatform.Settings{}, log))
 	set := process.DefaultEntrySettings()
 	set.Name, set.DataCentre, set.Platform = "e1", "dc1", "http://"+platformAddress
-	set.CallerAddress, set.TargetAddress, set.OperatorAddress = freeAddress(b), freeAddress(b), freeAddress(b)
-	running.Go(func() { reportError(b, process.RunEntry(entry, set, process.TCP(), log)) })
+	set.CallerAddress, set.TargetAddress, set.OperatorAddress = s.openAddress(b), s.openAddress(b), s.openAddress(b)
+	running.Go(func() { reportError(b, process.RunEntry(entry, set, s.processNetwork(), log)) })
 	for i := range n {
 		t := process.DefaultTargetSettings()
 		t.Name, t.DataCentre = fmt.Sprintf("t%d", i+1), "dc1"
 		t.Rack = fmt.Sprintf("dc1-r%d", i/3+1)
-		t.Address, t.OperatorAddress = freeAddress(b), freeAddress(b)
+		t.Address, t.OperatorAddress = s.openAddress(b), s.openAddress(b)
 		w := standinworker.New(standinworker.Settings{RetentionMillis: 1000}, log)
 		b.Cleanup(w.Close)
 		t.Worker = "http://" + s.serve(b, standins, w)
 		t.Entries = []string{set.TargetAddress}
 		s.targets = append(s.targets, t.Address)
-		leaving.Go(func() { reportError(b, process.RunTarget(targets, t, process.TCP(), log)) })
+		leaving.Go(func() { reportError(b, process.RunTarget(targets, t, s.processNetwork(), log)) })
 	}
 	s.platform = set.Platform
 	s.configure(b, s.platform)
@@ -101,18 +104,40 @@
 	return lis.Addr().String()
 }
 
-// freeAddress returns an address on loopback that nobody listens on.
-func freeAddress(b *testing.B) string {
+// openAddress opens a listener on a free port for a process that gets its network
+// from processNetwork, and returns the address.
+func (s *site) openAddress(b *testing.B) string {
 	b.Helper()
-	var lc net.ListenConfig
-	lis, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	lis, err := s.network.Listen(context.Background(), "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer func() { _ = lis.Close() }()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[string]net.Listener)
+	}
+	s.open[lis.Addr().String()] = lis
 	return lis.Addr().String()
 }
 
+// processNetwork returns a network that listens on the open listeners. A port that
+// is closed in between can be taken by another connection.
+func (s *site) processNetwork() process.Network {
+	n := process.TCP()
+	n.Listen = func(_ context.Context, address string) (net.Listener, error) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		lis, ok := s.open[address]
+		if !ok {
+			return nil, fmt.Errorf("no listener on %s", address)
+		}
+		delete(s.open, address)
+		return lis, nil
+	}
+	return n
+}
+
 // configure applies the first example configuration.
 func (s *site) configure(b *testing.B, platformURL string) {
 	b.Helper()
