Move the callers' service to the transport layer; wait for the entry in the demo

Cause: the conversion of outcomes to the callers' API stood twice, in coordination/scheduler and in transport/caller. The demonstration failed once at a load average of 31: it gave the entry 1 s to start. Change: caller.NewService adapts a scheduler and uses the one conversion; the demonstration waits for /health. Ruled out: a longer sleep. Conclusion: coordination/scheduler no longer knows the callers' types.

--- a/process/entry.go
+++ b/process/entry.go
@@ -131,7 +131,7 @@
 	draining, drain := context.WithCancel(ctx)
 	defer drain()
 
-	callers := caller.NewServer(caller.Handler(scheduler.NewService(p.Sched), p.Log), p.Log)
+	callers := caller.NewServer(caller.Handler(caller.NewService(p.Sched), p.Log), p.Log)
 	ready := func() error { return p.ready(draining) }
 	g, gctx := errgroup.WithContext(life)
 	g.Go(func() error { return callers.Serve(lis[0]) })
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -87,7 +87,7 @@
 		--platform "http://$platform"
 done
 for i in 2 3 4 5 6; do start_target "$i"; done
-sleep 1
+await "start of entry 1" 100 curl -fsS "$ops/health"
 out=$("$bin" submit --entry "$e1" --workspace roller --kind cut-check 2>/dev/null)
 check "request before the platform is up is not run" NotReady "$(field Reason <<<"$out")"
 start platform standin-platform --address "$platform"
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -106,7 +106,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := &fakeService{resp: Describe(callerapi.Response{State: callerapi.Queued, Job: "j"}, tt.end), err: tt.err}
+			f := &fakeService{resp: describe(callerapi.Response{State: callerapi.Queued, Job: "j"}, tt.end), err: tt.err}
 			w := do(f, "POST", "/v1/jobs?wait=2s", valid)
 			qt.Check(t, w.Code, qt.Equals, tt.code)
 			qt.Check(t, w.Header().Get("Retry-After"), qt.Equals, tt.retry)
--- a/transport/caller/response.go
+++ b/transport/caller/response.go
@@ -11,9 +11,9 @@
 	"github.com/medlargrade/medlargrade/protocol/callerapi"
 )
 
-// Describe returns resp with the outcome filled in. A nil outcome leaves it as it
+// describe returns resp with the outcome filled in. A nil outcome leaves it as it
 // is.
-func Describe(resp callerapi.Response, o outcome.Outcome) callerapi.Response {
+func describe(resp callerapi.Response, o outcome.Outcome) callerapi.Response {
 	if o == nil {
 		return resp
 	}
