Take up jobs whose adoption was given up and took effect later

Cause: an adoption whose write was undecided at its deadline was given up, and the write took effect afterwards. The row and the queue row then named a live entry that did not work on the job, so that nobody adopted it and it had no outcome.

Ruled out: going on with the write after its deadline would need the job in the table meanwhile, and ends with the process all the same.

--- a/coordination/scheduler/orphans.go
+++ b/coordination/scheduler/orphans.go
@@ -52,7 +52,10 @@
 		}
 		return
 	}
-	if s.peers.Members.Silent(record.Entry, record.EntryIncarnation) {
+	// A row that names this process although it does not work on the job is left
+	// by an adoption whose write took effect after it was given up.
+	abandoned := record.Entry == s.set.Entry && record.EntryIncarnation == s.set.Incarnation
+	if abandoned || s.peers.Members.Silent(record.Entry, record.EntryIncarnation) {
 		s.takeOver(ctx, q.Workspace, q.Key, record)
 	}
 }
