--- a/matrix/doc.go
+++ b/matrix/doc.go
@@ -13,7 +13,6 @@
 //	go test -race ./matrix
 //	MATRIX_SEEDS=2000 go test -race ./matrix -run TestSequences
 //	go test -race ./matrix -run 'TestSingleFaults/gang/Release-after/vanish-target$'
-//	go test ./matrix -run TestFigures -v
 //
 // MATRIX_LOG=1 prints the processes' logs of failed cells. Cells that
 // KNOWN-RED.txt lists are run, and print "known red" instead of failing.
--- a/matrix/vehicle_test.go
+++ b/matrix/vehicle_test.go
@@ -81,39 +81,21 @@
 	}
 }
 
-// openRows returns the rows of jobs that have not ended. A job whose caller waits
-// has no queue row: if its entry dies once it has answered, nobody is left to
-// write the end, and the row stays as it is until the key is used again.
+// openRows returns the rows of jobs that have not ended.
 func (s *Site) openRows() []string {
 	var open []string
-	abandoned := false
-	s.hist.add(func(h *history) {
-		for _, p := range s.entries {
-			abandoned = abandoned || h.touched[p.host]
-		}
-	})
 	for _, row := range s.platform.Rows(rows.TableQueue) {
 		open = append(open, "queue row "+row.Key)
 	}
 	for _, row := range s.platform.Rows(rows.TableJob) {
 		var job rows.Job
-		if json.Unmarshal(row.Value, &job) != nil || !job.Final() && (!abandoned || !s.isSync(row.Key)) {
+		if json.Unmarshal(row.Value, &job) != nil || !job.Final() {
 			open = append(open, "job row "+row.Key+" in state "+string(job.State))
 		}
 	}
 	return open
 }
 
-func (s *Site) isSync(jobKey string) bool {
-	sync := false
-	s.hist.add(func(h *history) {
-		for _, r := range h.requests {
-			sync = sync || !r.async && rows.JobKey(r.workspace, r.key) == jobKey
-		}
-	})
-	return sync
-}
-
 // readKinds notes the kinds of the configuration.
 func (s *Site) readKinds() {
 	store, done := s.store()
