Don't run a failing job again where it failed; answer look-ups in an outage with 503

(1) A failing short request on a site with one target ran 11 times: it avoided the target, did not fit elsewhere, and a guarantee claim placed it on the same target by a reclaim. (2) A look-up while the store is down answered 500 internal error. (3) A job that three workers had refused avoided them for good, so that it never started on a small site. Change: a failed job is tried again only if a target is left that it does not avoid, and reclaims leave out the avoided ones; (2) 503 with Retry-After; (3) the list is dropped when no target is left. Ruled out: (1) a limit on the number of attempts, which hides the cause. TestReclaim has the case of a claim that avoids the target. (3) has no test. Conclusion: a failed answer reaches the caller after the first try when nothing else can run it.

--- a/coordination/scheduler/pass.go
+++ b/coordination/scheduler/pass.go
@@ -150,7 +150,7 @@
 	}
 	if claim || ps.isUrgent(sp) {
 		tasks := ps.p.view.Tasks(ps.now)
-		if v, ok := guarantee.NewLedger(ps.config(), tasks).Victims(sp.shape, ps.site); ok {
+		if v, ok := guarantee.NewLedger(ps.config(), tasks).Victims(sp.shape, ps.siteWithout(w.avoid)); ok {
 			ps.reclaim(w, tasks, v)
 			return admission.Take
 		}
@@ -165,6 +165,21 @@
 	return admission.Skip
 }
 
+// siteWithout returns the site without the targets that a job avoids.
+func (ps *pass) siteWithout(avoid []string) *placement.Site {
+	if len(avoid) == 0 {
+		return ps.site
+	}
+	site := ps.site.Clone()
+	for _, name := range avoid {
+		if n, ok := site.Node(name); ok {
+			n.Unusable = true
+			site.Update(n)
+		}
+	}
+	return site
+}
+
 // isUrgent reports whether a short job may reclaim lent slots although its
 // workspace's guarantee is in use.
 func (ps *pass) isUrgent(sp spec) bool {
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -308,6 +308,16 @@
 	}
 }
 
+// hasOther reports whether a target takes work that is not among those to avoid.
+func (p *planner) hasOther(avoid []string) bool {
+	for _, t := range p.view.Live(time.Now()) {
+		if t.Accepts() && !slices.Contains(avoid, t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // jobFailed decides whether a job that failed on a target is tried elsewhere.
 func (p *planner) jobFailed(r *run, target string) health.Verdict {
 	return p.health.JobFailed(r.job.ID(), target, r.spec.request.Workspace, r.spec.request.Kind, time.Now())
--- a/coordination/scheduler/reclaim_test.go
+++ b/coordination/scheduler/reclaim_test.go
@@ -42,9 +42,11 @@
 		workspace string // roller has an unused guarantee, samples has none left
 		kind      string
 		declared  time.Duration
+		avoid     []string
 		want      int64 // preempted attempts
 	}{
 		{name: "claim", workspace: "roller", kind: "cut-check", declared: time.Second, want: 1},
+		{name: "claim that avoids the target", workspace: "roller", kind: "cut-check", declared: time.Second, avoid: []string{"t0"}, want: 0},
 		{name: "short beyond the guarantee", workspace: "samples", kind: "cut-check", declared: time.Second, want: 1},
 		{name: "very short beyond the guarantee", workspace: "samples", kind: "cut-check", declared: 100 * time.Millisecond, want: 0},
 		{name: "fill beyond the guarantee", workspace: "samples", kind: "offcut-renest", declared: time.Hour, want: 0},
@@ -72,7 +74,7 @@
 				})
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				_, refusal := p.acquire(ctx, &waiter{run: r, number: 1})
+				_, refusal := p.acquire(ctx, &waiter{run: r, number: 1, avoid: tt.avoid})
 				qt.Assert(t, refusal == nil, qt.Equals, tt.want > 0, qt.Commentf("%v", refusal))
 				qt.Assert(t, calls.attempts.Load(), qt.Equals, tt.want)
 			})
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -156,6 +156,9 @@
 			if res.code == targetrpc.RefusalCode_REFUSAL_WORKER && len(avoid) < maxAvoided {
 				avoid = append(avoid, res.target)
 			}
+			if !r.s.plan.hasOther(avoid) {
+				avoid = nil
+			}
 			if !r.s.plan.retry() {
 				wait = lastBackoff // The site refuses much: try again slowly.
 			}
@@ -184,7 +187,7 @@
 		return nil, false
 	}
 	v := r.s.plan.jobFailed(r, where[0])
-	if !v.Retry || !r.s.plan.retry() {
+	if !v.Retry || !r.s.plan.hasOther(v.Exclude) || !r.s.plan.retry() {
 		return nil, false
 	}
 	return v.Exclude, true
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -212,6 +213,9 @@
 		r.svc.err = callerapi.ErrNotFound
 		_, err = r.client.Lookup(ctx, "web", "k", 0)
 		qt.Check(t, err, qt.ErrorIs, callerapi.ErrNotFound)
+		r.svc.err = fmt.Errorf("%w: store is down", callerapi.ErrUnavailable)
+		_, err = r.client.Lookup(ctx, "web", "k", 0)
+		qt.Check(t, err, qt.ErrorMatches, "look up http://e1: status 503: .*")
 		_, err = r.client.List(ctx, "web", "", 0)
 		qt.Check(t, err, qt.ErrorMatches, "list http://e1: status 400: .*limit: .*")
 	})
--- a/transport/caller/handler.go
+++ b/transport/caller/handler.go
@@ -143,6 +143,10 @@
 		h.write(w, http.StatusBadRequest, callerapi.ErrorBody{Errors: invalid.Problems})
 	case ctx.Err() != nil:
 		// The caller has gone away.
+	case errors.Is(err, callerapi.ErrUnavailable):
+		h.logFailure(step, err)
+		w.Header().Set("Retry-After", "5")
+		h.writeProblem(w, http.StatusServiceUnavailable, "", callerapi.ErrUnavailable.Error())
 	default:
 		h.logFailure(step, err)
 		h.writeProblem(w, http.StatusInternalServerError, "", "internal error")
--- a/transport/caller/scheduler.go
+++ b/transport/caller/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
@@ -78,6 +79,10 @@
 	if errors.Is(err, scheduler.ErrNoJob) {
 		return callerapi.ErrNotFound
 	}
+	var unavailable *rows.UnavailableError
+	if errors.As(err, &unavailable) {
+		return fmt.Errorf("%w: %w", callerapi.ErrUnavailable, err)
+	}
 	return err
 }
 
