Leave running recorded jobs alone when the entry ends

Cause: read in the code: at the end of the process the context of a running job ends, which looked like a cancellation. The cancel was not sent only because its own context had ended too. Change: a job whose entry ends returns without an outcome; its row stays, and another entry goes on with it. Ruled out: relying on the order in which the contexts end. No failure was seen before the change. Conclusion: the hand-over no longer depends on timing.

--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -213,6 +213,9 @@
 	a.released = true
 	reached := time.Now()
 	for wait := firstBackoff; ; {
+		if a.s.life.Err() != nil {
+			return lostResult{detail: "the entry is shutting down"} // The attempt goes on at its target.
+		}
 		if ctx.Err() != nil {
 			return a.cancel(hub)
 		}
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -89,6 +89,9 @@
 		}
 	})
 	out := r.attempts(ctx)
+	if r.recorded && r.s.life.Err() != nil {
+		return // The process ends. The row stays, and another entry goes on with the job.
+	}
 	if out == nil {
 		r.handedOver()
 		return
