--- a/coordination/scheduler/follow.go
+++ b/coordination/scheduler/follow.go
@@ -50,7 +50,7 @@
 			// The store is out: the local copy, if any, may still end.
 			record = rows.Job{}
 		case record.State == rows.JobNotRun && f.resubmitted:
-			f.s.takeOver(ctx, f.workspace, f.key, record, resubmission)
+			f.takeOver(ctx, record)
 		case record.Final():
 			return f.loaded(ctx, record)
 		}
@@ -99,7 +99,7 @@
 		f.since = time.Now()
 	}
 	if f.s.isAbandoned(record) {
-		f.s.takeOver(ctx, f.workspace, f.key, record, f.reason())
+		f.takeOver(ctx, record)
 		return rows.Job{}, false
 	}
 	if record.State != rows.JobDispatched {
@@ -119,16 +119,21 @@
 		return finalRecord(record, outcome.Ran{Answer: ran.answer, Elapsed: ran.elapsed}), true
 	}
 	if reply.GetState() != targetrpc.AttemptState_ATTEMPT_RUNNING && time.Since(f.since) >= dispatchDoubt {
-		f.s.takeOver(ctx, f.workspace, f.key, record, f.reason())
+		f.takeOver(ctx, record)
 	}
 	return rows.Job{}, false
 }
 
-func (f *follower) reason() takeOverReason {
+// takeOver takes the job over. A repeated request starts a job anew only once: if
+// that one is canceled, it stays so.
+func (f *follower) takeOver(ctx context.Context, record rows.Job) {
+	why := abandonment
 	if f.resubmitted {
-		return resubmission
+		why = resubmission
+	}
+	if f.s.takeOver(ctx, f.workspace, f.key, record, why) != nil {
+		f.resubmitted = false
 	}
-	return abandonment
 }
 
 // isAbandoned reports whether nobody works on a job that this entry does not work
--- a/coordination/scheduler/planner.go
+++ b/coordination/scheduler/planner.go
@@ -308,14 +308,20 @@
 	}
 }
 
-// hasOther reports whether a target takes work that is not among those to avoid.
-func (p *planner) hasOther(avoid []string) bool {
+// fitsWithout reports whether a shape fits the targets that take work, other than
+// those to avoid, once they are empty. A job that avoids more would wait for good.
+func (p *planner) fitsWithout(shape operator.Shape, avoid []string) bool {
+	if len(avoid) == 0 {
+		return true
+	}
+	var nodes []placement.Node
 	for _, t := range p.view.Live(time.Now()) {
 		if t.Accepts() && !slices.Contains(avoid, t.Name) {
-			return true
+			nodes = append(nodes, placement.Node{Name: t.Name, Rack: t.Rack, DataCentre: t.DataCentre, Slots: t.Slots, Free: t.Slots})
 		}
 	}
-	return false
+	_, ok := placement.NewSite(nodes).Plan(placement.Request{Shape: shape})
+	return ok
 }
 
 // jobFailed decides whether a job that failed on a target is tried elsewhere.
--- a/coordination/scheduler/run.go
+++ b/coordination/scheduler/run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
@@ -34,9 +35,13 @@
 
 	failedAnswer *outcome.Ran // of the latest attempt that ended with a failed answer
 
-	rowMu    sync.Mutex // held during a write of the row
-	tokens   []string   // that the row may carry as far as this entry knows
-	detached bool       // another entry may make attempts if this one dies
+	writes turns    // of the row
+	tokens []string // that the row may carry as far as this entry knows; changed in turn
+
+	mayHaveRun atomic.Bool // an attempt of this owner may have run
+
+	mu       sync.Mutex
+	detached bool // another entry may make attempts if this one dies
 
 	// Set if another entry, or a former process of this entry, owned the job.
 	takenOver     bool
@@ -46,13 +51,16 @@
 
 // change changes the record of the job, and its row if it has one.
 func (r *run) change(ctx context.Context, f func(rows.Job) rows.Job) error {
-	r.rowMu.Lock()
-	defer r.rowMu.Unlock()
+	if !r.writes.take(ctx) {
+		return outcome.Step("write job", "store", ctx.Err())
+	}
+	defer r.writes.give()
 	record := r.job.Record()
 	if record.Final() {
 		return nil
 	}
 	next := f(record)
+	next.MayHaveRun = next.MayHaveRun || r.mayHaveRun.Load()
 	next.Token = rows.NewToken()
 	if r.recorded {
 		if err := r.replaceLocked(ctx, next); err != nil {
@@ -108,22 +116,12 @@
 	if r.failedAnswer != nil {
 		return *r.failedAnswer
 	}
-	if r.job.Record().MayHaveRun {
+	if r.mayHaveRun.Load() || r.job.Record().MayHaveRun {
 		return outcome.Unknown{Detail: "an earlier attempt may have run"}
 	}
 	return out
 }
 
-// lost notes that an attempt may have run. The next write of the row records it;
-// until then the row names that attempt, and a later owner asks its hub.
-func (r *run) lost() {
-	r.rowMu.Lock()
-	defer r.rowMu.Unlock()
-	record := r.job.Record()
-	record.MayHaveRun = true
-	r.job.Update(record)
-}
-
 func (r *run) deadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if d := r.spec.request.Deadline; d > 0 {
 		return context.WithDeadline(ctx, r.job.Created().Add(d))
@@ -145,7 +143,7 @@
 		switch res := res.(type) {
 		case ranResult:
 			if exclude, again := r.tryElsewhere(ctx, res, where); again {
-				r.lost() // A later owner of the job must not report it as not run.
+				r.mayHaveRun.Store(true) // A later owner of the job must not report it as not run.
 				r.failedAnswer = &outcome.Ran{Answer: res.answer, Elapsed: res.elapsed}
 				avoid = exclude
 				front = true
@@ -159,7 +157,7 @@
 			if res.code == targetrpc.RefusalCode_REFUSAL_WORKER && len(avoid) < maxAvoided {
 				avoid = append(avoid, res.target)
 			}
-			if !r.s.plan.hasOther(avoid) {
+			if !r.s.plan.fitsWithout(r.spec.shape, avoid) {
 				avoid = nil
 			}
 			if !r.s.plan.retry() {
@@ -167,7 +165,9 @@
 			}
 			front = true
 		case lostResult:
-			r.lost()
+			// The next write of the row records it; until then the row names this
+			// attempt, and a later owner asks its hub.
+			r.mayHaveRun.Store(true)
 			if !r.spec.idempotent || ctx.Err() != nil {
 				return outcome.Unknown{Detail: res.detail}
 			}
@@ -190,7 +190,7 @@
 		return nil, false
 	}
 	v := r.s.plan.jobFailed(r, where[0])
-	if !v.Retry || !r.s.plan.hasOther(v.Exclude) || !r.s.plan.retry() {
+	if !v.Retry || !r.s.plan.fitsWithout(r.spec.shape, v.Exclude) || !r.s.plan.retry() {
 		return nil, false
 	}
 	return v.Exclude, true
@@ -281,8 +281,8 @@
 // not run: another entry may adopt such a job and run it as long as its row does
 // not say that it has ended, so nobody may be told before.
 func (r *run) endAtOnce(out outcome.Outcome) (final rows.Job, ended bool) {
-	r.rowMu.Lock()
-	defer r.rowMu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	final = finalRecord(r.job.Record(), out)
 	if _, notRun := out.(outcome.NotRun); notRun && r.recorded && r.detached {
 		return final, false
@@ -310,8 +310,10 @@
 func (r *run) recordEnd(ctx context.Context, final rows.Job) error {
 	ctx, cancel := context.WithTimeout(ctx, finalWriteTimeout)
 	defer cancel()
-	r.rowMu.Lock()
-	defer r.rowMu.Unlock()
+	if !r.writes.take(ctx) {
+		return outcome.Step("write job", "store", ctx.Err())
+	}
+	defer r.writes.give()
 	final, err := r.s.storeAnswer(ctx, final)
 	if err != nil {
 		return err
--- a/coordination/scheduler/submit.go
+++ b/coordination/scheduler/submit.go
@@ -138,6 +138,10 @@
 	}
 	if !mine {
 		s.jobs.Remove(j)
+		if found.ID == j.ID() {
+			// Another entry took the job over before this one saw its own claim.
+			return s.follow(ctx, j.Workspace(), j.Key(), wait, false)
+		}
 		return s.joinOther(ctx, sp, found, wait)
 	}
 	r := &run{s: s, job: j, spec: sp, recorded: true, tokens: []string{record.Token}, detached: !record.Attached}
@@ -173,9 +177,11 @@
 // can't record that, the job goes on here, and after a death of this entry it is
 // settled without new attempts.
 func (r *run) detach(ctx context.Context) {
+	r.mu.Lock()
+	r.detached = true // Even if the answer to the write is lost.
+	r.mu.Unlock()
 	err := r.change(ctx, func(record rows.Job) rows.Job {
 		record.Attached = false
-		r.detached = true // Even if the answer to the write is lost.
 		return record
 	})
 	if err != nil {
