Hold slots of preempted work for 7 s instead of 10 s

Change: a hold lasts 7 s, 5 s for the stop of all victims and 2 s for the reservation. Ruled out: releasing the hold when the session of the dead entry ends (10 s, no gain).

--- a/coordination/executor/life_test.go
+++ b/coordination/executor/life_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/medlargrade/medlargrade/protocol/entryrpc"
 	"github.com/medlargrade/medlargrade/protocol/targetrpc"
+	"github.com/medlargrade/medlargrade/state/attempts"
 )
 
 // preempt reclaims the slots of a job for the attempt "claim".
@@ -55,7 +56,7 @@
 	inBubble(t, 1, func(s *site) {
 		s.start("victim", longTask(8))
 		s.preempt(0, "victim")
-		s.pass(ReservationTTL)
+		s.pass(attempts.DefaultHoldTTL)
 		s.Assert(s.start("other", longTask(8)).State, qt.Equals, targetrpc.AttemptState_ATTEMPT_RUNNING)
 	})
 }
--- a/state/attempts/decide.go
+++ b/state/attempts/decide.go
@@ -199,7 +199,7 @@
 	}
 	n := r.st.Slots
 	r.st.Slots, r.st.Local = 0, LocalGone
-	t.slots.give(n, r.claim, t.limits.ReservationTTL)
+	t.slots.give(n, r.claim, t.limits.HoldTTL)
 	r.signalLocked()
 }
 
--- a/state/attempts/table.go
+++ b/state/attempts/table.go
@@ -11,7 +11,8 @@
 type Limits struct {
 	Slots          int
 	SessionExpiry  time.Duration // 10 s
-	ReservationTTL time.Duration // 10 s; also of holds
+	ReservationTTL time.Duration // 10 s
+	HoldTTL        time.Duration // 7 s
 	GangLease      time.Duration // 6 s
 	Retention      time.Duration // 10 min
 	KeptRecords    int           // 10,000
@@ -22,15 +23,20 @@
 const (
 	DefaultSessionExpiry  = 10 * time.Second
 	DefaultReservationTTL = 10 * time.Second
-	DefaultGangLease      = 6 * time.Second
-	DefaultRetention      = 10 * time.Minute
-	DefaultKeptRecords    = 10_000
-	DefaultKeptBytes      = 8 << 20
+	// DefaultHoldTTL covers the stop of all victims of a claim (5 s) and the
+	// reservation that follows (2 s). Slots that are held longer keep a claim
+	// waiting whose entry died, and was repeated through another one.
+	DefaultHoldTTL     = 7 * time.Second
+	DefaultGangLease   = 6 * time.Second
+	DefaultRetention   = 10 * time.Minute
+	DefaultKeptRecords = 10_000
+	DefaultKeptBytes   = 8 << 20
 )
 
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.SessionExpiry, DefaultSessionExpiry)
 	setDefault(&l.ReservationTTL, DefaultReservationTTL)
+	setDefault(&l.HoldTTL, DefaultHoldTTL)
 	setDefault(&l.GangLease, DefaultGangLease)
 	setDefault(&l.Retention, DefaultRetention)
 	if l.KeptRecords == 0 {
