Make one piece of code serve both processes; drop unused settings and a wrapper

Cause: the last read of the whole change found the dig container and the filling of settings written once for the entry and once for the target, two fields of scheduler.Settings that nothing reads, and a method that only forwarded to another one that did not use its receiver. Change: process.newContainer and fillSettings serve both; the fields Address and DataCentre are gone from scheduler.Settings; checkReply and checked are plain functions. Ruled out: merging RunEntry and RunTarget (they differ in the type that dig fills, and the project has no generics of its own); merging the branches of operator/diff.go (alike in shape only). Behaviour and tests are unchanged.

--- a/cmd/medlargrade/process.go
+++ b/cmd/medlargrade/process.go
@@ -24,14 +24,8 @@
 // settings returns the checked settings of the file and the flags.
 func (c *entryCommand) settings() (process.EntrySettings, error) {
 	set := process.DefaultEntrySettings()
-	if err := process.ReadSettings(c.Settings, &set); err != nil {
-		return set, &ExitError{ExitProblems, err}
-	}
-	overlay(&set, &c.Flags)
-	if err := set.Check(); err != nil {
-		return set, &ExitError{ExitProblems, err}
-	}
-	return set, nil
+	err := fillSettings(c.Settings, &set, &c.Flags)
+	return set, err
 }
 
 // targetCommand runs a target process.
@@ -54,12 +48,24 @@
 // settings returns the checked settings of the file and the flags.
 func (c *targetCommand) settings() (process.TargetSettings, error) {
 	set := process.DefaultTargetSettings()
-	if err := process.ReadSettings(c.Settings, &set); err != nil {
-		return set, &ExitError{ExitProblems, err}
+	err := fillSettings(c.Settings, &set, &c.Flags)
+	return set, err
+}
+
+// settings are the settings of a process.
+type settings interface {
+	Check() error
+}
+
+// fillSettings fills set from the file, lays the flags over it and checks the
+// whole. Both set and flags point to the same type of struct.
+func fillSettings(path string, set, flags settings) error {
+	if err := process.ReadSettings(path, set); err != nil {
+		return &ExitError{ExitProblems, err}
 	}
-	overlay(&set, &c.Flags)
+	overlay(set, flags)
 	if err := set.Check(); err != nil {
-		return set, &ExitError{ExitProblems, err}
+		return &ExitError{ExitProblems, err}
 	}
-	return set, nil
+	return nil
 }
--- a/coordination/scheduler/attempt.go
+++ b/coordination/scheduler/attempt.go
@@ -150,7 +150,7 @@
 		return notRunResult{detail: err.Error(), target: hub.Target}
 	}
 	if err == nil {
-		err = a.check(reply)
+		err = checkReply(a.id, reply)
 	}
 	if err == nil {
 		if r := resultOf(reply, hub.Target); r != nil {
@@ -163,11 +163,6 @@
 	return a.fence(ctx, hub)
 }
 
-// check rejects a reply that belongs to another attempt or is not whole.
-func (a *attempt) check(reply *targetrpc.AttemptReply) error {
-	return a.s.checkReply(a.id, reply)
-}
-
 // fence asks whether a doubtful attempt has been released, and forbids it if
 // not.
 func (a *attempt) fence(ctx context.Context, hub Session) result {
--- a/coordination/scheduler/cancel.go
+++ b/coordination/scheduler/cancel.go
@@ -47,7 +47,7 @@
 	c := s.cancels.add(targetProcess{address: address, incarnation: incarnation}, id)
 	select {
 	case <-c.done:
-		return s.checked(id, c.reply, c.err)
+		return checked(id, c.reply, c.err)
 	case <-s.life.Done():
 		return nil, outcome.Step("cancel", address, s.life.Err())
 	}
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -28,8 +28,6 @@
 type Settings struct {
 	Entry       string // name, unique over all entries
 	Incarnation uint64 // drawn at random at each start
-	Address     string // where targets reach the entry, IP:port
-	DataCentre  string
 }
 
 // Scheduler is the core of an entry. Its methods are safe for concurrent use.
@@ -175,7 +173,7 @@
 	reply, err := c.Await(ctx, &targetrpc.AwaitRequest{
 		Attempt: id, Incarnation: incarnation, WaitMillis: toMillis(wait), Generation: s.generation(),
 	})
-	return s.checked(id, reply, outcome.Step("await", address, err))
+	return checked(id, reply, outcome.Step("await", address, err))
 }
 
 // fence forbids an attempt that its hub has not released.
@@ -189,14 +187,14 @@
 	reply, err := c.Fence(ctx, &targetrpc.FenceRequest{
 		Attempt: id, Incarnation: hub.Incarnation, Generation: s.generation(), SentAfterMillis: toMillis(uptime),
 	})
-	return s.checked(id, reply, outcome.Step("fence", hub.Address, err))
+	return checked(id, reply, outcome.Step("fence", hub.Address, err))
 }
 
-func (s *Scheduler) checked(id *targetrpc.AttemptID, reply *targetrpc.AttemptReply, err error) (*targetrpc.AttemptReply, error) {
+func checked(id *targetrpc.AttemptID, reply *targetrpc.AttemptReply, err error) (*targetrpc.AttemptReply, error) {
 	if err != nil {
 		return nil, err
 	}
-	if err := s.checkReply(id, reply); err != nil {
+	if err := checkReply(id, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
@@ -204,7 +202,7 @@
 
 // checkReply rejects a reply that belongs to another attempt or whose answer is
 // not whole.
-func (s *Scheduler) checkReply(id *targetrpc.AttemptID, reply *targetrpc.AttemptReply) error {
+func checkReply(id *targetrpc.AttemptID, reply *targetrpc.AttemptReply) error {
 	got := reply.GetAttempt()
 	if got.GetJob() != id.GetJob() || got.GetNumber() != id.GetNumber() {
 		return fmt.Errorf("reply is for attempt %s/%d, not %s/%d", got.GetJob(), got.GetNumber(), id.GetJob(), id.GetNumber())
--- a/process/entry.go
+++ b/process/entry.go
@@ -66,7 +66,6 @@
 type incarnation uint64
 
 func entryContainer(set EntrySettings, network Network, log zerolog.Logger) (*dig.Container, error) {
-	c := dig.New()
 	providers := []any{
 		func() EntrySettings { return set },
 		func() Network { return network },
@@ -92,18 +91,13 @@
 			o *membership.Observer, log zerolog.Logger, reg *metrics.Set,
 		) *scheduler.Scheduler {
 			return scheduler.New(scheduler.Settings{
-				Entry: s.Name, Incarnation: uint64(i), Address: s.TargetAddress, DataCentre: s.DataCentre,
+				Entry: s.Name, Incarnation: uint64(i),
 			}, scheduler.Peers{
 				Store: store, Targets: targetsOf{pool}, Config: entryConfig{h, sync}, Members: scheduler.NewOwners(o),
 			}, log, reg)
 		},
 	}
-	for _, p := range providers {
-		if err := c.Provide(p); err != nil {
-			return nil, fmt.Errorf("assemble entry: %w", err)
-		}
-	}
-	return c, nil
+	return newContainer("entry", providers)
 }
 
 // RunEntry runs an entry process until ctx ends, and then stops it gracefully.
--- a/process/target.go
+++ b/process/target.go
@@ -57,7 +57,6 @@
 }
 
 func targetContainer(set TargetSettings, network Network, log zerolog.Logger) (*dig.Container, error) {
-	c := dig.New()
 	providers := []any{
 		func() TargetSettings { return set },
 		func() Network { return network },
@@ -79,12 +78,7 @@
 		},
 		newExecutor,
 	}
-	for _, p := range providers {
-		if err := c.Provide(p); err != nil {
-			return nil, fmt.Errorf("assemble target: %w", err)
-		}
-	}
-	return c, nil
+	return newContainer("target", providers)
 }
 
 func newExecutor(s TargetSettings, n Network, h *configsync.Holder, sync *configsync.TargetSync, hubs *target.Pool, entries *entry.Pool, log zerolog.Logger) (*executor.Executor, error) {
