--- a/cmd/medlargrade/commands.go
+++ b/cmd/medlargrade/commands.go
@@ -31,6 +31,8 @@
 	return []command{
 		{"entry", "Run an entry process", "Serves callers, plans their jobs and dispatches them to targets.", &entryCommand{}},
 		{"target", "Run a target process", "Runs tasks on the worker beside it and reports to the entries.", &targetCommand{}},
+		{"site-entry", "Run an entry on the platform", "Serves callers and records their jobs.", &siteEntryCommand{}},
+		{"site-target", "Run a target process on the platform", "Is the agent of the worker beside it, and may plan the shard.", &siteTargetCommand{}},
 		{"config", "Review and apply the configuration", "Checks, compares, applies and shows the configuration of the site.", NewConfig(newEnv())},
 		{"submit", "Submit a job", "Submits a job and waits for its outcome.", &submitCommand{}},
 		{"job", "Look up a job", "Shows what is known of a job, and waits for its end if asked.", &jobCommand{}},
--- /dev/null
+++ b/coordination/agent/agent.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+)
+
+// Settings of an Agent.
+type Settings struct {
+	Name    string        // of the target
+	HoldMax time.Duration // longest lease that the worker grants
+}
+
+// Info is what a worker says of itself.
+type Info struct {
+	Life         *agentrpc.Life
+	Pool         string
+	DataCentre   string
+	Machine      string
+	CPU          int64 // thousandths of a core
+	MemoryMB     int64
+	Accelerators int64
+	Labels       []string
+	Rack         string
+	Draining     bool
+	Remaining    time.Duration // time left while it drains
+	Clock        Clock
+	Sequence     uint64 // increases with each report of a life
+}
+
+// Agent is the agent of one worker. Its methods are safe for concurrent use.
+type Agent struct {
+	cfg    Settings
+	worker Worker
+	log    zerolog.Logger
+	boot   uint64
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced when the revision changes
+	lease   chan struct{} // closed and replaced when the hold loop has work
+
+	info     Info // Life is nil while no worker is known
+	leftLife *agentrpc.Life
+	epoch    uint64 // highest seen
+	planner  string
+	contact  time.Time // last call of the planner of that epoch
+	watching int       // calls of Watch in progress
+	// unconfirmed is how long the store had not confirmed the planner at contact.
+	unconfirmed time.Duration
+
+	life life // what is known of the life in info
+}
+
+// life is what an agent knows of one life of a worker.
+type life struct {
+	fence     int64
+	confirmed int64 // fencing token of the last answered hold
+	cap       Clock
+	clock     Clock
+	answered  time.Time // when the call that was answered last was sent
+	seen      int64
+	seenSent  int64 // that the worker has confirmed
+	listed    bool
+	running   []*agentrpc.RunStatus
+	ended     []*agentrpc.RunEnd
+	revision  uint64
+	look      int64 // number of the last hold that was sent
+	listLook  int64 // number of the hold that running and ended are from
+	announce  int64 // watchers are told when listLook reaches it
+	// doubt has the starts whose outcome is unknown.
+	doubt map[runKey]struct{}
+}
+
+type runKey struct {
+	task string
+	run  int64
+}
+
+// New returns an agent that knows no worker yet.
+func New(cfg Settings, w Worker, log zerolog.Logger) *Agent {
+	return &Agent{
+		cfg: cfg, worker: w, log: log, boot: rand.Uint64() | 1,
+		changed: make(chan struct{}), lease: make(chan struct{}),
+	}
+}
+
+// SetWorker takes a report of the worker about itself. It returns false if the
+// report is older than what is known: reports can arrive late, even after the
+// worker has been started again.
+func (a *Agent) SetWorker(info Info) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.info
+	if old.Life != nil {
+		if info.Life.GetBorn() < old.Life.GetBorn() {
+			return false
+		}
+		if sameLife(info.Life, old.Life) && info.Sequence <= old.Sequence {
+			return false
+		}
+	}
+	if a.leftLife != nil && sameLife(info.Life, a.leftLife) {
+		return false
+	}
+	if !sameLife(info.Life, old.Life) {
+		a.life = life{doubt: make(map[runKey]struct{}), revision: a.life.revision, clock: info.Clock, answered: time.Now()}
+		a.log.Info().Int("Event", EventWorkerLife).Str("Worker", info.Life.GetWorker()).Int64("Born", info.Life.GetBorn()).
+			Str("Pool", info.Pool).Msg("a worker has registered")
+	}
+	if info.Draining && (old.Life == nil || !old.Draining) {
+		a.log.Info().Int("Event", EventWorkerDraining).Str("Worker", info.Life.GetWorker()).
+			Dur("Remaining", info.Remaining).Msg("the worker is leaving")
+	}
+	a.info = info
+	a.info.Draining = info.Draining || sameLife(info.Life, old.Life) && old.Draining
+	if !sameLife(info.Life, old.Life) || a.info.Draining != old.Draining || a.info.Pool != old.Pool ||
+		a.info.CPU != old.CPU || a.info.MemoryMB != old.MemoryMB || a.info.Accelerators != old.Accelerators {
+		a.bumpLocked()
+	}
+	return true
+}
+
+// WorkerLeft takes the notice that a life of the worker has ended.
+func (a *Agent) WorkerLeft(worker string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.info.Life.GetWorker() != worker {
+		return
+	}
+	a.log.Info().Int("Event", EventWorkerLeft).Str("Worker", worker).Msg("the worker has left")
+	a.info.Draining = true
+	a.bumpLocked()
+}
+
+func sameLife(x, y *agentrpc.Life) bool {
+	return x != nil && y != nil && x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
+}
+
+// Contact describes the last call of a planner.
+type Contact struct {
+	Epoch   uint64
+	Planner string
+	// Silent is the time since the last call ended, or 0 while one is in progress.
+	Silent time.Duration
+	// Unconfirmed is how long the store had not confirmed the planner at that call.
+	Unconfirmed time.Duration
+}
+
+// Contact returns the state of the contact with the planner.
+func (a *Agent) Contact() Contact {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := Contact{Epoch: a.epoch, Planner: a.planner, Unconfirmed: a.unconfirmed}
+	if a.watching == 0 {
+		c.Silent = time.Since(a.contact)
+	}
+	return c
+}
+
+// RaiseEpoch makes the agent refuse planners of a lower epoch.
+func (a *Agent) RaiseEpoch(epoch uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch = max(a.epoch, epoch)
+}
+
+// bumpLocked tells watchers that the state has changed.
+func (a *Agent) bumpLocked() {
+	a.life.revision++
+	close(a.changed)
+	a.changed = make(chan struct{})
+	a.wakeLocked()
+}
+
+// wakeLocked tells the hold loop that there is something new to send.
+func (a *Agent) wakeLocked() {
+	close(a.lease)
+	a.lease = make(chan struct{})
+}
+
+// Run renews leases and follows the runs of the worker until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.holdOnce(ctx)
+	}
+}
--- /dev/null
+++ b/coordination/agent/hold.go
@@ -0,0 +1,134 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+)
+
+const (
+	// holdWait is how long the worker may wait for an end before it answers. The
+	// platform allows 2 s; a shorter wait renews the lease and refreshes
+	// checkpoints more often. Calls from the worker's own machine cost nothing.
+	holdWait = time.Second
+	// holdPause is the pause between two looks while ends wait to be recorded: the
+	// worker answers at once as long as it has any.
+	holdPause = 200 * time.Millisecond
+	// callTimeout bounds a call beyond the time that the worker may wait.
+	callTimeout = 500 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 150 * time.Millisecond
+)
+
+// holdOnce makes one call to the worker, or waits until there is a reason for one.
+func (a *Agent) holdOnce(ctx context.Context) {
+	a.mu.Lock()
+	wake := a.lease
+	life := a.info.Life
+	if life == nil || a.life.fence == 0 {
+		a.mu.Unlock()
+		pause(ctx, wake, time.Minute)
+		return
+	}
+	r := HoldRequest{
+		Call:  Call{Worker: life.GetWorker(), Fence: a.life.fence},
+		Until: a.untilLocked(), Seen: a.life.seen, Wait: holdWait,
+	}
+	pending := len(a.life.ended) > 0 && a.life.seen == a.life.seenSent
+	fresh := a.life.confirmed != a.life.fence
+	a.mu.Unlock()
+	if pending {
+		pause(ctx, wake, holdPause)
+	}
+	if pending || fresh {
+		r.Wait = 0
+	}
+	if pending {
+		a.mu.Lock()
+		r.Seen, r.Until, r.Fence = a.life.seen, a.untilLocked(), a.life.fence
+		stale := !sameLife(a.info.Life, life)
+		a.mu.Unlock()
+		if stale || ctx.Err() != nil {
+			return
+		}
+	}
+	if !a.hold(ctx, life, r) {
+		pause(ctx, nil, retryPause)
+	}
+}
+
+// pause waits for the channel, the time or the end of the context.
+func pause(ctx context.Context, wake <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
+
+// untilLocked returns the end of the lease to ask for: as long as the worker
+// grants, but not beyond the planner's cap.
+func (a *Agent) untilLocked() Clock {
+	if a.life.clock == 0 {
+		return 0
+	}
+	return min(a.life.clock+Clock(a.cfg.HoldMax.Milliseconds()), a.life.cap)
+}
+
+// hold makes one call and takes its answer. It reports whether there was one.
+func (a *Agent) hold(ctx context.Context, life *agentrpc.Life, r HoldRequest) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+callTimeout)
+	defer cancel()
+	sent := time.Now()
+	a.mu.Lock()
+	a.life.look++
+	look := a.life.look
+	a.mu.Unlock()
+	reply, err := a.worker.Hold(ctx, r)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !sameLife(a.info.Life, life) {
+		return true
+	}
+	if err != nil {
+		return false
+	}
+	if reply.Born != 0 && reply.Born != life.GetBorn() {
+		// The worker has been started again under its ID; its report follows.
+		return false
+	}
+	a.life.clock = max(a.life.clock, reply.Clock)
+	a.life.answered = sent
+	a.life.confirmed = max(a.life.confirmed, r.Fence)
+	a.life.seenSent = max(a.life.seenSent, r.Seen)
+	changed := !a.life.listed || !sameRuns(a.life.running, reply.Running) || !sameEnds(a.life.ended, reply.Ended)
+	a.life.listed = true
+	if a.life.announce > a.life.listLook && a.life.announce <= look {
+		changed = true
+	}
+	a.life.listLook = look
+	a.life.running, a.life.ended = reply.Running, reply.Ended
+	for _, s := range reply.Running {
+		delete(a.life.doubt, runKey{s.GetTask(), s.GetRun()})
+	}
+	if changed {
+		a.bumpLocked()
+	}
+	return true
+}
+
+// sameRuns reports whether two lists name the same runs. Progress of a run is not
+// a change: watchers get it with the next one or at the end of their wait.
+func sameRuns(x, y []*agentrpc.RunStatus) bool {
+	return slices.EqualFunc(x, y, func(x, y *agentrpc.RunStatus) bool {
+		return x.GetTask() == y.GetTask() && x.GetRun() == y.GetRun()
+	})
+}
+
+func sameEnds(x, y []*agentrpc.RunEnd) bool {
+	return slices.EqualFunc(x, y, func(x, y *agentrpc.RunEnd) bool { return x.GetNumber() == y.GetNumber() })
+}
--- /dev/null
+++ b/coordination/agent/order.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+)
+
+// orderTries is how often an order is sent that gets no answer. Repeating one is
+// safe, because a run number is started at most once on a worker.
+const orderTries = 2
+
+// Order implements agentrpc.DRPCAgentServer. It returns when the worker has
+// answered each order or has been silent for all tries.
+func (a *Agent) Order(ctx context.Context, in *agentrpc.OrderRequest) (*agentrpc.OrderReply, error) {
+	a.mu.Lock()
+	refused := !a.acceptLocked(in.GetEpoch(), a.planner) || !sameLife(in.GetLife(), a.info.Life)
+	epoch := a.epoch
+	if in.GetFence() > a.life.fence {
+		a.life.fence = in.GetFence()
+		a.wakeLocked()
+	}
+	a.mu.Unlock()
+	if refused {
+		return &agentrpc.OrderReply{Refused: true, Epoch: epoch}, nil
+	}
+	results := make([]*agentrpc.OrderResult, len(in.GetOrders()))
+	var wg sync.WaitGroup
+	for i, o := range in.GetOrders() {
+		wg.Go(func() { results[i] = a.order(ctx, in, o) })
+	}
+	wg.Wait()
+	return &agentrpc.OrderReply{Epoch: epoch, Results: results}, nil
+}
+
+// order carries out one order.
+func (a *Agent) order(ctx context.Context, in *agentrpc.OrderRequest, o *agentrpc.Order) *agentrpc.OrderResult {
+	call := Call{Worker: in.GetLife().GetWorker(), Fence: in.GetFence()}
+	var res *agentrpc.OrderResult
+	switch o := o.GetOrder().(type) {
+	case *agentrpc.Order_Start:
+		res = a.start(ctx, in, call, o.Start)
+		a.logOrder(EventStartOrder, o.Start.GetTask(), o.Start.GetRun(), res)
+	case *agentrpc.Order_Stop:
+		res = a.stop(ctx, in, call, o.Stop)
+		a.logOrder(EventStopOrder, o.Stop.GetTask(), o.Stop.GetRun(), res)
+	case *agentrpc.Order_Pace:
+		r := PaceRequest{Call: call, Task: o.Pace.GetTask(), Run: o.Pace.GetRun(), Percent: o.Pace.GetPercent()}
+		res = a.try(ctx, in.GetLife(), func(ctx context.Context) (Clock, error) { return a.worker.Pace(ctx, r) })
+		a.logOrder(EventPaceOrder, o.Pace.GetTask(), o.Pace.GetRun(), res)
+	default:
+		res = &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: ReasonMalformed}
+	}
+	return res
+}
+
+func (a *Agent) logOrder(event int, task string, run int64, res *agentrpc.OrderResult) {
+	a.log.Info().Int("Event", event).Str("Task", task).Int64("Run", run).Str("Outcome", res.GetOutcome().String()).
+		Str("Reason", res.GetReason()).Send()
+}
+
+func (a *Agent) start(ctx context.Context, in *agentrpc.OrderRequest, call Call, s *agentrpc.Start) *agentrpc.OrderResult {
+	key := runKey{s.GetTask(), s.GetRun()}
+	refuse := func(reason string) *agentrpc.OrderResult {
+		return &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: reason}
+	}
+	a.mu.Lock()
+	_, doubt := a.life.doubt[key]
+	reason := a.refusalLocked(in)
+	until := a.untilLocked()
+	if reason == "" {
+		a.life.doubt[key] = struct{}{}
+	}
+	a.mu.Unlock()
+	if reason != "" {
+		if doubt {
+			return &agentrpc.OrderResult{Outcome: agentrpc.Outcome_UNKNOWN, Reason: reason}
+		}
+		return refuse(reason)
+	}
+	r := StartRequest{
+		Call: call, Task: s.GetTask(), Run: s.GetRun(), Payload: s.GetPayload(),
+		Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket(), Until: until,
+	}
+	first := true
+	res := a.try(ctx, in.GetLife(), func(ctx context.Context) (Clock, error) {
+		clock, err := a.worker.Start(ctx, r)
+		var refused *RefusedError
+		if err != nil && !errors.As(err, &refused) && !errors.Is(err, ErrOtherLife) {
+			first = false
+		}
+		return clock, err
+	})
+	// An earlier call of this start that got no answer may still be carried out.
+	if res.GetOutcome() == agentrpc.Outcome_REFUSED && (doubt || !first) && res.GetReason() != ReasonOld {
+		res.Outcome = agentrpc.Outcome_UNKNOWN
+	}
+	if res.GetOutcome() != agentrpc.Outcome_UNKNOWN {
+		a.mu.Lock()
+		delete(a.life.doubt, key)
+		a.mu.Unlock()
+	}
+	return res
+}
+
+// refusalLocked returns why no run may be started now, or "".
+func (a *Agent) refusalLocked(in *agentrpc.OrderRequest) string {
+	switch {
+	case !sameLife(in.GetLife(), a.info.Life):
+		return ReasonOtherLife
+	case a.info.Draining:
+		return ReasonDraining
+	case a.life.confirmed < in.GetFence() || a.untilLocked() <= a.life.clock:
+		return ReasonNoLease
+	}
+	return ""
+}
+
+func (a *Agent) stop(ctx context.Context, in *agentrpc.OrderRequest, call Call, s *agentrpc.Stop) *agentrpc.OrderResult {
+	r := StopRequest{Call: call, Task: s.GetTask(), Run: s.GetRun()}
+	res := a.try(ctx, in.GetLife(), func(ctx context.Context) (Clock, error) { return a.worker.Stop(ctx, r) })
+	if res.GetOutcome() != agentrpc.Outcome_DONE {
+		return res
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.life.doubt, runKey{s.GetTask(), s.GetRun()})
+	res.Look = a.life.look + 1
+	a.life.announce = res.Look
+	return res
+}
+
+// try makes a call up to orderTries times until the worker answers.
+func (a *Agent) try(ctx context.Context, life *agentrpc.Life, call func(context.Context) (Clock, error)) *agentrpc.OrderResult {
+	res := &agentrpc.OrderResult{Outcome: agentrpc.Outcome_UNKNOWN}
+	for range orderTries {
+		tctx, cancel := context.WithTimeout(ctx, callTimeout)
+		clock, err := call(tctx)
+		cancel()
+		var refused *RefusedError
+		switch {
+		case err == nil:
+			a.answered(life, clock)
+			res.Outcome = agentrpc.Outcome_DONE
+			return res
+		case errors.As(err, &refused):
+			a.answered(life, refused.Clock)
+			res.Outcome, res.Reason = agentrpc.Outcome_REFUSED, refused.Reason
+			return res
+		case errors.Is(err, ErrOtherLife):
+			res.Outcome, res.Reason = agentrpc.Outcome_REFUSED, ReasonOtherLife
+			return res
+		case ctx.Err() != nil:
+			return res
+		}
+		res.Reason = err.Error()
+		pause(ctx, nil, retryPause)
+	}
+	return res
+}
+
+// answered takes the clock of an answer.
+func (a *Agent) answered(life *agentrpc.Life, clock Clock) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if sameLife(a.info.Life, life) {
+		a.life.clock = max(a.life.clock, clock)
+	}
+}
--- /dev/null
+++ b/coordination/configuration/snapshot.go
@@ -0,0 +1,89 @@
+package configuration
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/medlargrade/medlargrade/operator"
+)
+
+// Snapshot is one version of the configuration. It is immutable.
+type Snapshot struct {
+	Version uint64
+	Config  operator.Config
+
+	kinds      map[string]operator.Kind
+	routes     map[string][]operator.Kind // by host, longest prefix first
+	workspaces map[string]operator.Workspace
+	keys       map[string]string // workspace by key
+	pools      map[string]operator.Pool
+}
+
+// NewSnapshot returns the snapshot of a configuration.
+func NewSnapshot(version uint64, cfg operator.Config) *Snapshot {
+	s := &Snapshot{
+		Version: version, Config: cfg, kinds: make(map[string]operator.Kind), routes: make(map[string][]operator.Kind),
+		workspaces: make(map[string]operator.Workspace), keys: make(map[string]string), pools: make(map[string]operator.Pool),
+	}
+	for _, k := range cfg.Kinds() {
+		s.kinds[k.Name()] = k
+		if r := k.Route(); r.Prefix != "" {
+			host := strings.ToLower(r.Host)
+			s.routes[host] = append(s.routes[host], k)
+		}
+	}
+	for _, list := range s.routes {
+		slices.SortStableFunc(list, func(x, y operator.Kind) int {
+			return cmp.Compare(len(y.Route().Prefix), len(x.Route().Prefix))
+		})
+	}
+	for _, w := range cfg.Workspaces() {
+		s.workspaces[w.Name()] = w
+		for _, k := range w.Keys() {
+			s.keys[k] = w.Name()
+		}
+	}
+	for _, p := range cfg.Pools() {
+		s.pools[p.Name()] = p
+	}
+	return s
+}
+
+// Kind returns the kind of that name.
+func (s *Snapshot) Kind(name string) (operator.Kind, bool) {
+	k, ok := s.kinds[name]
+	return k, ok
+}
+
+// Workspace returns the workspace of that name.
+func (s *Snapshot) Workspace(name string) (operator.Workspace, bool) {
+	w, ok := s.workspaces[name]
+	return w, ok
+}
+
+// WorkspaceOfKey returns the name of the workspace that an API key belongs to.
+func (s *Snapshot) WorkspaceOfKey(key string) (string, bool) {
+	w, ok := s.keys[key]
+	return w, ok
+}
+
+// Pool returns the pool of that name.
+func (s *Snapshot) Pool(name string) (operator.Pool, bool) {
+	p, ok := s.pools[name]
+	return p, ok
+}
+
+// Route returns the kind that a call belongs to: the one of the host with the
+// longest prefix of the path.
+func (s *Snapshot) Route(host, path string) (operator.Kind, bool) {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, k := range s.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, k.Route().Prefix) {
+			return k, true
+		}
+	}
+	return operator.Kind{}, false
+}
--- /dev/null
+++ b/coordination/intake/intake.go
@@ -0,0 +1,237 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+const (
+	// retryAfter is when a caller that was refused for want of the store should
+	// return. Outages end within seconds.
+	retryAfter = time.Second
+	// retryPause is the pause before a call to the store is repeated.
+	retryPause = 50 * time.Millisecond
+	// waitingLimit bounds the rows that are counted for one queue.
+	waitingLimit = 500
+)
+
+// Result is the result of a submission: Accepted, Refused or Undecided.
+type Result interface {
+	isResult()
+}
+
+// Accepted reports a job that is recorded, now or by an earlier submission.
+type Accepted struct {
+	Repeated bool // it was recorded before
+}
+
+// Refused reports a job that is not recorded and never will be by this call.
+type Refused struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Undecided reports a job that may be recorded.
+type Undecided struct {
+	Err error
+}
+
+func (Accepted) isResult()  {}
+func (Refused) isResult()   {}
+func (Undecided) isResult() {}
+
+// Service serves callers. Its methods are safe for concurrent use.
+type Service struct {
+	store table.Store
+	part  string
+	clock *table.Clock
+	log   zerolog.Logger
+}
+
+// New returns a service that records jobs in a part of the store.
+func New(store table.Store, part string, clock *table.Clock, log zerolog.Logger) *Service {
+	return &Service{store: store, part: part, clock: clock, log: log}
+}
+
+// Submit records a job. It repeats the write until its outcome is known or ctx
+// ends.
+func (s *Service) Submit(ctx context.Context, j job.Job) Result {
+	if now, ok := s.clock.Now(); ok {
+		j.AcceptedMillis = now.Milliseconds()
+	}
+	tx := table.Tx{Part: s.part}.
+		WithCondition(job.TableJobs, j.ID, 0).
+		WithWrite(job.TableJobs, j.ID, j.Encode()).
+		WithWrite(job.TableWaiting, job.WaitingKey(j.Kind, j.ID), nil)
+	lost := false
+	for {
+		c, err := s.store.Commit(ctx, tx)
+		var conflict *table.ConflictError
+		var gone *table.LostError
+		switch {
+		case err == nil:
+			s.clock.Observe(c.Now)
+			s.logSubmit(j, "accepted", nil)
+			return Accepted{}
+		case errors.As(err, &conflict):
+			return s.repeated(j, conflict.Row(job.TableJobs, j.ID))
+		case errors.As(err, &gone):
+			lost = true
+		case !lost:
+			s.logSubmit(j, "refused", err)
+			return Refused{Reason: err.Error(), RetryAfter: retryAfter}
+		}
+		if !sleep(ctx, retryPause) {
+			s.logSubmit(j, "undecided", err)
+			return Undecided{Err: err}
+		}
+	}
+}
+
+// repeated is the result for an ID that is recorded.
+func (s *Service) repeated(j job.Job, row table.Row) Result {
+	old, err := job.Decode(row.Value)
+	if err != nil {
+		s.logSubmit(j, "undecided", err)
+		return Undecided{Err: err}
+	}
+	s.logSubmit(j, "accepted", nil)
+	return Accepted{Repeated: old.Token != j.Token}
+}
+
+func (s *Service) logSubmit(j job.Job, outcome string, err error) {
+	s.log.Info().Int("Event", EventSubmitted).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
+		Str("Outcome", outcome).Err(err).Send()
+}
+
+// sleep waits and reports whether ctx goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// ErrNoJob reports a job that does not exist.
+var ErrNoJob = errors.New("no such job")
+
+// found is what the store has of a job.
+type found struct {
+	job     job.Job
+	version uint64 // of the job's row; 0 if it was not read
+	state   job.State
+}
+
+// State returns the state of a job, or ErrNoJob.
+func (s *Service) State(ctx context.Context, id string) (job.State, error) {
+	f, err := s.find(ctx, id)
+	return f.state, err
+}
+
+// find reads the rows of a job.
+func (s *Service) find(ctx context.Context, id string) (found, error) {
+	from, to := job.KeyRange(id)
+	jobs, err := s.read(ctx, table.Range{Table: job.TableJobs, Part: s.part, From: from, To: to})
+	if err != nil {
+		return found{}, fmt.Errorf("read job %s: %w", id, err)
+	}
+	var f found
+	canceled := false
+	for _, r := range jobs.Rows {
+		switch rid, cancel := job.ParseJobsKey(r.Key); {
+		case rid != id:
+		case cancel:
+			canceled = true
+		default:
+			if f.job, err = job.Decode(r.Value); err != nil {
+				return found{}, err
+			}
+			f.version = r.Version
+		}
+	}
+	if f.version == 0 {
+		return found{}, ErrNoJob
+	}
+	progress, err := s.read(ctx, table.Range{Table: job.TableProgress, Part: s.part, From: from, To: to})
+	if err != nil {
+		return found{}, fmt.Errorf("read progress of job %s: %w", id, err)
+	}
+	var states []job.State
+	for _, r := range progress.Rows {
+		p, err := job.DecodeProgress(r.Value)
+		if err != nil {
+			return found{}, err
+		}
+		states = append(states, p.State)
+	}
+	f.state = job.Combine(states, f.job.Occurrences())
+	if canceled && !f.state.Final() {
+		f.state = job.Cancelled
+	}
+	return f, nil
+}
+
+// read reads a range and repeats a failed call until ctx ends.
+func (s *Service) read(ctx context.Context, r table.Range) (table.Page, error) {
+	for {
+		p, err := table.ReadAll(ctx, s.store, r)
+		if err == nil {
+			s.clock.Observe(p.Now)
+			return p, nil
+		}
+		if !sleep(ctx, retryPause) {
+			return table.Page{}, err
+		}
+	}
+}
+
+// Cancel records that a job is cancelled. It returns ErrNoJob if there is none; a
+// job that has ended stays as it is.
+func (s *Service) Cancel(ctx context.Context, id, requestID string) error {
+	f, err := s.find(ctx, id)
+	if err != nil {
+		return err
+	}
+	if f.state.Final() {
+		return nil
+	}
+	tx := table.Tx{Part: s.part}.
+		WithCondition(job.TableJobs, id, f.version).
+		WithWrite(job.TableJobs, job.CancelKey(id), job.Cancellation{RequestID: requestID}.Encode())
+	for {
+		_, err := s.store.Commit(ctx, tx)
+		var conflict *table.ConflictError
+		switch {
+		case err == nil:
+			s.log.Info().Int("Event", EventCancelled).Str("Job", id).Msg("the cancellation is recorded")
+			return nil
+		case errors.As(err, &conflict):
+			return ErrNoJob
+		}
+		if !sleep(ctx, retryPause) {
+			return fmt.Errorf("cancel job %s: %w", id, err)
+		}
+	}
+}
+
+// Waiting returns the number of accepted jobs of a kind of which no task has been
+// started.
+func (s *Service) Waiting(ctx context.Context, kind string) (int, error) {
+	from, to := job.WaitingRange(kind)
+	p, err := s.read(ctx, table.Range{Table: job.TableWaiting, Part: s.part, From: from, To: to, Limit: waitingLimit})
+	if err != nil {
+		return 0, fmt.Errorf("count jobs of kind %s: %w", kind, err)
+	}
+	return len(p.Rows), nil
+}
--- /dev/null
+++ b/coordination/planner/jobs.go
@@ -0,0 +1,259 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+// jobState is a job of the shard.
+type jobState struct {
+	job         job.Job
+	cancelled   bool
+	waiting     bool // has a row in job.TableWaiting
+	added       time.Time
+	occurrences []*occurrence // in order; later ones are made when they are due
+}
+
+// occurrence is one occurrence of a job.
+type occurrence struct {
+	job   *jobState
+	n     int
+	state job.State
+	begun bool
+	steps []*step
+	key   string
+	// final is when the state became final; the occurrence is kept until its runs
+	// have ended.
+	final time.Time
+}
+
+// step is the state of one step of an occurrence.
+type step struct {
+	occ      *occurrence
+	index    int
+	spec     *job.Step
+	tasks    []*task
+	failures int       // runs of the gang that ended failed
+	ready    time.Time // when the tasks could first start; zero before
+	// failedRun is the last run of the gang that was counted as failed.
+	failedRun int
+}
+
+// task is the state of one task.
+type task struct {
+	step       *step
+	index      int
+	name       string
+	lastRun    int
+	runs       []*run // not known to have ended
+	done       bool
+	failures   int
+	checkpoint string
+	// avoid has the targets on which a run failed or stood still.
+	avoid map[string]struct{}
+	// retryAt delays the next start after a refusal.
+	retryAt time.Time
+}
+
+// run is a run that is recorded and not known to have ended.
+type run struct {
+	task   *task
+	number int
+	place  job.Place
+	size   size
+
+	ordered   time.Time // when the start was ordered last
+	orders    int       // how often the start was ordered, by any planner
+	confirmed time.Time // when it was first known to run; zero before
+	percent   int64
+	moved     time.Time // when percent changed last
+	load      int64
+
+	stop     string // why it is being stopped; empty if it is not
+	stopSent time.Time
+	stopLook int64 // look at the worker that is certain to show the stop; 0 if unknown
+}
+
+func (o *occurrence) idle() bool {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *step) done() bool {
+	for _, t := range s.tasks {
+		if !t.done {
+			return false
+		}
+	}
+	return true
+}
+
+// AddJob adds a job with its recorded progress. Adding it again only takes a
+// cancellation.
+func (p *Planner) AddJob(j job.Job, cancelled bool, recorded []job.Progress, now time.Time) {
+	js := p.jobs[j.ID]
+	if js == nil {
+		js = &jobState{job: j, waiting: true, added: now}
+		p.jobs[j.ID] = js
+		for _, r := range recorded {
+			p.restore(js, r, now)
+		}
+		p.log.Info().Int("Event", EventJobAdded).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
+			Int("Recorded", len(recorded)).Msg("a job is planned")
+	}
+	if cancelled && !js.cancelled {
+		p.cancel(js, now)
+	}
+}
+
+// Cancel cancels a job that is known.
+func (p *Planner) Cancel(id string, now time.Time) {
+	if js := p.jobs[id]; js != nil && !js.cancelled {
+		p.cancel(js, now)
+	}
+}
+
+// Has reports whether a job is known.
+func (p *Planner) Has(id string) bool { return p.jobs[id] != nil }
+
+func (p *Planner) cancel(js *jobState, now time.Time) {
+	js.cancelled = true
+	p.log.Info().Int("Event", EventJobCancelled).Str("Job", js.job.ID).Msg("the job is cancelled")
+	if len(js.occurrences) == 0 {
+		p.addOccurrence(js, now)
+	}
+	for _, o := range js.occurrences {
+		if !o.state.Final() {
+			p.finish(o, job.Cancelled, now)
+		}
+	}
+}
+
+func (p *Planner) addOccurrence(js *jobState, now time.Time) *occurrence {
+	o := newOccurrence(js, job.NewProgress(js.job, len(js.occurrences)))
+	js.occurrences = append(js.occurrences, o)
+	if o.state.Final() {
+		o.final = now
+	}
+	return o
+}
+
+func newOccurrence(js *jobState, r job.Progress) *occurrence {
+	o := &occurrence{
+		job: js, n: r.Occurrence, state: r.State, begun: r.Begun,
+		key: job.ProgressKey(js.job.ID, r.Occurrence),
+	}
+	for i := range js.job.Steps {
+		s := &step{occ: o, index: i, spec: &js.job.Steps[i]}
+		for k := range s.spec.Tasks {
+			name := job.TaskName{Job: js.job.ID, Occurrence: o.n, Step: i, Index: k}
+			s.tasks = append(s.tasks, &task{step: s, index: k, name: name.String()})
+		}
+		o.steps = append(o.steps, s)
+	}
+	return o
+}
+
+// restore makes an occurrence of its row.
+func (p *Planner) restore(js *jobState, r job.Progress, now time.Time) {
+	for len(js.occurrences) < r.Occurrence {
+		// Rows are written in the order of the occurrences, and removed only with
+		// the job, so this is a gap in a damaged table.
+		p.addOccurrence(js, now)
+	}
+	o := newOccurrence(js, r)
+	js.occurrences = append(js.occurrences, o)
+	if o.begun {
+		js.waiting = false
+	}
+	if o.state.Final() {
+		o.final = now
+	}
+	for i, rs := range r.Steps[:min(len(r.Steps), len(o.steps))] {
+		s := o.steps[i]
+		s.failures = rs.Failures
+		for k, rt := range rs.Tasks[:min(len(rs.Tasks), len(s.tasks))] {
+			t := s.tasks[k]
+			t.lastRun, t.done, t.failures, t.checkpoint = rt.LastRun, rt.Done, rt.Failures, rt.Checkpoint
+			for _, a := range rt.Active {
+				ru := &run{task: t, number: a.Number, place: a.Place, size: sizeOf(s.spec), moved: now, orders: 1}
+				t.runs = append(t.runs, ru)
+				p.target(a.Place.Target).add(ru)
+			}
+		}
+	}
+}
+
+// record returns the row of an occurrence.
+func (o *occurrence) record() table.Write {
+	r := job.Progress{Job: o.job.job.ID, Occurrence: o.n, State: o.state, Begun: o.begun}
+	for _, s := range o.steps {
+		rs := job.StepProgress{Failures: s.failures, Tasks: make([]job.Task, len(s.tasks))}
+		for i, t := range s.tasks {
+			rt := job.Task{LastRun: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint}
+			for _, a := range t.runs {
+				rt.Active = append(rt.Active, job.Run{Number: a.number, Place: a.place})
+			}
+			rs.Tasks[i] = rt
+		}
+		r.Steps = append(r.Steps, rs)
+	}
+	return table.Write{Table: job.TableProgress, Key: o.key, Value: r.Encode()}
+}
+
+// finish makes the state of an occurrence final. Its runs are stopped.
+func (p *Planner) finish(o *occurrence, state job.State, now time.Time) {
+	o.state, o.final = state, now
+	p.dirty[o] = struct{}{}
+	if o.job.waiting {
+		o.job.waiting = false
+		p.begun = append(p.begun, job.WaitingKey(o.job.job.Kind, o.job.job.ID))
+	}
+	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.n).Str("State", string(state)).
+		Dur("Since", now.Sub(o.job.added)).Msg("an occurrence has ended")
+	if state == job.Completed {
+		// The other members of a gang are about to end by themselves.
+		return
+	}
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			for _, r := range t.runs {
+				p.stopRun(r, "job "+string(state))
+			}
+		}
+	}
+}
+
+// kind returns the configuration of a job's kind. The kind may have been removed
+// since the job was accepted.
+func (p *Planner) kind(js *jobState) operator.Kind {
+	if p.snap != nil {
+		if k, ok := p.snap.Kind(js.job.Kind); ok {
+			return k
+		}
+	}
+	return operator.NewKind("", js.job.Kind, operator.ClassLong).WithPool(js.job.Pool).WithPriority(lowestPriority)
+}
+
+const (
+	// lowestPriority is that of jobs whose kind has been removed.
+	lowestPriority = 100
+	// defaultAttempts bounds the failures of a task whose kind names no bound.
+	defaultAttempts = 3
+)
+
+func attempts(k operator.Kind) int {
+	if k.Attempts() > 0 {
+		return k.Attempts()
+	}
+	return defaultAttempts
+}
--- /dev/null
+++ b/coordination/planner/orders.go
@@ -0,0 +1,134 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+const (
+	// repeatAfter is when an order whose effect is not known is sent again.
+	repeatAfter = time.Second
+	// refusedPause keeps a target without new work after it refused a start, and a
+	// task without a new start.
+	refusedPause = 300 * time.Millisecond
+)
+
+// orderStart adds the order that starts a run.
+func (p *Planner) orderStart(r *run, now time.Time) {
+	r.ordered = now
+	r.orders++
+	js := r.task.step.occ.job
+	p.orders[r.place.Target] = append(p.orders[r.place.Target], Order{
+		Task: r.task.name, Run: r.number, run: r,
+		Message: &agentrpc.Order{Order: &agentrpc.Order_Start{Start: &agentrpc.Start{
+			Task: r.task.name, Run: int64(r.number), Payload: js.job.Payload, Checkpoint: r.task.checkpoint,
+		}}},
+	})
+}
+
+// stopRun decides that a run must end.
+func (p *Planner) stopRun(r *run, why string) {
+	if r.stop != "" {
+		return
+	}
+	r.stop = why
+	p.log.Info().Int("Event", EventRunStopped).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
+		Str("Reason", why).Send()
+}
+
+// stopGang stops a run and, if it is a member of a gang, the others.
+func (p *Planner) stopGang(r *run, why string) {
+	if !r.task.step.spec.Gang {
+		p.stopRun(r, why)
+		return
+	}
+	for _, t := range r.task.step.tasks {
+		for _, o := range t.runs {
+			p.stopRun(o, why)
+		}
+	}
+}
+
+func (p *Planner) orderStop(target, task string, number int, r *run) {
+	p.orders[target] = append(p.orders[target], Order{
+		Task: task, Run: number, Stop: true, run: r,
+		Message: &agentrpc.Order{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: task, Run: int64(number)}}},
+	})
+}
+
+// watchRuns sends the orders that are due: stops, and starts and stops whose
+// effect is not known.
+func (p *Planner) watchRuns(now time.Time) {
+	for _, t := range p.targets {
+		if !t.connected || !t.listed {
+			continue
+		}
+		here := t.place()
+		for r := range t.runs {
+			if r.place != here {
+				continue
+			}
+			if o := r.task.step.occ; o.state.Final() && (o.state != job.Completed || now.Sub(o.final) > p.cfg.GangWait) {
+				p.stopRun(r, "job "+string(r.task.step.occ.state))
+			}
+			switch {
+			case r.stop != "":
+				if now.Sub(r.stopSent) >= repeatAfter {
+					r.stopSent = now
+					p.orderStop(t.name, r.task.name, r.number, r)
+				}
+			case r.confirmed.IsZero() && now.Sub(r.ordered) >= repeatAfter:
+				p.orderStart(r, now)
+			}
+		}
+		for key, sent := range t.foreign {
+			if now.Sub(sent) >= repeatAfter {
+				t.foreign[key] = now
+				p.orderStop(t.name, key.task, key.run, nil)
+			}
+		}
+	}
+}
+
+// OrderDone takes the result of an order, or nil if there was none.
+func (p *Planner) OrderDone(name string, life *agentrpc.Life, o Order, res *agentrpc.OrderResult, now time.Time) {
+	t := p.target(name)
+	r := o.run
+	if r == nil || !sameLife(t.worker.GetLife(), life) {
+		return
+	}
+	if _, ok := t.runs[r]; !ok {
+		return
+	}
+	switch {
+	case o.Stop && res.GetOutcome() == agentrpc.Outcome_DONE:
+		r.stopLook = res.GetLook()
+	case o.Stop:
+	case res.GetOutcome() == agentrpc.Outcome_DONE:
+		if r.confirmed.IsZero() {
+			r.confirmed, r.moved = now, now
+		}
+	case res.GetOutcome() == agentrpc.Outcome_REFUSED:
+		p.refused(t, r, res.GetReason(), now)
+	}
+}
+
+// refused takes that a run was not started and never will be.
+func (p *Planner) refused(t *target, r *run, reason string, now time.Time) {
+	if !r.confirmed.IsZero() {
+		// A repeated order met the run that the first one had started.
+		return
+	}
+	p.log.Info().Int("Event", EventStartRefused).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
+		Str("Reason", reason).Msg("a start was refused")
+	t.pauseUntil = now.Add(refusedPause)
+	r.task.retryAt = now.Add(refusedPause)
+	p.stopGang(r, "a start of it was refused")
+	if r.orders == 1 {
+		p.remove(r)
+	}
+	// After several orders, an earlier one may have started the run, and it may
+	// even have ended. The stop shows whether it did.
+}
--- /dev/null
+++ b/coordination/planner/pass.go
@@ -0,0 +1,244 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+const (
+	// lateFactor times the objective is when the worth of a job ends.
+	lateFactor = 3
+	// maxBatchRows bounds the rows of one batch: a transaction has 100 entries, of
+	// which the owner needs two.
+	maxBatchRows = 90
+	// maxBatchBytes bounds the values of one batch.
+	maxBatchBytes = table.MaxTxBytes
+)
+
+// unit is what is placed at once: a whole gang or a single task.
+type unit struct {
+	step     *step
+	tasks    []*task
+	kind     operator.Kind
+	size     size // of each task
+	deadline time.Time
+	tier     int
+	since    time.Time // when it could first start
+}
+
+// Tiers of units, from the most urgent.
+const (
+	tierOnTime = iota // can still meet its objective
+	tierLate          // can still end before it is worth nothing
+	tierOver
+)
+
+// Plan decides what to do now and returns it. Everything in the batch is part of
+// the planner's state already; the owner must carry it out or give up the shard.
+func (p *Planner) Plan(now time.Time) Batch {
+	if p.snap != nil {
+		p.recur(now)
+		p.serveClaims(now)
+		for _, u := range p.units(now) {
+			p.place(u, now)
+		}
+		p.watchRuns(now)
+	}
+	return p.batch()
+}
+
+// recur adds the occurrences that are due.
+func (p *Planner) recur(now time.Time) {
+	for _, js := range p.jobs {
+		if js.cancelled {
+			continue
+		}
+		for len(js.occurrences) < js.job.Occurrences() {
+			if due, timed := js.job.Due(len(js.occurrences)); timed && due.After(now) {
+				break
+			}
+			o := p.addOccurrence(js, now)
+			if js.job.Times > 0 {
+				p.dirty[o] = struct{}{}
+			}
+		}
+	}
+}
+
+// units returns what waits for a place, the most urgent first.
+func (p *Planner) units(now time.Time) []unit {
+	claimed := p.claimed()
+	var out []unit
+	for _, js := range p.jobs {
+		k := p.kind(js)
+		for _, o := range js.occurrences {
+			if !o.state.Final() && !js.cancelled {
+				out = p.unitsOf(out, o, k, claimed, now)
+			}
+		}
+	}
+	slices.SortFunc(out, func(x, y unit) int {
+		return cmp.Or(
+			cmp.Compare(x.kind.Priority(), y.kind.Priority()),
+			cmp.Compare(x.tier, y.tier),
+			x.deadline.Compare(y.deadline),
+			cmp.Compare(x.step.occ.key, y.step.occ.key),
+			cmp.Compare(x.step.index, y.step.index),
+			cmp.Compare(x.tasks[0].index, y.tasks[0].index),
+		)
+	})
+	return out
+}
+
+func (p *Planner) unitsOf(out []unit, o *occurrence, k operator.Kind, claimed map[*task]struct{}, now time.Time) []unit {
+	for _, s := range o.steps {
+		if !s.isReady() {
+			continue
+		}
+		u := unit{step: s, kind: k, size: sizeOf(s.spec)}
+		u.deadline, u.tier = p.urgency(s, k, now)
+		waiting := func(t *task) bool {
+			_, c := claimed[t]
+			return !t.done && len(t.runs) == 0 && !c && !now.Before(t.retryAt)
+		}
+		if s.ready.IsZero() {
+			s.ready = now
+		}
+		u.since = s.ready
+		if s.spec.Gang {
+			if slices.ContainsFunc(s.tasks, func(t *task) bool { return !waiting(t) }) {
+				continue
+			}
+			u.tasks = s.tasks
+			out = append(out, u)
+			continue
+		}
+		for _, t := range s.tasks {
+			if waiting(t) {
+				u.tasks = []*task{t}
+				out = append(out, u)
+			}
+		}
+	}
+	return out
+}
+
+// isReady reports whether all steps before it are done.
+func (s *step) isReady() bool {
+	for _, a := range s.spec.After {
+		if !s.occ.steps[a].done() {
+			return false
+		}
+	}
+	return true
+}
+
+// urgency returns when the job should end and whether that is still possible.
+func (p *Planner) urgency(s *step, k operator.Kind, now time.Time) (time.Time, int) {
+	js := s.occ.job
+	start := js.added
+	objective := p.objective(js, k)
+	deadline := start.Add(objective)
+	end := now.Add(p.runTime(js.job.Kind, s.spec))
+	switch {
+	case !end.After(deadline):
+		return deadline, tierOnTime
+	case !end.After(start.Add(lateFactor * objective)):
+		return deadline, tierLate
+	}
+	return deadline, tierOver
+}
+
+// start records a run of each task on its target and orders the starts.
+func (p *Planner) start(tasks []*task, on []*target, now time.Time) {
+	number := 0
+	for _, t := range tasks {
+		number = max(number, t.lastRun)
+	}
+	number++
+	o := tasks[0].step.occ
+	for i, t := range tasks {
+		t.lastRun = number
+		r := &run{task: t, number: number, place: on[i].place(), size: sizeOf(t.step.spec), moved: now}
+		t.runs = append(t.runs, r)
+		on[i].add(r)
+		p.orderStart(r, now)
+		p.log.Info().Int("Event", EventRunPlanned).Str("Task", t.name).Int("Run", number).Str("Target", on[i].name).
+			Str("Worker", r.place.Worker).Dur("Waited", now.Sub(t.step.ready)).Str("Checkpoint", t.checkpoint).Send()
+	}
+	o.state = job.Running
+	o.begun = true
+	if o.job.waiting {
+		o.job.waiting = false
+		p.begun = append(p.begun, job.WaitingKey(o.job.job.Kind, o.job.job.ID))
+	}
+	p.dirty[o] = struct{}{}
+}
+
+// batch returns what has been decided since the last one.
+func (p *Planner) batch() Batch {
+	b := Batch{Seen: make(map[string]Seen)}
+	bytes := 0
+	occurrences := make([]*occurrence, 0, len(p.dirty))
+	for o := range p.dirty {
+		occurrences = append(occurrences, o)
+	}
+	slices.SortFunc(occurrences, func(x, y *occurrence) int { return cmp.Compare(x.key, y.key) })
+	held := make(map[*occurrence]struct{})
+	for _, o := range occurrences {
+		w := o.record()
+		if len(b.Writes) >= maxBatchRows/2 || bytes+len(w.Value) > maxBatchBytes && len(b.Writes) > 0 {
+			held[o] = struct{}{}
+			continue
+		}
+		bytes += len(w.Value)
+		b.Writes = append(b.Writes, w)
+		delete(p.dirty, o)
+	}
+	for len(p.begun) > 0 && len(b.Writes)+len(b.Deletions) < maxBatchRows {
+		b.Deletions = append(b.Deletions, table.Deletion{Table: job.TableWaiting, Key: p.begun[0]})
+		p.begun = p.begun[1:]
+	}
+	p.batchOrders(&b, held)
+	if len(held) > 0 {
+		// Rows that did not fit may hold the ends, so nothing is forgotten yet.
+		return b
+	}
+	for name, end := range p.forgets {
+		b.Seen[name] = Seen{Life: p.targets[name].worker.GetLife(), End: end}
+	}
+	clear(p.forgets)
+	return b
+}
+
+// batchOrders moves the orders whose rows are in the batch into it.
+func (p *Planner) batchOrders(b *Batch, held map[*occurrence]struct{}) {
+	for name, list := range p.orders {
+		t := p.targets[name]
+		o := TargetOrders{Target: name, Life: t.worker.GetLife()}
+		var keep []Order
+		for _, ord := range list {
+			if ord.run != nil {
+				if _, wait := held[ord.run.task.step.occ]; wait {
+					keep = append(keep, ord)
+					continue
+				}
+			}
+			o.Orders = append(o.Orders, ord)
+		}
+		if len(keep) > 0 {
+			p.orders[name] = keep
+		} else {
+			delete(p.orders, name)
+		}
+		if len(o.Orders) > 0 {
+			b.Orders = append(b.Orders, o)
+		}
+	}
+	slices.SortFunc(b.Orders, func(x, y TargetOrders) int { return cmp.Compare(x.Target, y.Target) })
+}
--- /dev/null
+++ b/coordination/planner/targets.go
@@ -0,0 +1,207 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// target is a target as its agent reports it.
+type target struct {
+	name      string
+	worker    *agentrpc.Worker // nil before the first report
+	capacity  size
+	listed    bool // the lists of the present life are known
+	connected bool
+	silent    time.Duration // how long the worker had not answered its agent
+	look      int64         // of the last list
+	seen      int64         // highest end that has been taken
+	runs      map[*run]struct{}
+	// foreign are runs that the worker lists and no row names. They take an unknown
+	// part of its capacity until they have been stopped.
+	foreign map[foreignRun]time.Time // when the stop was ordered last
+	health  health
+	// pauseUntil keeps new work away after a refusal.
+	pauseUntil time.Time
+}
+
+type foreignRun struct {
+	task string
+	run  int
+}
+
+func (p *Planner) target(name string) *target {
+	t := p.targets[name]
+	if t == nil {
+		t = &target{name: name, runs: make(map[*run]struct{}), foreign: make(map[foreignRun]time.Time)}
+		p.targets[name] = t
+	}
+	return t
+}
+
+func (t *target) add(r *run) { t.runs[r] = struct{}{} }
+
+// place returns the present life of the target's worker.
+func (t *target) place() job.Place {
+	l := t.worker.GetLife()
+	return job.Place{Target: t.name, Worker: l.GetWorker(), Born: l.GetBorn()}
+}
+
+// used returns what runs take, with or without those that are being stopped.
+func (t *target) used(stopping bool) size {
+	var s size
+	for r := range t.runs {
+		if stopping || r.stop == "" {
+			s = s.plus(r.size)
+		}
+	}
+	return s
+}
+
+// Connected says whether the agent of a target can be reached.
+func (p *Planner) Connected(name string, connected bool) { p.target(name).connected = connected }
+
+// Report takes the report of a target's agent.
+func (p *Planner) Report(name string, in *agentrpc.WatchReply, now time.Time) {
+	t := p.target(name)
+	t.connected = true
+	w := in.GetWorker()
+	if w == nil {
+		return
+	}
+	if !sameLife(t.worker.GetLife(), w.GetLife()) {
+		p.newLife(t, w, now)
+	}
+	t.worker = w
+	t.silent = time.Duration(in.GetSilentMillis()) * time.Millisecond
+	t.capacity = size{int(w.GetCpu()), int(w.GetMemoryMb()), int(w.GetAccelerators())}
+	t.listed = in.GetListed()
+	if !t.listed {
+		return
+	}
+	t.look = in.GetLook()
+	for _, e := range in.GetEnded() {
+		if e.GetNumber() > t.seen {
+			p.end(t, e, now)
+			t.seen = e.GetNumber()
+		}
+	}
+	p.forgets[name] = t.seen
+	p.compare(t, in.GetRunning(), now)
+}
+
+func sameLife(x, y *agentrpc.Life) bool {
+	return x != nil && y != nil && x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
+}
+
+// newLife forgets what ran in earlier lives of a worker: a new life runs nothing.
+func (p *Planner) newLife(t *target, w *agentrpc.Worker, now time.Time) {
+	p.log.Info().Int("Event", EventTargetLife).Str("Target", t.name).Str("Worker", w.GetLife().GetWorker()).
+		Int64("Born", w.GetLife().GetBorn()).Str("Pool", w.GetPool()).Str("Rack", w.GetRack()).Msg("a worker joins")
+	if t.worker != nil {
+		t.health = health{}
+	}
+	t.worker, t.seen, t.look = w, 0, 0
+	clear(t.foreign)
+	here := t.place()
+	for r := range t.runs {
+		if r.place != here {
+			p.lose(r, "worker started again", now)
+		}
+	}
+}
+
+// Lapsed takes that everything that ran on a target's worker has ended, because
+// nothing has renewed its lease for longer than a lease lasts.
+func (p *Planner) Lapsed(name string, now time.Time) {
+	t := p.target(name)
+	for r := range t.runs {
+		p.lose(r, "lease lapsed", now)
+	}
+	t.listed = false
+}
+
+// lose takes that a run is over without an end that counts.
+func (p *Planner) lose(r *run, why string, _ time.Time) {
+	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
+		Str("Reason", why).Msg("a run is over without an end")
+	p.remove(r)
+	p.stopGang(r, "another member of the gang is lost")
+}
+
+// remove takes a run out of its task and target.
+func (p *Planner) remove(r *run) {
+	t := r.task
+	for i, x := range t.runs {
+		if x == r {
+			t.runs = append(t.runs[:i:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	delete(p.target(r.place.Target).runs, r)
+	p.dirty[t.step.occ] = struct{}{}
+}
+
+// compare takes the list of what runs on a target.
+func (p *Planner) compare(t *target, list []*agentrpc.RunStatus, now time.Time) {
+	here := t.place()
+	known := make(map[foreignRun]*run, len(t.runs))
+	for r := range t.runs {
+		if r.place == here {
+			known[foreignRun{r.task.name, r.number}] = r
+		}
+	}
+	listed := make(map[foreignRun]struct{}, len(list))
+	for _, s := range list {
+		key := foreignRun{s.GetTask(), int(s.GetRun())}
+		listed[key] = struct{}{}
+		r := known[key]
+		if r == nil {
+			if _, ok := t.foreign[key]; !ok {
+				t.foreign[key] = time.Time{}
+				p.log.Warn().Int("Event", EventForeignRun).Str("Task", key.task).Int("Run", key.run).Str("Target", t.name).
+					Msg("a worker runs what no row names")
+			}
+			continue
+		}
+		p.progress(r, s, now)
+	}
+	for key := range t.foreign {
+		if _, ok := listed[key]; !ok {
+			delete(t.foreign, key)
+		}
+	}
+	for key, r := range known {
+		// The stop reached the worker before the start did, so the run never was.
+		if _, ok := listed[key]; !ok && r.stopLook > 0 && t.look >= r.stopLook {
+			p.lose(r, "stopped before it started", now)
+		}
+	}
+}
+
+// progress takes the state of a run that is listed.
+func (p *Planner) progress(r *run, s *agentrpc.RunStatus, now time.Time) {
+	if r.confirmed.IsZero() {
+		r.confirmed, r.moved = now, now
+	}
+	if s.GetPercent() != r.percent {
+		r.percent, r.moved = s.GetPercent(), now
+	}
+	r.load = s.GetLoad()
+	if c := s.GetCheckpoint(); c != "" {
+		r.task.setCheckpoint(c)
+	}
+}
+
+// setCheckpoint notes the newest checkpoint. That of one member of a gang is valid
+// for all, and all must start from the same one.
+func (t *task) setCheckpoint(c string) {
+	if !t.step.spec.Gang {
+		t.checkpoint = c
+		return
+	}
+	for _, o := range t.step.tasks {
+		o.checkpoint = c
+	}
+}
--- /dev/null
+++ b/coordination/shard/candidate.go
@@ -0,0 +1,135 @@
+package shard
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+// Candidate is a process that may own the shard.
+type Candidate struct {
+	cfg  Settings
+	deps Deps
+	boot uint64
+
+	mu    sync.Mutex
+	owner *owner // nil while this process does not own the shard
+}
+
+// NewCandidate returns a candidate. Run starts it.
+func NewCandidate(cfg Settings, deps Deps) *Candidate {
+	return &Candidate{cfg: cfg, deps: deps, boot: rand.Uint64() | 1}
+}
+
+// Run announces the target of this process and owns the shard whenever nobody else
+// does, until ctx ends.
+func (c *Candidate) Run(ctx context.Context) {
+	c.announce(ctx)
+	for ctx.Err() == nil {
+		if row, version, ok := c.look(ctx); ok {
+			c.own(ctx, row, version)
+		}
+		sleep(ctx, lookPause/2+rand.N(lookPause))
+	}
+}
+
+// announce writes the row by which planners find the agent of this process.
+func (c *Candidate) announce(ctx context.Context) {
+	tx := table.Tx{Part: c.cfg.Part}.WithWrite(TableTargets, c.cfg.Name, Target{Address: c.cfg.Address}.encode())
+	for ctx.Err() == nil {
+		commit, err := c.deps.Store.Commit(ctx, tx)
+		if err == nil {
+			c.deps.Clock.Observe(commit.Now)
+			c.deps.Log.Info().Int("Event", EventAnnounced).Str("Address", c.cfg.Address).Msg("the target is announced")
+			return
+		}
+		sleep(ctx, lookPause)
+	}
+}
+
+// look decides whether this process should take over, and returns the row to
+// replace.
+func (c *Candidate) look(ctx context.Context) (OwnerRow, uint64, bool) {
+	contact := c.deps.Agent.Contact()
+	if contact.Epoch > 0 && contact.Silent < contactSilence && contact.Unconfirmed < unconfirmedLimit {
+		return OwnerRow{}, 0, false
+	}
+	page, err := c.deps.Store.Read(ctx, ownerRange(c.cfg.Part))
+	if err != nil {
+		return OwnerRow{}, 0, false
+	}
+	c.deps.Clock.Observe(page.Now)
+	if len(page.Rows) == 0 {
+		return OwnerRow{}, 0, true
+	}
+	row, err := DecodeOwner(page.Rows[0].Value)
+	if err != nil {
+		c.deps.Log.Error().Int("Event", EventRowMalformed).Err(err).Send()
+		return OwnerRow{}, page.Rows[0].Version, true
+	}
+	c.deps.Agent.RaiseEpoch(row.Epoch)
+	why := ""
+	switch {
+	case row.Name == "":
+		why = "the owner has left"
+	case row.Name == c.cfg.Name:
+		why = "this process was the owner before it started again"
+	case row.age(page.Now) > beatStale:
+		why = "the row is out of date"
+	case c.deps.Agents.Refuses(ctx, row.Address):
+		why = "the owner refuses connections"
+	default:
+		return OwnerRow{}, 0, false
+	}
+	c.deps.Log.Info().Int("Event", EventTakeOver).Uint64("Epoch", row.Epoch).Str("Owner", row.Name).
+		Dur("Age", row.age(page.Now)).Str("Reason", why).Msg("this process tries to own the shard")
+	return row, page.Rows[0].Version, true
+}
+
+// own takes over the row and runs the planner until ownership is lost.
+func (c *Candidate) own(ctx context.Context, old OwnerRow, version uint64) {
+	o := newOwner(c.cfg, c.deps, OwnerRow{
+		Epoch: old.Epoch + 1, Name: c.cfg.Name, Address: c.cfg.Address, Boot: c.boot,
+	}, version)
+	if err := o.take(ctx); err != nil {
+		c.deps.Log.Info().Int("Event", EventTakeOverFailed).Uint64("Epoch", old.Epoch+1).Err(err).Send()
+		return
+	}
+	c.setOwner(o)
+	err := o.run(ctx)
+	c.setOwner(nil)
+	c.deps.Log.Info().Int("Event", EventOwnershipEnded).Uint64("Epoch", o.row.Epoch).Err(err).Msg("this process no longer owns the shard")
+}
+
+func (c *Candidate) setOwner(o *owner) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.owner = o
+}
+
+// errDeposed reports that another process owns the shard.
+var errDeposed = errors.New("another process owns the shard")
+
+// take writes the row of the new owner.
+func (o *owner) take(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, beatStale)
+	defer cancel()
+	if err := o.commit(ctx, table.Tx{}); err != nil {
+		return fmt.Errorf("take over the shard: %w", err)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/coordination/shard/events.go
@@ -0,0 +1,26 @@
+package shard
+
+// Numbers of the log events of shards, from 640 to 659.
+const (
+	// EventAnnounced occurs when the row of a target is written.
+	EventAnnounced = 640
+	// EventTakeOver occurs when a process tries to own the shard.
+	EventTakeOver = 641
+	// EventTakeOverFailed occurs when it could not.
+	EventTakeOverFailed = 642
+	// EventOwned occurs when a process owns the shard.
+	EventOwned = 643
+	// EventOwnershipEnded occurs when it no longer does.
+	EventOwnershipEnded = 644
+	// EventReleaseFailed occurs when the shard could not be released at the end of
+	// the process.
+	EventReleaseFailed = 645
+	// EventTargetLapsed occurs when the leases on an unreachable target have
+	// certainly lapsed.
+	EventTargetLapsed = 646
+	// EventOrdersUnanswered occurs when a call with orders got no answer or was
+	// refused.
+	EventOrdersUnanswered = 647
+	// EventRowMalformed occurs when a row can't be decoded.
+	EventRowMalformed = 648
+)
--- /dev/null
+++ b/coordination/shard/row.go
@@ -0,0 +1,80 @@
+package shard
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+// Tables of the store.
+const (
+	// TableShard has the row of the owner under OwnerKey.
+	TableShard = "Shard"
+	// TableTargets has a Target under the name of each target.
+	TableTargets = "Targets"
+)
+
+// OwnerKey is the key of the owner's row in TableShard.
+const OwnerKey = "Owner"
+
+// OwnerRow names the process that plans a shard.
+type OwnerRow struct {
+	Epoch   uint64
+	Name    string // empty if the owner has left
+	Address string
+	Boot    uint64 // random, of the owner's start
+	// BeatMillis is the store's steady clock when the row was sent.
+	BeatMillis int64
+	Token      string // of the write
+}
+
+func (r OwnerRow) encode() []byte { return encode(r) }
+
+// DecodeOwner returns the owner of a row's value.
+func DecodeOwner(value []byte) (OwnerRow, error) {
+	var r OwnerRow
+	if err := json.Unmarshal(value, &r); err != nil {
+		return OwnerRow{}, fmt.Errorf("decode owner of the shard: %w", err)
+	}
+	return r, nil
+}
+
+// age returns how long before the store's time the row was sent.
+func (r OwnerRow) age(now time.Duration) time.Duration {
+	return now - time.Duration(r.BeatMillis)*time.Millisecond
+}
+
+// Target is the row by which planners find a target process.
+type Target struct {
+	Address string
+}
+
+func (t Target) encode() []byte { return encode(t) }
+
+// DecodeTarget returns the target of a row's value.
+func DecodeTarget(value []byte) (Target, error) {
+	var t Target
+	if err := json.Unmarshal(value, &t); err != nil {
+		return Target{}, fmt.Errorf("decode target: %w", err)
+	}
+	return t, nil
+}
+
+// encode marshals types of this package, which have no value that fails.
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("shard: encode row: %v", err))
+	}
+	return b
+}
+
+func newToken() string { return rand.Text() }
+
+// ownerRange selects the owner's row.
+func ownerRange(part string) table.Range {
+	return table.Range{Table: TableShard, Part: part, From: OwnerKey, To: OwnerKey + "\x00"}
+}
--- /dev/null
+++ b/coordination/shard/settings.go
@@ -0,0 +1,91 @@
+package shard
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/coordination/agent"
+	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/planner"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+const (
+	// beatPeriod is the longest time between two writes of the owner's row.
+	beatPeriod = 500 * time.Millisecond
+	// beatStale is the age from which on the row is out of date: four periods, or
+	// two and the delay of a store that is 60 to 90 times slower than usual.
+	beatStale = 2 * time.Second
+	// contactSilence is how long the planner may not have called an agent before
+	// its process looks at the row.
+	contactSilence = 600 * time.Millisecond
+	// unconfirmedLimit is how long the store may not have confirmed the planner
+	// before other processes look at the row themselves.
+	unconfirmedLimit = 1200 * time.Millisecond
+	// lookPause is the pause between two looks at the row; a random part is added,
+	// so that candidates don't act in step.
+	lookPause = 250 * time.Millisecond
+	// probeTimeout bounds the test whether an owner's address refuses connections.
+	probeTimeout = 300 * time.Millisecond
+	// planPeriod is the longest time between two passes.
+	planPeriod = 200 * time.Millisecond
+	// retryPause is the pause before a transaction is repeated.
+	retryPause = 50 * time.Millisecond
+	// watchWait is how long an agent may wait for news before it answers.
+	watchWait = time.Second
+	// watchTimeout is how much longer the answer may take.
+	watchTimeout = 600 * time.Millisecond
+	// watchPause is the pause after a failed call to an agent; it doubles up to
+	// maxWatchPause.
+	watchPause    = 50 * time.Millisecond
+	maxWatchPause = 500 * time.Millisecond
+	// orderTimeout bounds a call that carries orders: two tries at the worker.
+	orderTimeout = 1600 * time.Millisecond
+	// leaseReach is how far beyond a full lease the cap of an agent's leases lies.
+	// It is the time that a worker's runs survive without a planner, beyond the
+	// lease itself: a change of the owner takes half of it.
+	leaseReach = 4 * time.Second
+	// grantLimit is how long an owner that the store does not confirm goes on to
+	// extend leases. Outages of the store of this length stop no run.
+	grantLimit = 10 * time.Second
+	// clockError is by how much a worker's clock may be slow, and lapseMargin is
+	// added to every time after which a lease counts as lapsed.
+	clockError  = 0.02
+	lapseMargin = 500 * time.Millisecond
+	// followWait is the wait of one watch of a table.
+	followWait = 5 * time.Second
+	// fenceBits is the room for fencing tokens of one epoch.
+	fenceBits = 20
+)
+
+// Settings of a candidate.
+type Settings struct {
+	Part    string // of the store
+	Name    string // of the process
+	Address string // at which the planner and the agent of this process are reached
+	HoldMax time.Duration
+	Planner planner.Settings
+}
+
+// Agents gives access to the agents of targets.
+type Agents interface {
+	// Agent returns a client for the agent at an address.
+	Agent(address string) agentrpc.DRPCAgentClient
+	// Refuses reports whether an address certainly has no listener.
+	Refuses(ctx context.Context, address string) bool
+}
+
+// Deps are what a candidate works with.
+type Deps struct {
+	Store  table.Store
+	Clock  *table.Clock
+	Agents Agents
+	Agent  *agent.Agent // of this process
+	// NewConfig returns a holder of the configuration and a function that follows
+	// it until its context ends.
+	NewConfig func() (*configuration.Holder, func(ctx context.Context))
+	Log       zerolog.Logger
+}
--- /dev/null
+++ b/coordination/shard/watch.go
@@ -0,0 +1,225 @@
+package shard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/planner"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+// targetsSink takes the rows by which targets are found.
+type targetsSink struct {
+	o   *owner
+	ctx context.Context //nolint:containedctx // ends with the ownership, as the watches do
+	wg  *sync.WaitGroup
+}
+
+// Reset implements follow.Sink.
+func (s targetsSink) Reset(rows []table.Row) { s.Apply(rows) }
+
+// Apply implements follow.Sink.
+func (s targetsSink) Apply(rows []table.Row) {
+	o := s.o
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		t, err := DecodeTarget(r.Value)
+		if err != nil {
+			o.deps.Log.Error().Int("Event", EventRowMalformed).Str("Key", r.Key).Err(err).Send()
+			continue
+		}
+		o.mu.Lock()
+		w := o.watches[r.Key]
+		if w == nil {
+			w = &watch{o: o, name: r.Key, heard: o.taken, fence: int64(o.row.Epoch) << fenceBits, again: make(chan struct{}, 1)}
+			o.watches[r.Key] = w
+			s.wg.Go(func() { w.run(s.ctx) })
+		}
+		w.address = t.Address
+		o.mu.Unlock()
+		w.poke()
+	}
+}
+
+// watch follows the agent of one target.
+type watch struct {
+	o     *owner
+	name  string
+	again chan struct{} // cuts a pause short
+
+	// The owner's mutex guards the rest.
+	address string
+	fence   int64
+	heard   time.Time // when the last answer arrived, or the shard was taken over
+	called  bool      // there has been an answer
+	lapsed  bool
+	boot    uint64
+	life    *agentrpc.Life
+	seen    int64
+	cap     int64
+	rev     uint64
+}
+
+func (w *watch) poke() {
+	select {
+	case w.again <- struct{}{}:
+	default:
+	}
+}
+
+func (w *watch) run(ctx context.Context) {
+	pause := watchPause
+	for ctx.Err() == nil {
+		req, address := w.request()
+		client := w.o.deps.Agents.Agent(address)
+		cctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+watchTimeout)
+		reply, err := client.Watch(cctx, req)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil && !reply.GetRefused() {
+			pause = watchPause
+			w.take(reply)
+			continue
+		}
+		w.miss(reply, err)
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-w.again:
+		case <-t.C:
+		}
+		t.Stop()
+		pause = min(2*pause, maxWatchPause)
+	}
+}
+
+// request returns the next call and the address to make it to.
+func (w *watch) request() (*agentrpc.WatchRequest, string) {
+	o := w.o
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	unconfirmed := time.Since(o.confirmed)
+	r := &agentrpc.WatchRequest{
+		Epoch: o.row.Epoch, Planner: o.cfg.Name, Fence: w.fence, Life: w.life, SeenEnd: w.seen,
+		WaitMillis: watchWait.Milliseconds(), Boot: w.boot, Revision: w.rev, UnconfirmedMillis: unconfirmed.Milliseconds(),
+	}
+	if unconfirmed < grantLimit {
+		r.LeaseCapMillis = w.cap
+	}
+	return r, w.address
+}
+
+// take takes an answer.
+func (w *watch) take(in *agentrpc.WatchReply) {
+	o := w.o
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	restarted := w.called && (in.GetBoot() != w.boot || in.GetWorker() != nil && w.life != nil && !sameLife(w.life, in.GetWorker().GetLife()))
+	if restarted {
+		// Calls of the agent's or the worker's former life carry the old token.
+		w.fence++
+	}
+	w.heard, w.called, w.lapsed = now, true, false
+	w.boot, w.rev = in.GetBoot(), in.GetRevision()
+	if wk := in.GetWorker(); wk != nil {
+		if !sameLife(w.life, wk.GetLife()) {
+			w.life, w.seen, w.cap = wk.GetLife(), 0, 0
+		}
+		if clock := wk.GetClockMillis(); clock > 0 {
+			w.cap = max(w.cap, clock+(o.cfg.HoldMax+leaseReach).Milliseconds())
+		}
+	}
+	if restarted {
+		in.Listed = false
+	}
+	o.plan.Report(w.name, in, now)
+	if time.Duration(in.GetSilentMillis())*time.Millisecond > lapse(o.cfg.HoldMax) {
+		o.plan.Lapsed(w.name, now)
+	}
+	o.signal()
+}
+
+func sameLife(x, y *agentrpc.Life) bool {
+	return x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
+}
+
+// lapse returns after how long on this process's clock a time on a worker's clock
+// has certainly passed.
+func lapse(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+clockError)) + lapseMargin
+}
+
+// miss takes that a call failed or was refused.
+func (w *watch) miss(in *agentrpc.WatchReply, err error) {
+	o := w.o
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.plan.Connected(w.name, false)
+	w.rev = 0
+	bound := o.cfg.HoldMax + leaseReach
+	if !w.called {
+		// The former owner may have extended the lease while the store did not
+		// confirm it.
+		bound += grantLimit
+	}
+	if now.Sub(w.heard) > lapse(bound) && !w.lapsed {
+		w.lapsed = true
+		o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.heard)).Err(err).
+			Uint64("RefusedBy", in.GetEpoch()).Msg("what ran on a target is given up")
+		o.plan.Lapsed(w.name, now)
+		o.signal()
+	}
+}
+
+// carryOut passes on what a batch says.
+func (o *owner) carryOut(ctx context.Context, b planner.Batch) {
+	o.mu.Lock()
+	for name, s := range b.Seen {
+		if w := o.watches[name]; w != nil && sameLife(w.life, s.Life) {
+			w.seen = max(w.seen, s.End)
+		}
+	}
+	o.mu.Unlock()
+	for _, t := range b.Orders {
+		o.orders.Go(func() { o.send(ctx, t) })
+	}
+}
+
+// send sends orders to the agent of a target and takes the results.
+func (o *owner) send(ctx context.Context, t planner.TargetOrders) {
+	o.mu.Lock()
+	w := o.watches[t.Target]
+	if w == nil {
+		o.mu.Unlock()
+		return
+	}
+	address := w.address
+	req := &agentrpc.OrderRequest{Epoch: o.row.Epoch, Fence: w.fence, Life: t.Life}
+	o.mu.Unlock()
+	for _, ord := range t.Orders {
+		req.Orders = append(req.Orders, ord.Message)
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := o.deps.Agents.Agent(address).Order(ctx, req)
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if err != nil || reply.GetRefused() || len(reply.GetResults()) != len(t.Orders) {
+		o.deps.Log.Info().Int("Event", EventOrdersUnanswered).Str("Target", t.Target).Int("Orders", len(t.Orders)).
+			Bool("Refused", reply.GetRefused()).Err(err).Send()
+		return
+	}
+	for i, ord := range t.Orders {
+		o.plan.OrderDone(t.Target, t.Life, ord, reply.GetResults()[i], now)
+	}
+	o.signal()
+}
--- /dev/null
+++ b/daemon/events.go
@@ -0,0 +1,14 @@
+package daemon
+
+// Numbers of the log events of the processes, from 660 to 679.
+const (
+	// EventStarted occurs when a process listens on all its addresses.
+	EventStarted = 660
+	// EventStopping occurs when a process begins its graceful stop.
+	EventStopping = 661
+	// EventStopped occurs at the end of a process.
+	EventStopped = 662
+	// EventRequestsCut occurs when the grace time of an entry ended before all
+	// requests.
+	EventRequestsCut = 663
+)
--- a/operator/config.go
+++ b/operator/config.go
@@ -8,10 +8,31 @@
 	site       Site
 	workspaces []Workspace
 	kinds      []Kind
+	pools      []Pool
+	limits     Limits
 }
 
 // NewConfig returns a configuration without workspaces.
-func NewConfig(s Site) Config { return Config{site: s} }
+func NewConfig(s Site) Config { return Config{site: s, limits: DefaultLimits()} }
+
+// WithPool returns a copy of c with p added, or replaced if c has a pool of that
+// name.
+func (c Config) WithPool(p Pool) Config {
+	c.pools = slices.Clone(c.pools)
+	i := slices.IndexFunc(c.pools, func(x Pool) bool { return x.name == p.name })
+	if i < 0 {
+		c.pools = append(c.pools, p)
+	} else {
+		c.pools[i] = p
+	}
+	return c
+}
+
+// WithLimits returns a copy of c with other limits on calls.
+func (c Config) WithLimits(l Limits) Config {
+	c.limits = l
+	return c
+}
 
 // WithSite returns a copy of c for another site.
 func (c Config) WithSite(s Site) Config {
@@ -52,6 +73,12 @@
 	return c
 }
 
+// WithKinds returns a copy of c with all kinds replaced by ks.
+func (c Config) WithKinds(ks []Kind) Config {
+	c.kinds = slices.Clone(ks)
+	return c
+}
+
 // WithoutKind returns a copy of c without the kind.
 func (c Config) WithoutKind(workspace, name string) Config {
 	c.kinds = slices.DeleteFunc(slices.Clone(c.kinds), func(x Kind) bool { return x.workspace == workspace && x.name == name })
@@ -67,6 +94,12 @@
 // Kinds returns the kinds in the order in which they were added.
 func (c Config) Kinds() []Kind { return slices.Clone(c.kinds) }
 
+// Pools returns the pools in the order in which they were added.
+func (c Config) Pools() []Pool { return slices.Clone(c.pools) }
+
+// Limits returns the limits on calls.
+func (c Config) Limits() Limits { return c.limits }
+
 // Workspace returns the workspace of that name.
 func (c Config) Workspace(name string) (Workspace, bool) {
 	for _, w := range c.workspaces {
--- /dev/null
+++ b/operator/pool.go
@@ -0,0 +1,69 @@
+package operator
+
+import "time"
+
+// Pool is a set of workers that run the same kinds.
+type Pool struct {
+	name        string
+	healthPath  string
+	connections int
+	checks      bool
+	spare       bool
+}
+
+// NewPool returns a pool whose workers refuse what does not fit.
+func NewPool(name string) Pool { return Pool{name: name, checks: true} }
+
+// WithHealthPath returns a copy of p whose workers answer health checks there.
+func (p Pool) WithHealthPath(path string) Pool {
+	p.healthPath = path
+	return p
+}
+
+// WithConnections returns a copy of p whose workers take n connections.
+func (p Pool) WithConnections(n int) Pool {
+	p.connections = n
+	return p
+}
+
+// WithAdmissionCheck returns a copy of p whose workers do or don't refuse what
+// exceeds their capacity.
+func (p Pool) WithAdmissionCheck(checks bool) Pool {
+	p.checks = checks
+	return p
+}
+
+// WithSpare returns a copy of p whose machines are or are not switched off.
+func (p Pool) WithSpare(spare bool) Pool {
+	p.spare = spare
+	return p
+}
+
+// Name returns the name, unique in the configuration.
+func (p Pool) Name() string { return p.name }
+
+// HealthPath returns the path of health checks.
+func (p Pool) HealthPath() string { return p.healthPath }
+
+// Connections returns the number of connections that a worker takes, or 0 for no
+// limit.
+func (p Pool) Connections() int { return p.connections }
+
+// AdmissionCheck reports whether the workers refuse what does not fit.
+func (p Pool) AdmissionCheck() bool { return p.checks }
+
+// Spare reports whether the machines of the pool are switched off and free.
+func (p Pool) Spare() bool { return p.spare }
+
+// Limits bound the calls of callers.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// DefaultLimits returns the limits of a configuration that has none.
+func DefaultLimits() Limits {
+	return Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
+}
--- a/operator/workspace.go
+++ b/operator/workspace.go
@@ -1,15 +1,14 @@
 package operator
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // Workspace is a tenant with guaranteed shapes of capacity.
 type Workspace struct {
 	name       string
 	guarantees []Shape
 	queueLimit int
+	keys       []string
+	guaranteed int
 }
 
 // DefaultQueueLimit is the number of requests of a workspace that may wait at
@@ -34,15 +33,35 @@
 	return w
 }
 
+// WithKey returns a copy of w with one more API key.
+func (w Workspace) WithKey(key string) Workspace {
+	w.keys = append(slices.Clone(w.keys), key)
+	return w
+}
+
+// WithGuaranteedAccelerators returns a copy of w that is guaranteed n accelerators
+// beyond its guaranteed shapes, in any arrangement.
+func (w Workspace) WithGuaranteedAccelerators(n int) Workspace {
+	w.guaranteed = n
+	return w
+}
+
 // Name returns the name, unique in the configuration.
 func (w Workspace) Name() string { return w.name }
 
+// Keys returns the API keys.
+func (w Workspace) Keys() []string { return slices.Clone(w.keys) }
+
+// GuaranteedAccelerators returns the accelerators that are guaranteed beyond the
+// guaranteed shapes.
+func (w Workspace) GuaranteedAccelerators() int { return w.guaranteed }
+
 // Guarantees returns the guaranteed shapes.
 func (w Workspace) Guarantees() []Shape { return slices.Clone(w.guarantees) }
 
-// GuaranteedSlots returns the slots of all guaranteed shapes.
+// GuaranteedSlots returns the accelerators of all guarantees.
 func (w Workspace) GuaranteedSlots() int {
-	n := 0
+	n := w.guaranteed
 	for _, s := range w.guarantees {
 		n += s.Slots()
 	}
@@ -61,46 +80,3 @@
 	ClassLong  Class = "long"  // runs for minutes to hours
 	ClassFill  Class = "fill"  // takes what is left and gives way first
 )
-
-// Kind is a kind of work that a workspace submits.
-type Kind struct {
-	workspace  string
-	name       string
-	class      Class
-	idempotent bool
-	limit      time.Duration
-}
-
-// NewKind returns a non-idempotent kind without a limit on its run time.
-func NewKind(workspace, name string, class Class) Kind {
-	return Kind{workspace: workspace, name: name, class: class}
-}
-
-// WithIdempotent returns a copy of k whose requests may or may not be run more
-// than once by default. A request can always ask to run at most once.
-func (k Kind) WithIdempotent(idempotent bool) Kind {
-	k.idempotent = idempotent
-	return k
-}
-
-// WithLimit returns a copy of k whose tasks are stopped after d. 0 means no
-// limit.
-func (k Kind) WithLimit(d time.Duration) Kind {
-	k.limit = d
-	return k
-}
-
-// Workspace returns the name of the workspace.
-func (k Kind) Workspace() string { return k.workspace }
-
-// Name returns the name, unique within the workspace.
-func (k Kind) Name() string { return k.name }
-
-// Class returns the scheduling class.
-func (k Kind) Class() Class { return k.class }
-
-// Idempotent reports whether requests of the kind may run more than once.
-func (k Kind) Idempotent() bool { return k.idempotent }
-
-// Limit returns the time after which a task is stopped, or 0.
-func (k Kind) Limit() time.Duration { return k.limit }
--- /dev/null
+++ b/state/job/check.go
@@ -0,0 +1,46 @@
+package job
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Check returns an error that names the first thing wrong with what was asked for.
+func (j Job) Check(maxPayload, maxTasks int) error {
+	if len(j.Payload) > maxPayload {
+		return fmt.Errorf("the payload has %d bytes, more than %d", len(j.Payload), maxPayload)
+	}
+	if len(j.Steps) == 0 {
+		return errors.New("the job has no steps")
+	}
+	tasks := 0
+	for i, s := range j.Steps {
+		if err := s.check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+		tasks += s.Tasks
+	}
+	if tasks > maxTasks {
+		return fmt.Errorf("the job has %d tasks, more than %d", tasks, maxTasks)
+	}
+	if j.Times < 0 || j.Times > 0 && j.IntervalMillis < 0 {
+		return errors.New("the recurrence has a negative number")
+	}
+	return nil
+}
+
+func (s Step) check(index int) error {
+	if s.Tasks < 1 {
+		return errors.New("it has no tasks")
+	}
+	if s.CPU < 0 || s.MemoryMB < 0 || s.Accelerators < 0 || s.EstimateMillis < 0 || s.MaxPerWorker < 0 ||
+		s.LatencyMillis < 0 || s.MayMiss < 0 {
+		return errors.New("a number is negative")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return fmt.Errorf("it comes after step %d, which is not an earlier one", a)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/job/progress.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// State is the state of a job or of one occurrence.
+type State string
+
+// States. Completed, Failed and Cancelled are final.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Place is one life of a worker.
+type Place struct {
+	Target string // name of the target, which stays with the machine
+	Worker string // the worker's ID
+	Born   int64  // Unix milliseconds of the worker's start; tells lives of one ID apart
+}
+
+// Run is a run that is recorded and not known to have ended.
+type Run struct {
+	Number int
+	Place  Place
+}
+
+// Task is the recorded state of one task.
+type Task struct {
+	LastRun    int    `json:",omitempty"` // highest run number used
+	Active     []Run  `json:",omitempty"`
+	Done       bool   `json:",omitempty"`
+	Failures   int    `json:",omitempty"` // runs that ended failed
+	Checkpoint string `json:",omitempty"`
+}
+
+// StepProgress is the recorded state of one step.
+type StepProgress struct {
+	Failures int `json:",omitempty"` // runs of the gang that ended failed
+	Tasks    []Task
+}
+
+// Progress is the recorded state of one occurrence of a job.
+type Progress struct {
+	Job        string
+	Occurrence int
+	State      State
+	Begun      bool `json:",omitempty"` // a task has been started
+	Steps      []StepProgress
+}
+
+// NewProgress returns the state of an occurrence that has not begun.
+func NewProgress(j Job, occurrence int) Progress {
+	p := Progress{Job: j.ID, Occurrence: occurrence, State: Queued, Steps: make([]StepProgress, len(j.Steps))}
+	for i, s := range j.Steps {
+		p.Steps[i].Tasks = make([]Task, s.Tasks)
+	}
+	return p
+}
+
+// Encode returns the value of the row.
+func (p Progress) Encode() []byte { return encode(p) }
+
+// DecodeProgress returns the progress of a row's value.
+func DecodeProgress(value []byte) (Progress, error) {
+	var p Progress
+	if err := json.Unmarshal(value, &p); err != nil {
+		return Progress{}, fmt.Errorf("decode progress: %w", err)
+	}
+	return p, nil
+}
+
+// Combine returns the state of a job from the states of its recorded
+// occurrences, of which total exist. One failed occurrence fails the job.
+func Combine(recorded []State, total int) State {
+	count := make(map[State]int)
+	for _, s := range recorded {
+		count[s]++
+	}
+	switch {
+	case count[Failed] > 0:
+		return Failed
+	case count[Cancelled] > 0:
+		return Cancelled
+	case count[Completed] == total:
+		return Completed
+	case count[Running]+count[Completed] > 0:
+		return Running
+	}
+	return Queued
+}
--- /dev/null
+++ b/transport/agent/doc.go
@@ -0,0 +1,10 @@
+// Package agent connects planners to the agents of targets over drpc.
+//
+// # Usage
+//
+//	a := agent.NewAgents(dial)
+//	defer a.Close()
+//	reply, err := a.Agent("10.1.0.20:7000").Watch(ctx, req)
+//
+//	err := agent.Serve(ctx, listener, impl)
+package agent
