Lose runs of former lives on every report; don't depose an owner because the store is slow

Cause: a planner that took over after all machines had lost power got the report of a worker's new life before the row that names a run on the former one. The run was never given up, and its job stood still (LOST). Besides, six candidates tried to own the shard at once while the store was 89 times slower, and each try took a turn of the part.

Change: runs of other lives are given up on each report. The age at which the owner's row is out of date grows with the time that a read takes, and the owner writes less often while transactions are slow. Stops of checkpointable work count as cheap, because a stop makes a checkpoint.

Ruled out: loss of the row (it was read) and of the job (it was planned).

--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -214,7 +214,8 @@
 		lost = 0
 	}
 	if s.spec.Checkpointable {
-		lost = min(lost, p.cfg.Checkpoint) + p.cfg.Restore
+		// A stop makes a checkpoint.
+		lost = min(lost, p.cfg.Restore)
 	}
 	n := 1
 	if s.spec.Gang {
--- /dev/null
+++ b/coordination/planner/site_test.go
@@ -0,0 +1,199 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// site is a planner with simulated agents and workers. Workers carry out each
+// order at once unless a test says otherwise.
+type site struct {
+	t       *testing.T
+	p       *Planner
+	now     time.Time
+	workers map[string]*simWorker
+	names   []string
+	rows    map[string]job.Progress // as written
+	starts  []string                // "task run target" in order
+}
+
+// simWorker is a worker with its agent.
+type simWorker struct {
+	worker  *agentrpc.Worker
+	running map[string]*agentrpc.RunStatus
+	ended   []*agentrpc.RunEnd
+	ends    int64
+	look    int64
+	silent  bool // orders are lost
+}
+
+const (
+	testPool = "pool"
+	stopTime = 400 * time.Millisecond
+)
+
+func testSettings() Settings {
+	return Settings{
+		StopTime: stopTime, GangWait: 3 * time.Second, FarFactor: 3,
+		Restore: 250 * time.Millisecond, Checkpoint: 500 * time.Millisecond,
+	}
+}
+
+// newSite returns a site of racks with workers of 8 accelerators each.
+func newSite(t *testing.T, racks, perRack int) *site {
+	s := &site{
+		t: t, p: New(testSettings(), zerolog.Nop()), now: time.Unix(1_800_000_000, 0),
+		workers: make(map[string]*simWorker), rows: make(map[string]job.Progress),
+	}
+	s.p.SetConfig(testConfig())
+	for r := range racks {
+		for w := range perRack {
+			name := fmt.Sprintf("t%d%d", r, w)
+			s.names = append(s.names, name)
+			s.workers[name] = newSimWorker(name, 1, fmt.Sprintf("r%d", r))
+		}
+	}
+	s.report(s.names...)
+	return s
+}
+
+func newSimWorker(name string, born int64, rack string) *simWorker {
+	return &simWorker{
+		worker: &agentrpc.Worker{
+			Life: &agentrpc.Life{Worker: fmt.Sprintf("%s-%d", name, born), Born: born}, Pool: testPool,
+			Cpu: 128_000, MemoryMb: 262_144, Accelerators: 8, Labels: []string{"a", rack}, Rack: rack,
+		},
+		running: make(map[string]*agentrpc.RunStatus),
+	}
+}
+
+func testConfig() *configuration.Snapshot {
+	cfg := operator.NewConfig(operator.NewSite("test")).
+		WithPool(operator.NewPool(testPool)).
+		WithWorkspace(operator.NewWorkspace("w1").WithGuaranteedAccelerators(16)).
+		WithWorkspace(operator.NewWorkspace("w2").WithGuaranteedAccelerators(16)).
+		WithKinds([]operator.Kind{
+			operator.NewKind("", "urgent", operator.ClassShort).WithPool(testPool).WithPriority(0).WithAttempts(3).WithObjective(1.5, 250*time.Millisecond),
+			operator.NewKind("", "long", operator.ClassLong).WithPool(testPool).WithPriority(1).WithAttempts(2).WithObjective(3, time.Second),
+			operator.NewKind("", "fill", operator.ClassFill).WithPool(testPool).WithPriority(2).WithAttempts(2).WithObjective(3, 3*time.Second),
+		})
+	return configuration.NewSnapshot(1, cfg)
+}
+
+// newJob returns a job of one step.
+func newJob(id, kind string, s job.Step) job.Job {
+	if s.EstimateMillis == 0 {
+		s.EstimateMillis = 2000
+	}
+	return job.Job{ID: id, Kind: kind, Workspace: "w1", Pool: testPool, Payload: "p", Steps: []job.Step{s}}
+}
+
+// add adds a job and makes a pass.
+func (s *site) add(j job.Job) {
+	s.p.AddJob(j, false, nil, s.now)
+	s.pass()
+}
+
+// pass makes a pass and carries out what it decides.
+func (s *site) pass() {
+	b := s.p.Plan(s.now)
+	for _, w := range b.Writes {
+		pr, err := job.DecodeProgress(w.Value)
+		qt.Assert(s.t, err, qt.IsNil)
+		s.rows[w.Key] = pr
+	}
+	for _, to := range b.Orders {
+		w := s.workers[to.Target]
+		for _, o := range to.Orders {
+			if w.silent {
+				continue
+			}
+			s.p.OrderDone(to.Target, to.Life, o, w.carryOut(s, to.Target, o), s.now)
+		}
+	}
+	for name, seen := range b.Seen {
+		w := s.workers[name]
+		kept := w.ended[:0]
+		for _, e := range w.ended {
+			if e.GetNumber() > seen.End {
+				kept = append(kept, e)
+			}
+		}
+		w.ended = kept
+	}
+}
+
+func (w *simWorker) carryOut(s *site, target string, o Order) *agentrpc.OrderResult {
+	done := &agentrpc.OrderResult{Outcome: agentrpc.Outcome_DONE}
+	if o.Stop {
+		if _, ok := w.running[o.Task]; ok {
+			w.end(o.Task, endStopped)
+		}
+		done.Look = w.look + 1
+		return done
+	}
+	if _, ok := w.running[o.Task]; ok {
+		return done
+	}
+	w.running[o.Task] = &agentrpc.RunStatus{Task: o.Task, Run: int64(o.Run)}
+	s.starts = append(s.starts, fmt.Sprintf("%s %d %s", o.Task, o.Run, target))
+	return done
+}
+
+// end ends a run.
+func (w *simWorker) end(task, how string) {
+	w.ends++
+	w.ended = append(w.ended, &agentrpc.RunEnd{Number: w.ends, Task: task, Run: w.running[task].GetRun(), How: how})
+	delete(w.running, task)
+}
+
+// report passes the state of workers on to the planner.
+func (s *site) report(names ...string) {
+	for _, n := range names {
+		w := s.workers[n]
+		w.look++
+		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.look, Ended: w.ended}
+		for _, x := range w.running {
+			r.Running = append(r.Running, x)
+		}
+		s.p.Report(n, r, s.now)
+	}
+}
+
+// step lets time pass, with reports of all workers and a pass.
+func (s *site) step(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.report(s.names...)
+	s.pass()
+}
+
+// finish ends all runs of a task's job on all workers.
+func (s *site) finish(task, how string) {
+	for _, n := range s.names {
+		if _, ok := s.workers[n].running[task]; ok {
+			s.workers[n].end(task, how)
+		}
+	}
+}
+
+// where returns the target on which a task runs, or "".
+func (s *site) where(task string) string {
+	for _, n := range s.names {
+		if _, ok := s.workers[n].running[task]; ok {
+			return n
+		}
+	}
+	return ""
+}
+
+// state returns the recorded state of the first occurrence of a job.
+func (s *site) state(id string) job.State { return s.rows[job.ProgressKey(id, 0)].State }
--- /dev/null
+++ b/coordination/planner/takeover_test.go
@@ -0,0 +1,86 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// restarted returns the site with a new planner that has no jobs yet.
+func (s *site) restarted() *site {
+	s.p = New(testSettings(), zerolog.Nop())
+	s.p.SetConfig(testConfig())
+	return s
+}
+
+// Guards against a job that stands still for good after all machines lost power:
+// its run is recorded on a life of a worker that is gone when the new planner
+// reads the row, before or after that worker's new life is reported.
+func TestRunOnFormerLife(t *testing.T) {
+	tests := []struct {
+		name        string
+		reportFirst bool
+	}{
+		{name: "row first"},
+		{name: "report first", reportFirst: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t, 1, 2)
+			j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+			s.add(j)
+			row := s.rows["j1/0"]
+			qt.Assert(t, row.Steps[0].Tasks[0].Active, qt.HasLen, 1)
+
+			s.restarted()
+			for _, n := range s.names {
+				s.workers[n] = newSimWorker(n, 2, "r0")
+			}
+			if tt.reportFirst {
+				s.report(s.names...)
+			}
+			s.p.AddJob(j, false, []job.Progress{row}, s.now)
+			s.starts = nil
+			s.step(time.Second)
+			s.step(time.Second)
+			qt.Assert(t, s.starts, qt.HasLen, 1)
+			qt.Assert(t, s.rows["j1/0"].Steps[0].Tasks[0].LastRun, qt.Equals, 2)
+		})
+	}
+}
+
+// Guards against a run that goes on through a change of the planner being started a
+// second time, and against its end being missed.
+func TestRunGoesOnThroughTakeOver(t *testing.T) {
+	s := newSite(t, 1, 2)
+	j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+	s.add(j)
+	s.step(time.Second)
+	s.restarted()
+	s.p.AddJob(j, false, []job.Progress{s.rows["j1/0"]}, s.now)
+	s.step(time.Second)
+	s.step(time.Second)
+	qt.Assert(t, s.starts, qt.HasLen, 1)
+	s.finish("j1.0.0.0", endDone)
+	s.step(time.Second)
+	qt.Assert(t, s.state("j1"), qt.Equals, job.Completed)
+}
+
+// Guards against a recorded start that never reached its worker: the new planner
+// must order it again, as the same run.
+func TestRecordedStartIsRepeated(t *testing.T) {
+	s := newSite(t, 1, 1)
+	j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+	s.workers["t00"].silent = true
+	s.add(j)
+	qt.Assert(t, s.starts, qt.HasLen, 0)
+	s.restarted()
+	s.workers["t00"].silent = false
+	s.p.AddJob(j, false, []job.Progress{s.rows["j1/0"]}, s.now)
+	s.step(time.Second)
+	qt.Assert(t, s.starts, qt.DeepEquals, []string{"j1.0.0.0 1 t00"})
+}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -71,9 +71,10 @@
 		return
 	}
 	if !sameLife(t.worker.GetLife(), w.GetLife()) {
-		p.newLife(t, w, now)
+		p.newLife(t, w)
 	}
 	t.worker = w
+	p.loseFormer(t, now)
 	t.silent = time.Duration(in.GetSilentMillis()) * time.Millisecond
 	t.capacity = size{int(w.GetCpu()), int(w.GetMemoryMb()), int(w.GetAccelerators())}
 	t.listed = in.GetListed()
@@ -95,8 +96,8 @@
 	return x != nil && y != nil && x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
 }
 
-// newLife forgets what ran in earlier lives of a worker: a new life runs nothing.
-func (p *Planner) newLife(t *target, w *agentrpc.Worker, now time.Time) {
+// newLife forgets what is known of earlier lives of a worker.
+func (p *Planner) newLife(t *target, w *agentrpc.Worker) {
 	p.log.Info().Int("Event", EventTargetLife).Str("Target", t.name).Str("Worker", w.GetLife().GetWorker()).
 		Int64("Born", w.GetLife().GetBorn()).Str("Pool", w.GetPool()).Str("Rack", w.GetRack()).Msg("a worker joins")
 	if t.worker != nil {
@@ -104,6 +105,11 @@
 	}
 	t.worker, t.seen, t.look = w, 0, 0
 	clear(t.foreign)
+}
+
+// loseFormer takes that what ran in former lives of a worker is over. Rows may be
+// restored after the new life was reported first.
+func (p *Planner) loseFormer(t *target, now time.Time) {
 	here := t.place()
 	for r := range t.runs {
 		if r.place != here {
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -59,10 +59,12 @@
 	if contact.Epoch > 0 && contact.Silent < contactSilence && contact.Unconfirmed < unconfirmedLimit {
 		return OwnerRow{}, 0, false
 	}
+	sent := time.Now()
 	page, err := c.deps.Store.Read(ctx, ownerRange(c.cfg.Part))
 	if err != nil {
 		return OwnerRow{}, 0, false
 	}
+	stale := beatStale + slowStoreFactor*time.Since(sent)
 	c.deps.Clock.Observe(page.Now)
 	if len(page.Rows) == 0 {
 		return OwnerRow{}, 0, true
@@ -79,7 +81,7 @@
 		why = "the owner has left"
 	case row.Name == c.cfg.Name:
 		why = "this process was the owner before it started again"
-	case row.age(page.Now) > beatStale:
+	case row.age(page.Now) > stale:
 		why = "the row is out of date"
 	case c.deps.Agents.Refuses(ctx, row.Address):
 		why = "the owner refuses connections"
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -27,7 +27,8 @@
 	row       OwnerRow // as written last; changed only by the goroutine of run
 	version   uint64   // of the row
 	plan      *planner.Planner
-	confirmed time.Time // when the last confirmed transaction was sent
+	confirmed time.Time     // when the last confirmed transaction was sent
+	took      time.Duration // by that transaction
 	progress  map[string][]job.Progress
 	watches   map[string]*watch
 	config    *configuration.Holder
@@ -169,7 +170,7 @@
 			o.plan.SetConfig(s)
 		}
 		b := o.plan.Plan(time.Now())
-		due := time.Since(o.confirmed) >= beatPeriod
+		due := time.Since(o.confirmed) >= max(beatPeriod, slowBeatFactor*o.took)
 		o.mu.Unlock()
 		if len(b.Writes)+len(b.Deletions) > 0 || due {
 			if err := o.commit(ctx, table.Tx{Writes: b.Writes, Deletions: b.Deletions}); err != nil {
@@ -226,7 +227,7 @@
 func (o *owner) written(row OwnerRow, version uint64, sent time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.row, o.version, o.confirmed = row, version, sent
+	o.row, o.version, o.confirmed, o.took = row, version, sent, time.Since(sent)
 }
 
 // releaseTimeout bounds the release of the shard at the end of the process.
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -16,9 +16,16 @@
 const (
 	// beatPeriod is the longest time between two writes of the owner's row.
 	beatPeriod = 500 * time.Millisecond
-	// beatStale is the age from which on the row is out of date: four periods, or
-	// two and the delay of a store that is 60 to 90 times slower than usual.
+	// beatStale is the age from which on the row is out of date: four periods.
 	beatStale = 2 * time.Second
+	// slowStoreFactor times the duration of a read is added to beatStale. A store
+	// that is slow delays the owner's writes by more than a read: transactions of a
+	// part take their turn.
+	slowStoreFactor = 10
+	// slowBeatFactor times the duration of the last transaction is the least time
+	// between two writes of the owner's row, so that a slow part has room for
+	// others.
+	slowBeatFactor = 4
 	// contactSilence is how long the planner may not have called an agent before
 	// its process looks at the row.
 	contactSilence = 600 * time.Millisecond
