Refuse callers at once while the store does not answer

Entries that find the store silent for 0.5 s report that they are not ready. Runs log what their end loses.

Ruled out: a longer Retry-After.

Kept: a refusal that is true serves callers better than an open outcome.

--- a/coordination/intake/events.go
+++ b/coordination/intake/events.go
@@ -6,4 +6,8 @@
 	EventSubmitted = 610
 	// EventCancelled occurs when a cancellation has been recorded.
 	EventCancelled = 611
+	// EventStoreSilent occurs when the store does not answer in time.
+	EventStoreSilent = 612
+	// EventStoreBack occurs when it answers again.
+	EventStoreBack = 613
 )
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -52,17 +52,44 @@
 	store table.Store
 	part  string
 	clock *table.Clock
+	gate  *gate
 	log   zerolog.Logger
 }
 
 // New returns a service that records jobs in a part of the store.
 func New(store table.Store, part string, clock *table.Clock, log zerolog.Logger) *Service {
-	return &Service{store: store, part: part, clock: clock, log: log}
+	g := &gate{store: store, probe: table.Range{Table: job.TableJobs, Part: part, From: "0", To: "0", Limit: 1}, log: log}
+	return &Service{store: store, part: part, clock: clock, gate: g, log: log}
 }
 
-// Submit records a job. It repeats the write until its outcome is known or ctx
-// ends.
+// StoreSilent returns how long the store has not answered.
+func (s *Service) StoreSilent() time.Duration { return s.gate.downFor() }
+
+// errStoreDown reports a store that is known not to answer.
+var errStoreDown = errors.New("the store does not answer")
+
+// Submit records a job. A read shows first that the store answers; without it, the
+// job is refused before anything of it is sent. The write is repeated until its
+// outcome is known or ctx ends.
 func (s *Service) Submit(ctx context.Context, j job.Job) Result {
+	if s.gate.isDown() {
+		s.logSubmit(j, "refused", errStoreDown)
+		return Refused{Reason: errStoreDown.Error(), RetryAfter: retryAfter}
+	}
+	p, err := s.gate.read(ctx, table.Range{Table: job.TableJobs, Part: s.part, From: j.ID, To: j.ID + "\x00"})
+	if err != nil {
+		s.logSubmit(j, "refused", err)
+		return Refused{Reason: errStoreDown.Error(), RetryAfter: retryAfter}
+	}
+	s.clock.Observe(p.Now)
+	if len(p.Rows) > 0 {
+		return s.repeated(j, p.Rows[0])
+	}
+	return s.record(ctx, j)
+}
+
+// record writes the rows of a job.
+func (s *Service) record(ctx context.Context, j job.Job) Result {
 	if now, ok := s.clock.Now(); ok {
 		j.AcceptedMillis = now.Milliseconds()
 	}
@@ -182,18 +209,16 @@
 	return f, nil
 }
 
-// read reads a range and repeats a failed call until ctx ends.
+// read reads a range, or fails at once if the store is known not to answer.
 func (s *Service) read(ctx context.Context, r table.Range) (table.Page, error) {
-	for {
-		p, err := table.ReadAll(ctx, s.store, r)
-		if err == nil {
-			s.clock.Observe(p.Now)
-			return p, nil
-		}
-		if !sleep(ctx, retryPause) {
-			return table.Page{}, err
-		}
+	if s.gate.isDown() {
+		return table.Page{}, errStoreDown
+	}
+	p, err := s.gate.read(ctx, r)
+	if err == nil {
+		s.clock.Observe(p.Now)
 	}
+	return p, err
 }
 
 // Cancel records that a job is cancelled. It returns ErrNoJob if there is none; a
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -153,7 +153,7 @@
 		byTarget[r.target] = &c
 		for v := range r.target.runs {
 			if v.stop == "" && p.mayStop(u, v) {
-				victims = append(victims, victim{v, p.loss(v, now)})
+				victims = append(victims, victim{v, p.gangLoss(v, now)})
 			}
 		}
 	}
@@ -205,8 +205,16 @@
 // coresPerAccelerator weighs an accelerator in cores when work is compared.
 const coresPerAccelerator = 8
 
-// loss returns the core-seconds of work that are lost if a run is stopped, with
+// gangLoss returns the core-seconds of work that are lost if a run is stopped, with
 // those of the other members of its gang.
+func (p *Planner) gangLoss(r *run, now time.Time) float64 {
+	if !r.task.step.spec.Gang {
+		return p.loss(r, now)
+	}
+	return float64(len(r.task.step.tasks)) * p.loss(r, now)
+}
+
+// loss returns the core-seconds of work that are lost if a run is stopped.
 func (p *Planner) loss(r *run, now time.Time) float64 {
 	s := r.task.step
 	lost := now.Sub(r.confirmed)
@@ -217,10 +225,6 @@
 		// A stop makes a checkpoint.
 		lost = min(lost, p.cfg.Restore)
 	}
-	n := 1
-	if s.spec.Gang {
-		n = len(s.tasks)
-	}
 	cores := float64(r.size.cpu)/1000 + coresPerAccelerator*float64(r.size.accelerators)
-	return float64(n) * cores * lost.Seconds()
+	return cores * lost.Seconds()
 }
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -22,7 +22,8 @@
 func (p *Planner) end(t *target, e *agentrpc.RunEnd, now time.Time) {
 	r := p.find(t, e.GetTask(), int(e.GetRun()))
 	p.log.Info().Int("Event", EventRunEnded).Str("Task", e.GetTask()).Int64("Run", e.GetRun()).Str("Target", t.name).
-		Str("How", e.GetHow()).Int64("End", e.GetNumber()).Bool("Known", r != nil).Send()
+		Str("How", e.GetHow()).Int64("End", e.GetNumber()).Bool("Known", r != nil).
+		Float64("LostCoreSeconds", p.lostWork(r, e.GetHow(), now)).Str("Stop", r.stopReason()).Send()
 	if r == nil {
 		// The run was given up before, for example because its lease had lapsed.
 		return
@@ -43,6 +44,22 @@
 	}
 }
 
+// lostWork returns the core-seconds of a run that ended without a use.
+func (p *Planner) lostWork(r *run, how string, now time.Time) float64 {
+	if r == nil || how == endDone {
+		return 0
+	}
+	return p.loss(r, now)
+}
+
+// stopReason returns why the run was stopped, or "".
+func (r *run) stopReason() string {
+	if r == nil {
+		return ""
+	}
+	return r.stop
+}
+
 // find returns the run of a task on the present life of a target's worker.
 func (p *Planner) find(t *target, name string, number int) *run {
 	here := t.place()
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -129,9 +129,9 @@
 }
 
 // lose takes that a run is over without an end that counts.
-func (p *Planner) lose(r *run, why string, _ time.Time) {
+func (p *Planner) lose(r *run, why string, now time.Time) {
 	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
-		Str("Reason", why).Msg("a run is over without an end")
+		Str("Reason", why).Float64("LostCoreSeconds", p.loss(r, now)).Msg("a run is over without an end")
 	p.remove(r)
 	p.stopGang(r, "another member of the gang is lost")
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -26,6 +26,9 @@
 	// storeSilence is how long the store may not have answered before an entry
 	// sends callers elsewhere: its configuration may be out of date.
 	storeSilence = 3 * time.Second
+	// unansweredLimit is how long the store may have been found silent before an
+	// entry sends callers elsewhere: others may still reach it.
+	unansweredLimit = 500 * time.Millisecond
 	// configWaitShare of the bound on the configuration is the wait of one watch, so
 	// that a connection that has gone silent is noticed in time.
 	configWaitShare = 0.3
@@ -147,7 +150,7 @@
 		return errors.New("the entry is leaving")
 	case !ok || e.Config.Snapshot() == nil:
 		return errors.New("the configuration is not known yet")
-	case age > storeSilence:
+	case age > storeSilence, e.Intake.StoreSilent() > unansweredLimit:
 		return errors.New("the store does not answer")
 	}
 	return nil
