--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -13,6 +13,7 @@
 	target *target
 	free   size // left after runs that go on and claims
 	idle   size // left after all runs and claims, also runs that are being stopped
+	limit  int  // tasks of the unit's step that it may still run
 	rack   string
 }
 
@@ -25,7 +26,7 @@
 		}
 		reserved := p.reserved(t)
 		out = append(out, &room{
-			target: t, rack: t.worker.GetRack(),
+			target: t, rack: t.worker.GetRack(), limit: p.perWorker(u, t),
 			free: t.capacity.minus(t.used(false)).minus(reserved),
 			idle: t.capacity.minus(t.used(true)).minus(reserved),
 		})
@@ -72,7 +73,7 @@
 func (p *Planner) pool(u unit) string { return u.kind.Pool() }
 
 // perWorker returns how many more tasks of the unit's step a target may run.
-func (u unit) perWorker(t *target) int {
+func (p *Planner) perWorker(u unit, t *target) int {
 	limit := u.step.spec.MaxPerWorker
 	if limit == 0 {
 		return len(u.tasks)
@@ -82,6 +83,16 @@
 			limit--
 		}
 	}
+	for _, c := range p.claims {
+		if c.unit.step != u.step {
+			continue
+		}
+		for _, o := range c.on {
+			if o == t {
+				limit--
+			}
+		}
+	}
 	return max(limit, 0)
 }
 
@@ -251,7 +262,7 @@
 	}
 	spots := make([]spot, len(rooms))
 	for i, r := range rooms {
-		spots[i] = spot{r, r.free, u.perWorker(r.target)}
+		spots[i] = spot{r, r.free, r.limit}
 	}
 	on := make([]*target, 0, len(u.tasks))
 	for range u.tasks {
