Take note of workers that are gone, and inherit the silence of targets

Cause: a worker that left was only known to be draining. Its runs were given up after a lease, and that wait began anew with each planner, at worst with 10 s more; two planner kills in a row left a job standing for over 25 s (LOST).

Change: an agent whose worker has said that it ends and no longer answers reports it as gone, and removes its own row when it is stopped then. The owner's row names the targets that do not answer and since when, so that the next owner counts from there. The extra wait for a former owner's grants applies only if that owner's process may still live.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -45,8 +45,9 @@
 	changed chan struct{} // closed and replaced when the revision changes
 	lease   chan struct{} // closed and replaced when the hold loop has work
 
-	info     Info // Life is nil while no worker is known
-	leftLife *agentrpc.Life
+	info     Info   // Life is nil while no worker is known
+	left     bool   // the worker has said that it ends
+	gone     bool   // and it no longer answers
 	epoch    uint64 // highest seen
 	planner  string
 	contact  time.Time // last call of the planner of that epoch
@@ -105,10 +106,8 @@
 			return false
 		}
 	}
-	if a.leftLife != nil && sameLife(info.Life, a.leftLife) {
-		return false
-	}
 	if !sameLife(info.Life, old.Life) {
+		a.left, a.gone = false, false
 		a.life = life{doubt: make(map[runKey]struct{}), revision: a.life.revision, clock: info.Clock, answered: time.Now()}
 		a.log.Info().Int("Event", EventWorkerLife).Str("Worker", info.Life.GetWorker()).Int64("Born", info.Life.GetBorn()).
 			Str("Pool", info.Pool).Msg("a worker has registered")
@@ -134,10 +133,17 @@
 		return
 	}
 	a.log.Info().Int("Event", EventWorkerLeft).Str("Worker", worker).Msg("the worker has left")
-	a.info.Draining = true
+	a.info.Draining, a.left = true, true
 	a.bumpLocked()
 }
 
+// Gone reports whether the last known life of the worker is over.
+func (a *Agent) Gone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gone
+}
+
 func sameLife(x, y *agentrpc.Life) bool {
 	return x != nil && y != nil && x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
 }
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -27,7 +27,7 @@
 	a.mu.Lock()
 	wake := a.lease
 	life := a.info.Life
-	if life == nil || a.life.fence == 0 {
+	if life == nil || a.life.fence == 0 && !a.left || a.gone {
 		a.mu.Unlock()
 		pause(ctx, wake, time.Minute)
 		return
@@ -95,6 +95,11 @@
 		return true
 	}
 	if err != nil {
+		if a.left && !a.gone {
+			a.gone = true
+			a.log.Info().Int("Event", EventWorkerGone).Str("Worker", life.GetWorker()).Err(err).Msg("the worker that left no longer answers")
+			a.bumpLocked()
+		}
 		return false
 	}
 	if reply.Born != 0 && reply.Born != life.GetBorn() {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -77,7 +77,10 @@
 	p.loseFormer(t, now)
 	t.silent = time.Duration(in.GetSilentMillis()) * time.Millisecond
 	t.capacity = size{int(w.GetCpu()), int(w.GetMemoryMb()), int(w.GetAccelerators())}
-	t.listed = in.GetListed()
+	t.listed = in.GetListed() && !w.GetGone()
+	if w.GetGone() {
+		p.Lapsed(name, "the worker has left", now)
+	}
 	if !t.listed {
 		return
 	}
@@ -118,12 +121,12 @@
 	}
 }
 
-// Lapsed takes that everything that ran on a target's worker has ended, because
-// nothing has renewed its lease for longer than a lease lasts.
-func (p *Planner) Lapsed(name string, now time.Time) {
+// Lapsed takes that everything that ran on a target's worker has ended: nothing has
+// renewed its lease for longer than a lease lasts, or the worker is gone.
+func (p *Planner) Lapsed(name, why string, now time.Time) {
 	t := p.target(name)
 	for r := range t.runs {
-		p.lose(r, "lease lapsed", now)
+		p.lose(r, why, now)
 	}
 	t.listed = false
 }
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -31,11 +31,30 @@
 func (c *Candidate) Run(ctx context.Context) {
 	c.announce(ctx)
 	for ctx.Err() == nil {
-		if row, version, ok := c.look(ctx); ok {
-			c.own(ctx, row, version)
+		if f, ok := c.look(ctx); ok {
+			c.own(ctx, f)
 		}
 		sleep(ctx, lookPause/2+rand.N(lookPause))
 	}
+	if c.deps.Agent.Gone() {
+		c.withdraw(context.WithoutCancel(ctx))
+	}
+}
+
+// withdraw removes the row of a target whose worker is gone for good, so that no
+// planner waits for it.
+func (c *Candidate) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, err := c.deps.Store.Commit(ctx, table.Tx{Part: c.cfg.Part}.WithDeletion(TableTargets, c.cfg.Name))
+	c.deps.Log.Info().Int("Event", EventWithdrawn).Err(err).Msg("the target withdraws its row")
+}
+
+// former is the owner that a candidate takes over from.
+type former struct {
+	row     OwnerRow
+	version uint64 // of the row
+	ended   bool   // the process has certainly ended
 }
 
 // announce writes the row by which planners find the agent of this process.
@@ -54,52 +73,52 @@
 
 // look decides whether this process should take over, and returns the row to
 // replace.
-func (c *Candidate) look(ctx context.Context) (OwnerRow, uint64, bool) {
+func (c *Candidate) look(ctx context.Context) (former, bool) {
 	contact := c.deps.Agent.Contact()
 	if contact.Epoch > 0 && contact.Silent < contactSilence && contact.Unconfirmed < unconfirmedLimit {
-		return OwnerRow{}, 0, false
+		return former{}, false
 	}
 	sent := time.Now()
 	page, err := c.deps.Store.Read(ctx, ownerRange(c.cfg.Part))
 	if err != nil {
-		return OwnerRow{}, 0, false
+		return former{}, false
 	}
 	stale := beatStale + slowStoreFactor*time.Since(sent)
 	c.deps.Clock.Observe(page.Now)
 	if len(page.Rows) == 0 {
-		return OwnerRow{}, 0, true
+		return former{ended: true}, true
 	}
 	row, err := DecodeOwner(page.Rows[0].Value)
 	if err != nil {
 		c.deps.Log.Error().Int("Event", EventRowMalformed).Err(err).Send()
-		return OwnerRow{}, page.Rows[0].Version, true
+		return former{version: page.Rows[0].Version}, true
 	}
 	c.deps.Agent.RaiseEpoch(row.Epoch)
+	f := former{row: row, version: page.Rows[0].Version, ended: true}
 	why := ""
 	switch {
 	case row.Name == "":
 		why = "the owner has left"
 	case row.Name == c.cfg.Name:
 		why = "this process was the owner before it started again"
-	case row.age(page.Now) > stale:
-		why = "the row is out of date"
 	case c.deps.Agents.Refuses(ctx, row.Address):
 		why = "the owner refuses connections"
+	case row.age(page.Now) > stale:
+		f.ended = false
+		why = "the row is out of date"
 	default:
-		return OwnerRow{}, 0, false
+		return former{}, false
 	}
 	c.deps.Log.Info().Int("Event", EventTakeOver).Uint64("Epoch", row.Epoch).Str("Owner", row.Name).
 		Dur("Age", row.age(page.Now)).Str("Reason", why).Msg("this process tries to own the shard")
-	return row, page.Rows[0].Version, true
+	return f, true
 }
 
 // own takes over the row and runs the planner until ownership is lost.
-func (c *Candidate) own(ctx context.Context, old OwnerRow, version uint64) {
-	o := newOwner(c.cfg, c.deps, OwnerRow{
-		Epoch: old.Epoch + 1, Name: c.cfg.Name, Address: c.cfg.Address, Boot: c.boot,
-	}, version)
+func (c *Candidate) own(ctx context.Context, f former) {
+	o := newOwner(c.cfg, c.deps, c.boot, f)
 	if err := o.take(ctx); err != nil {
-		c.deps.Log.Info().Int("Event", EventTakeOverFailed).Uint64("Epoch", old.Epoch+1).Err(err).Send()
+		c.deps.Log.Info().Int("Event", EventTakeOverFailed).Uint64("Epoch", f.row.Epoch+1).Err(err).Send()
 		return
 	}
 	c.setOwner(o)
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -23,4 +23,8 @@
 	EventOrdersUnanswered = 647
 	// EventRowMalformed occurs when a row can't be decoded.
 	EventRowMalformed = 648
+	// EventWithdrawn occurs when a target whose worker is gone removes its row.
+	EventWithdrawn = 650
+	// EventTargetRetired occurs when a target has removed its row.
+	EventTargetRetired = 649
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -19,9 +19,13 @@
 	cfg  Settings
 	deps Deps
 
-	taken  time.Time // when the shard was taken over
-	wake   chan struct{}
-	orders sync.WaitGroup
+	taken time.Time // when the shard was taken over
+	// inherited is the former owner's row, and formerEnded whether that owner's
+	// process has certainly ended.
+	inherited   OwnerRow
+	formerEnded bool
+	wake        chan struct{}
+	orders      sync.WaitGroup
 
 	mu        sync.Mutex
 	row       OwnerRow // as written last; changed only by the goroutine of run
@@ -34,9 +38,10 @@
 	config    *configuration.Holder
 }
 
-func newOwner(cfg Settings, deps Deps, row OwnerRow, version uint64) *owner {
+func newOwner(cfg Settings, deps Deps, boot uint64, f former) *owner {
+	row := OwnerRow{Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot}
 	return &owner{
-		cfg: cfg, deps: deps, row: row, version: version, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, inherited: f.row, formerEnded: f.ended, row: row, version: f.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
 	}
 }
@@ -193,6 +198,9 @@
 	for {
 		row := last
 		row.Token = newToken()
+		o.mu.Lock()
+		row.Silent = o.silentLocked()
+		o.mu.Unlock()
 		if now, ok := o.deps.Clock.Now(); ok {
 			row.BeatMillis = now.Milliseconds()
 		}
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -29,6 +29,10 @@
 	// BeatMillis is the store's steady clock when the row was sent.
 	BeatMillis int64
 	Token      string // of the write
+	// Silent has, for each target that does not answer, the store's steady clock at
+	// its last answer, in milliseconds. Leases on it lapse counted from then,
+	// whoever owns the shard.
+	Silent map[string]int64 `json:",omitempty"`
 }
 
 func (r OwnerRow) encode() []byte { return encode(r) }
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -62,6 +62,9 @@
 	// added to every time after which a lease counts as lapsed.
 	clockError  = 0.02
 	lapseMargin = 500 * time.Millisecond
+	// silentRecorded is how long a target has not answered when the time of its last
+	// answer is recorded for the next owner.
+	silentRecorded = 2 * time.Second
 	// followWait is the wait of one watch of a table.
 	followWait = 5 * time.Second
 	// fenceBits is the room for fencing tokens of one epoch.
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -25,6 +25,7 @@
 	o := s.o
 	for _, r := range rows {
 		if r.Deleted {
+			o.retire(r.Key)
 			continue
 		}
 		t, err := DecodeTarget(r.Value)
@@ -35,11 +36,11 @@
 		o.mu.Lock()
 		w := o.watches[r.Key]
 		if w == nil {
-			w = &watch{o: o, name: r.Key, heard: o.taken, fence: int64(o.row.Epoch) << fenceBits, again: make(chan struct{}, 1)}
+			w = &watch{o: o, name: r.Key, heard: o.lastHeard(r.Key), fence: int64(o.row.Epoch) << fenceBits, again: make(chan struct{}, 1)}
 			o.watches[r.Key] = w
 			s.wg.Go(func() { w.run(s.ctx) })
 		}
-		w.address = t.Address
+		w.address, w.retired = t.Address, false
 		o.mu.Unlock()
 		w.poke()
 	}
@@ -57,6 +58,7 @@
 	heard   time.Time // when the last answer arrived, or the shard was taken over
 	called  bool      // there has been an answer
 	lapsed  bool
+	retired bool // the target has removed its row
 	boot    uint64
 	life    *agentrpc.Life
 	seen    int64
@@ -64,6 +66,47 @@
 	rev     uint64
 }
 
+// lastHeard returns when a target answered last, as far as the former owner knew.
+func (o *owner) lastHeard(name string) time.Time {
+	millis, ok := o.inherited.Silent[name]
+	now, known := o.deps.Clock.Now()
+	if !ok || !known {
+		return o.taken
+	}
+	return time.Now().Add(time.Duration(millis)*time.Millisecond - now)
+}
+
+// silentLocked returns the targets that have not answered for a while.
+func (o *owner) silentLocked() map[string]int64 {
+	now, ok := o.deps.Clock.Now()
+	if !ok {
+		return nil
+	}
+	var out map[string]int64
+	for name, w := range o.watches {
+		if since := time.Since(w.heard); since > silentRecorded {
+			if out == nil {
+				out = make(map[string]int64)
+			}
+			out[name] = (now - since).Milliseconds()
+		}
+	}
+	return out
+}
+
+// retire takes that a target has removed its row: its worker is gone for good.
+func (o *owner) retire(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if w := o.watches[name]; w != nil && !w.retired {
+		w.retired = true
+		o.deps.Log.Info().Int("Event", EventTargetRetired).Str("Target", name).Msg("a target has left for good")
+		o.plan.Lapsed(name, "the target has left", time.Now())
+		o.plan.Connected(name, false)
+		o.signal()
+	}
+}
+
 func (w *watch) poke() {
 	select {
 	case w.again <- struct{}{}:
@@ -74,6 +117,13 @@
 func (w *watch) run(ctx context.Context) {
 	pause := watchPause
 	for ctx.Err() == nil {
+		if w.pausedForGood() {
+			select {
+			case <-ctx.Done():
+			case <-w.again:
+			}
+			continue
+		}
 		req, address := w.request()
 		client := w.o.deps.Agents.Agent(address)
 		cctx, cancel := context.WithTimeout(ctx, time.Duration(req.GetWaitMillis())*time.Millisecond+watchTimeout)
@@ -99,6 +149,13 @@
 	}
 }
 
+// pausedForGood reports whether the target has left.
+func (w *watch) pausedForGood() bool {
+	w.o.mu.Lock()
+	defer w.o.mu.Unlock()
+	return w.retired
+}
+
 // request returns the next call and the address to make it to.
 func (w *watch) request() (*agentrpc.WatchRequest, string) {
 	o := w.o
@@ -141,7 +198,7 @@
 	}
 	o.plan.Report(w.name, in, now)
 	if time.Duration(in.GetSilentMillis())*time.Millisecond > lapse(o.cfg.HoldMax) {
-		o.plan.Lapsed(w.name, now)
+		o.plan.Lapsed(w.name, "the worker does not answer", now)
 	}
 	o.signal()
 }
@@ -165,16 +222,16 @@
 	o.plan.Connected(w.name, false)
 	w.rev = 0
 	bound := o.cfg.HoldMax + leaseReach
-	if !w.called {
-		// The former owner may have extended the lease while the store did not
-		// confirm it.
+	if !w.called && !o.formerEnded {
+		// The former owner may go on to extend the lease for a while, although the
+		// store no longer confirms it.
 		bound += grantLimit
 	}
 	if now.Sub(w.heard) > lapse(bound) && !w.lapsed {
 		w.lapsed = true
 		o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.heard)).Err(err).
 			Uint64("RefusedBy", in.GetEpoch()).Msg("what ran on a target is given up")
-		o.plan.Lapsed(w.name, now)
+		o.plan.Lapsed(w.name, "lease lapsed", now)
 		o.signal()
 	}
 }
