--- a/cmd/medlargrade/config.go
+++ b/cmd/medlargrade/config.go
@@ -8,9 +8,9 @@
 	"os"
 	"time"
 
-	"github.com/medlargrade/medlargrade/coordination/configsync"
+	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/operator"
-	"github.com/medlargrade/medlargrade/state/rows"
+	"github.com/medlargrade/medlargrade/state/table"
 )
 
 // configTimeout bounds one subcommand. Apply tries for some 10 s to resolve a
@@ -18,7 +18,7 @@
 const configTimeout = time.Minute
 
 // StoreFactory opens the store of the platform at a URL.
-type StoreFactory func(url string) (rows.Store, error)
+type StoreFactory func(url string) (table.Store, error)
 
 // Env is what the config subcommands need from the process.
 type Env struct {
@@ -59,7 +59,7 @@
 }
 
 // open returns the store and a context for one subcommand.
-func (f storeFlags) open() (context.Context, context.CancelFunc, rows.Store, error) {
+func (f storeFlags) open() (context.Context, context.CancelFunc, table.Store, error) {
 	store, err := f.OpenStore(f.Platform)
 	if err != nil {
 		return nil, nil, nil, failed(err)
@@ -107,15 +107,15 @@
 
 // printDiff prints the changes from the current configuration and returns their
 // number.
-func (e *Env) printDiff(current configsync.Snapshot, cfg operator.Config) int {
+func (e *Env) printDiff(current *configuration.Snapshot, cfg operator.Config) int {
 	changes := operator.Diff(current.Config, cfg)
 	for _, c := range changes {
 		printf(e.Stdout, "%s\n", c)
 	}
 	if len(changes) == 0 {
-		printf(e.Stdout, "no differences from generation %d\n", current.Generation)
+		printf(e.Stdout, "no differences from generation %d\n", current.Version)
 	} else {
-		printf(e.Stdout, "%d changes from generation %d\n", len(changes), current.Generation)
+		printf(e.Stdout, "%d changes from generation %d\n", len(changes), current.Version)
 	}
 	return len(changes)
 }
@@ -162,7 +162,7 @@
 		return err
 	}
 	defer cancel()
-	current, err := configsync.Read(ctx, store)
+	current, err := configuration.Read(ctx, store)
 	if err != nil {
 		return failed(err)
 	}
@@ -195,20 +195,20 @@
 		return err
 	}
 	defer cancel()
-	current, err := configsync.Read(ctx, store)
+	current, err := configuration.Read(ctx, store)
 	if err != nil {
 		return failed(err)
 	}
-	expected := current.Generation
+	expected := current.Version
 	if c.Expect != nil {
 		expected = *c.Expect
 	}
-	if expected == current.Generation && c.printDiff(current, cfg) == 0 {
+	if expected == current.Version && c.printDiff(current, cfg) == 0 {
 		return nil
 	}
-	generation, err := configsync.Apply(ctx, store, expected, cfg)
-	var race *configsync.RaceError
-	var undecided *configsync.UndecidedError
+	generation, err := configuration.Apply(ctx, store, expected, cfg)
+	var race *configuration.RaceError
+	var undecided *configuration.UndecidedError
 	switch {
 	case err == nil:
 		printf(c.Stdout, "generation %d accepted\n", generation)
@@ -239,19 +239,19 @@
 		return err
 	}
 	defer cancel()
-	var s configsync.Snapshot
+	var s *configuration.Snapshot
 	if c.At > 0 {
-		s, err = configsync.ReadAt(ctx, store, c.At)
+		s, err = configuration.ReadAt(ctx, store, c.At)
 	} else {
-		s, err = configsync.Read(ctx, store)
+		s, err = configuration.Read(ctx, store)
 	}
 	switch {
 	case err != nil:
 		return failed(err)
 	case c.Generation:
-		printf(c.Stdout, "%d\n", s.Generation)
+		printf(c.Stdout, "%d\n", s.Version)
 		return nil
-	case s.Generation == 0:
+	case s.Version == 0:
 		return failed(errors.New("no configuration has been applied"))
 	}
 	if _, err := c.Stdout.Write(s.Config.JSON()); err != nil {
--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/table"
 )
 
 // Settings of an Agent.
@@ -38,6 +39,7 @@
 type Agent struct {
 	cfg    Settings
 	worker Worker
+	objs   table.Objects
 	log    zerolog.Logger
 	boot   uint64
 
@@ -70,6 +72,7 @@
 	listed    bool
 	running   []*agentrpc.RunStatus
 	ended     []*agentrpc.RunEnd
+	stored    map[string]struct{} // keys of objects with results
 	revision  uint64
 	look      int64 // number of the last hold that was sent
 	listLook  int64 // number of the hold that running and ended are from
@@ -83,10 +86,11 @@
 	run  int64
 }
 
-// New returns an agent that knows no worker yet.
-func New(cfg Settings, w Worker, log zerolog.Logger) *Agent {
+// New returns an agent that knows no worker yet. Large payloads and results are kept
+// as objects.
+func New(cfg Settings, w Worker, objs table.Objects, log zerolog.Logger) *Agent {
 	return &Agent{
-		cfg: cfg, worker: w, log: log, boot: rand.Uint64() | 1,
+		cfg: cfg, worker: w, objs: objs, log: log, boot: rand.Uint64() | 1,
 		changed: make(chan struct{}), lease: make(chan struct{}),
 	}
 }
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -8,6 +8,8 @@
 	EventWorkerDraining = 501
 	// EventWorkerLeft occurs when the worker says that it ends.
 	EventWorkerLeft = 502
+	// EventResultNotStored occurs when a large result could not be stored yet.
+	EventResultNotStored = 508
 	// EventWorkerGone occurs when a worker that has left no longer answers.
 	EventWorkerGone = 507
 	// EventPlannerChanged occurs when a planner of a higher epoch makes contact.
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -89,6 +89,9 @@
 	look := a.life.look
 	a.mu.Unlock()
 	reply, err := a.worker.Hold(ctx, r)
+	if err == nil {
+		reply.Ended = a.storeResults(ctx, reply.Ended)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !sameLife(a.info.Life, life) {
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
@@ -42,25 +43,23 @@
 	switch o := o.GetOrder().(type) {
 	case *agentrpc.Order_Start:
 		res = a.start(ctx, in, call, o.Start)
-		a.logOrder(EventStartOrder, o.Start.GetTask(), o.Start.GetRun(), res)
+		a.log.Info().Int("Event", EventStartOrder).Str("Task", o.Start.GetTask()).Int64("Run", o.Start.GetRun()).
+			Str("Outcome", res.GetOutcome().String()).Str("Reason", res.GetReason()).Send()
 	case *agentrpc.Order_Stop:
 		res = a.stop(ctx, in, call, o.Stop)
-		a.logOrder(EventStopOrder, o.Stop.GetTask(), o.Stop.GetRun(), res)
+		a.log.Info().Int("Event", EventStopOrder).Str("Task", o.Stop.GetTask()).Int64("Run", o.Stop.GetRun()).
+			Str("Outcome", res.GetOutcome().String()).Str("Reason", res.GetReason()).Send()
 	case *agentrpc.Order_Pace:
 		r := PaceRequest{Call: call, Task: o.Pace.GetTask(), Run: o.Pace.GetRun(), Percent: o.Pace.GetPercent()}
 		res = a.try(ctx, in.GetLife(), func(ctx context.Context) (Clock, error) { return a.worker.Pace(ctx, r) })
-		a.logOrder(EventPaceOrder, o.Pace.GetTask(), o.Pace.GetRun(), res)
+		a.log.Info().Int("Event", EventPaceOrder).Str("Task", o.Pace.GetTask()).Int64("Run", o.Pace.GetRun()).
+			Str("Outcome", res.GetOutcome().String()).Str("Reason", res.GetReason()).Send()
 	default:
 		res = &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: ReasonMalformed}
 	}
 	return res
 }
 
-func (a *Agent) logOrder(event int, task string, run int64, res *agentrpc.OrderResult) {
-	a.log.Info().Int("Event", event).Str("Task", task).Int64("Run", run).Str("Outcome", res.GetOutcome().String()).
-		Str("Reason", res.GetReason()).Send()
-}
-
 func (a *Agent) start(ctx context.Context, in *agentrpc.OrderRequest, call Call, s *agentrpc.Start) *agentrpc.OrderResult {
 	key := runKey{s.GetTask(), s.GetRun()}
 	refuse := func(reason string) *agentrpc.OrderResult {
@@ -80,8 +79,12 @@
 		}
 		return refuse(reason)
 	}
+	payload, err := a.payload(ctx, s)
+	if err != nil {
+		return &agentrpc.OrderResult{Outcome: agentrpc.Outcome_UNKNOWN, Reason: err.Error()}
+	}
 	r := StartRequest{
-		Call: call, Task: s.GetTask(), Run: s.GetRun(), Payload: s.GetPayload(),
+		Call: call, Task: s.GetTask(), Run: s.GetRun(), Payload: payload,
 		Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket(), Until: until,
 	}
 	first := true
@@ -105,6 +108,18 @@
 	return res
 }
 
+// payload returns what the task is started with.
+func (a *Agent) payload(ctx context.Context, s *agentrpc.Start) (string, error) {
+	if s.GetPayloadObject() == "" {
+		return s.GetPayload(), nil
+	}
+	body, err := a.objs.GetObject(ctx, s.GetPayloadObject())
+	if err != nil {
+		return "", fmt.Errorf("read payload of %s: %w", s.GetTask(), err)
+	}
+	return string(body), nil
+}
+
 // refusalLocked returns why no run may be started now, or "".
 func (a *Agent) refusalLocked(in *agentrpc.OrderRequest) string {
 	switch {
--- a/coordination/configuration/snapshot.go
+++ b/coordination/configuration/snapshot.go
@@ -27,7 +27,7 @@
 		workspaces: make(map[string]operator.Workspace), keys: make(map[string]string), pools: make(map[string]operator.Pool),
 	}
 	for _, k := range cfg.Kinds() {
-		s.kinds[k.Name()] = k
+		s.kinds[kindKey(k.Workspace(), k.Name())] = k
 		if r := k.Route(); r.Prefix != "" {
 			host := strings.ToLower(r.Host)
 			s.routes[host] = append(s.routes[host], k)
@@ -50,9 +50,15 @@
 	return s
 }
 
-// Kind returns the kind of that name.
-func (s *Snapshot) Kind(name string) (operator.Kind, bool) {
-	k, ok := s.kinds[name]
+func kindKey(workspace, name string) string { return workspace + "/" + name }
+
+// Kind returns the kind of that name that is open to a workspace: its own or one
+// of all workspaces.
+func (s *Snapshot) Kind(workspace, name string) (operator.Kind, bool) {
+	if k, ok := s.kinds[kindKey(workspace, name)]; ok {
+		return k, true
+	}
+	k, ok := s.kinds[kindKey("", name)]
 	return k, ok
 }
 
--- a/coordination/intake/gate.go
+++ b/coordination/intake/gate.go
@@ -34,11 +34,24 @@
 	probe table.Range
 	log   zerolog.Logger
 
+	ctx     context.Context //nolint:containedctx // of the probes, which outlive calls
+	cancel  context.CancelFunc
+	probing sync.WaitGroup
+
 	mu      sync.Mutex
 	down    bool
 	since   time.Time // of down
 	latency time.Duration
-	probing sync.WaitGroup
+}
+
+func newGate(store table.Store, probe table.Range, log zerolog.Logger) *gate {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &gate{store: store, probe: probe, log: log, ctx: ctx, cancel: cancel}
+}
+
+func (g *gate) close() {
+	g.cancel()
+	g.probing.Wait()
 }
 
 // isDown reports whether the store is known not to answer.
@@ -73,7 +86,7 @@
 		return p, nil
 	}
 	if ctx.Err() == nil {
-		g.failed(context.WithoutCancel(ctx), err)
+		g.failed(err)
 	}
 	return table.Page{}, err
 }
@@ -88,21 +101,21 @@
 	}
 }
 
-func (g *gate) failed(ctx context.Context, err error) {
+func (g *gate) failed(err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.down {
+	if g.down || g.ctx.Err() != nil {
 		return
 	}
 	g.down, g.since = true, time.Now()
 	g.log.Warn().Int("Event", EventStoreSilent).Err(err).Msg("callers are refused until the store answers")
-	g.probing.Go(func() { g.watch(ctx) })
+	g.probing.Go(g.watch)
 }
 
 // watch probes the store until it answers.
-func (g *gate) watch(ctx context.Context) {
-	for g.isDown() {
-		tctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (g *gate) watch() {
+	for g.isDown() && g.ctx.Err() == nil {
+		tctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 		sent := time.Now()
 		_, err := g.store.Read(tctx, g.probe)
 		cancel()
@@ -110,6 +123,6 @@
 			g.answered(time.Since(sent))
 			return
 		}
-		sleep(ctx, probePause)
+		sleep(g.ctx, probePause)
 	}
 }
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -118,7 +118,12 @@
 // cheapestVictims chooses the runs to stop whose loss is least.
 func (p *Planner) cheapestVictims(u unit, rooms []*room, now time.Time) *clearing {
 	groups := [][]*room{rooms}
-	if u.step.spec.SameRack && len(u.tasks) > 1 && p.rackCouldHold(u) {
+	if u.step.spec.SameWorker {
+		groups = nil
+		for _, r := range rooms {
+			groups = append(groups, []*room{r})
+		}
+	} else if u.step.spec.SameRack && len(u.tasks) > 1 && p.rackCouldHold(u) {
 		byRack := make(map[string][]*room)
 		for _, r := range rooms {
 			byRack[r.rack] = append(byRack[r.rack], r)
@@ -202,12 +207,19 @@
 	return p.kind(s.occ.job).Priority() > u.kind.Priority() && !s.spec.LongRunning
 }
 
+// atMostOnceLoss is the loss of work that can't be started again: more than any
+// other choice of victims loses.
+const atMostOnceLoss = 1e9
+
 // coresPerAccelerator weighs an accelerator in cores when work is compared.
 const coresPerAccelerator = 8
 
 // gangLoss returns the core-seconds of work that are lost if a run is stopped, with
 // those of the other members of its gang.
 func (p *Planner) gangLoss(r *run, now time.Time) float64 {
+	if r.task.step.occ.job.job.AtMostOnce {
+		return atMostOnceLoss
+	}
 	if !r.task.step.spec.Gang {
 		return p.loss(r, now)
 	}
--- /dev/null
+++ b/coordination/planner/dump.go
@@ -0,0 +1,125 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is the state of a planner as a dump shows it.
+type State struct {
+	ConfigVersion uint64
+	Jobs          []JobState // that have not ended
+	Ended         int        // jobs that have ended and are still known
+	Targets       []TargetState
+	Claims        []ClaimState
+}
+
+// JobState is one occurrence of a job.
+type JobState struct {
+	Job        string
+	Occurrence int
+	Kind       string
+	Workspace  string
+	State      string
+	Age        string // since the acceptance
+	Tasks      int
+	Done       int
+	Runs       []RunState
+}
+
+// RunState is a run that is not known to have ended.
+type RunState struct {
+	Task      string
+	Run       int
+	Target    string
+	Confirmed bool // the worker has confirmed it
+	Percent   int64
+	Stop      string // why it is being stopped; empty if it is not
+}
+
+// TargetState is one target.
+type TargetState struct {
+	Name         string
+	Worker       string
+	Pool         string
+	Rack         string
+	Connected    bool
+	Listed       bool
+	Draining     bool
+	Suspect      bool // gets no work because of failures
+	Runs         int
+	CPU          int // in use
+	MemoryMB     int
+	Accelerators int
+	Foreign      int // runs that no row names
+}
+
+// ClaimState is a placement that waits for the ends of stopped runs.
+type ClaimState struct {
+	Job     string
+	Step    int
+	Tasks   int
+	Targets []string
+	Age     string
+}
+
+// State returns the present state.
+func (p *Planner) State(now time.Time) State {
+	var st State
+	if p.snap != nil {
+		st.ConfigVersion = p.snap.Version
+	}
+	for _, js := range p.jobs {
+		for _, o := range js.occurrences {
+			if o.state.Final() && o.idle() {
+				st.Ended++
+				continue
+			}
+			st.Jobs = append(st.Jobs, o.dump(now))
+		}
+	}
+	slices.SortFunc(st.Jobs, func(x, y JobState) int {
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Occurrence, y.Occurrence))
+	})
+	for _, t := range p.targets {
+		used := t.used(true)
+		st.Targets = append(st.Targets, TargetState{
+			Name: t.name, Worker: t.worker.GetLife().GetWorker(), Pool: t.worker.GetPool(), Rack: t.worker.GetRack(),
+			Connected: t.connected, Listed: t.listed, Draining: t.worker.GetDraining(), Suspect: t.health.suspect(now),
+			Runs: len(t.runs), CPU: used.cpu, MemoryMB: used.memory, Accelerators: used.accelerators, Foreign: len(t.foreign),
+		})
+	}
+	slices.SortFunc(st.Targets, func(x, y TargetState) int { return cmp.Compare(x.Name, y.Name) })
+	for _, c := range p.claims {
+		cs := ClaimState{
+			Job: c.unit.step.occ.job.job.ID, Step: c.unit.step.index, Tasks: len(c.unit.tasks), Age: now.Sub(c.since).String(),
+		}
+		for _, t := range c.on {
+			cs.Targets = append(cs.Targets, t.name)
+		}
+		st.Claims = append(st.Claims, cs)
+	}
+	return st
+}
+
+func (o *occurrence) dump(now time.Time) JobState {
+	js := JobState{
+		Job: o.job.job.ID, Occurrence: o.n, Kind: o.job.job.Kind, Workspace: o.job.job.Workspace,
+		State: string(o.state), Age: now.Sub(o.job.added).String(),
+	}
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			js.Tasks++
+			if t.done {
+				js.Done++
+			}
+			for _, r := range t.runs {
+				js.Runs = append(js.Runs, RunState{
+					Task: t.name, Run: r.number, Target: r.place.Target, Confirmed: !r.confirmed.IsZero(), Percent: r.percent, Stop: r.stop,
+				})
+			}
+		}
+	}
+	return js
+}
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -35,11 +35,14 @@
 	p.remove(r)
 	switch e.GetHow() {
 	case endDone:
+		r.task.result, r.task.resultObj = e.GetResult(), e.GetResultObject()
 		p.done(r, now)
 	case endFailed:
+		r.task.err = string(e.GetResult())
 		p.failed(t, r, now)
 	default:
 		r.task.step.ready = time.Time{}
+		p.mayHaveRun(r, now)
 		p.stopGang(r, "another member of the gang has ended")
 	}
 }
@@ -105,6 +108,13 @@
 	p.finish(o, job.Completed, now)
 }
 
+// mayHaveRun ends an at-most-once job of which a run may have had effects.
+func (p *Planner) mayHaveRun(r *run, now time.Time) {
+	if o := r.task.step.occ; o.job.job.AtMostOnce && !o.state.Final() {
+		p.finish(o, job.Lost, now)
+	}
+}
+
 // failed takes that a run has failed. A task, or a gang as a whole, may fail as
 // often as its kind allows; long-running tasks may fail always.
 func (p *Planner) failed(t *target, r *run, now time.Time) {
@@ -129,7 +139,7 @@
 	if s.occ.state.Final() || s.spec.LongRunning {
 		return
 	}
-	if n >= attempts(p.kind(s.occ.job)) {
+	if n >= attempts(p.kind(s.occ.job)) || s.occ.job.job.AtMostOnce {
 		p.finish(s.occ, job.Failed, now)
 	}
 }
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -14,6 +14,7 @@
 	cancelled   bool
 	waiting     bool // has a row in job.TableWaiting
 	added       time.Time
+	deadline    time.Time     // after which the job is not started any more; zero for none
 	occurrences []*occurrence // in order; later ones are made when they are due
 }
 
@@ -23,8 +24,12 @@
 	n     int
 	state job.State
 	begun bool
-	steps []*step
-	key   string
+	// elapsed is the time from the first start to the final state, counted from
+	// started, which is not known of runs of former planners.
+	elapsed time.Duration
+	started time.Time
+	steps   []*step
+	key     string
 	// final is when the state became final; the occurrence is kept until its runs
 	// have ended.
 	final time.Time
@@ -52,6 +57,9 @@
 	done       bool
 	failures   int
 	checkpoint string
+	result     []byte
+	resultObj  string // key of the object that holds a large result
+	err        string // of the last run that failed
 	// avoid has the targets on which a run failed or stood still.
 	avoid map[string]struct{}
 	// retryAt delays the next start after a refusal.
@@ -103,6 +111,9 @@
 	js := p.jobs[j.ID]
 	if js == nil {
 		js = &jobState{job: j, waiting: true, added: now}
+		if j.DeadlineMillis > 0 {
+			js.deadline = now.Add(time.Duration(j.DeadlineMillis-j.AcceptedMillis) * time.Millisecond)
+		}
 		p.jobs[j.ID] = js
 		for _, r := range recorded {
 			p.restore(js, r, now)
@@ -149,7 +160,7 @@
 
 func newOccurrence(js *jobState, r job.Progress) *occurrence {
 	o := &occurrence{
-		job: js, n: r.Occurrence, state: r.State, begun: r.Begun,
+		job: js, n: r.Occurrence, state: r.State, begun: r.Begun, elapsed: time.Duration(r.ElapsedMillis) * time.Millisecond,
 		key: job.ProgressKey(js.job.ID, r.Occurrence),
 	}
 	for i := range js.job.Steps {
@@ -184,6 +195,7 @@
 		for k, rt := range rs.Tasks[:min(len(rs.Tasks), len(s.tasks))] {
 			t := s.tasks[k]
 			t.lastRun, t.done, t.failures, t.checkpoint = rt.LastRun, rt.Done, rt.Failures, rt.Checkpoint
+			t.result, t.resultObj, t.err = rt.Result, rt.ResultObject, rt.Error
 			for _, a := range rt.Active {
 				ru := &run{task: t, number: a.Number, place: a.Place, size: sizeOf(s.spec), moved: now, orders: 1}
 				t.runs = append(t.runs, ru)
@@ -195,11 +207,16 @@
 
 // record returns the row of an occurrence.
 func (o *occurrence) record() table.Write {
-	r := job.Progress{Job: o.job.job.ID, Occurrence: o.n, State: o.state, Begun: o.begun}
+	r := job.Progress{
+		Job: o.job.job.ID, Occurrence: o.n, State: o.state, Begun: o.begun, ElapsedMillis: o.elapsed.Milliseconds(),
+	}
 	for _, s := range o.steps {
 		rs := job.StepProgress{Failures: s.failures, Tasks: make([]job.Task, len(s.tasks))}
 		for i, t := range s.tasks {
-			rt := job.Task{LastRun: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint}
+			rt := job.Task{
+				LastRun: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
+				Result: t.result, ResultObject: t.resultObj, Error: t.err,
+			}
 			for _, a := range t.runs {
 				rt.Active = append(rt.Active, job.Run{Number: a.number, Place: a.place})
 			}
@@ -213,10 +230,13 @@
 // finish makes the state of an occurrence final. Its runs are stopped.
 func (p *Planner) finish(o *occurrence, state job.State, now time.Time) {
 	o.state, o.final = state, now
+	if !o.started.IsZero() {
+		o.elapsed = now.Sub(o.started)
+	}
 	p.dirty[o] = struct{}{}
 	if o.job.waiting {
 		o.job.waiting = false
-		p.begun = append(p.begun, job.WaitingKey(o.job.job.Kind, o.job.job.ID))
+		p.begun = append(p.begun, o.job.job.WaitingKey())
 	}
 	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.n).Str("State", string(state)).
 		Dur("Since", now.Sub(o.job.added)).Msg("an occurrence has ended")
@@ -233,11 +253,25 @@
 	}
 }
 
+// expire ends jobs that have not begun before their deadline.
+func (p *Planner) expire(now time.Time) {
+	for _, js := range p.jobs {
+		if js.deadline.IsZero() || now.Before(js.deadline) {
+			continue
+		}
+		for _, o := range js.occurrences {
+			if !o.begun && !o.state.Final() {
+				p.finish(o, job.Expired, now)
+			}
+		}
+	}
+}
+
 // kind returns the configuration of a job's kind. The kind may have been removed
 // since the job was accepted.
 func (p *Planner) kind(js *jobState) operator.Kind {
 	if p.snap != nil {
-		if k, ok := p.snap.Kind(js.job.Kind); ok {
+		if k, ok := p.snap.Kind(js.job.Workspace, js.job.Kind); ok {
 			return k
 		}
 	}
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
@@ -24,6 +25,7 @@
 		Task: r.task.name, Run: r.number, run: r,
 		Message: &agentrpc.Order{Order: &agentrpc.Order_Start{Start: &agentrpc.Start{
 			Task: r.task.name, Run: int64(r.number), Payload: js.job.Payload, Checkpoint: r.task.checkpoint,
+			PayloadObject: js.job.PayloadObject,
 		}}},
 	})
 }
@@ -73,6 +75,7 @@
 			if o := r.task.step.occ; o.state.Final() && (o.state != job.Completed || now.Sub(o.final) > p.cfg.GangWait) {
 				p.stopRun(r, "job "+string(r.task.step.occ.state))
 			}
+			p.checkLimit(r, now)
 			switch {
 			case r.stop != "":
 				if now.Sub(r.stopSent) >= repeatAfter {
@@ -92,6 +95,17 @@
 	}
 }
 
+// checkLimit fails the job of a run that works longer than the job's limit.
+func (p *Planner) checkLimit(r *run, now time.Time) {
+	o := r.task.step.occ
+	limit := time.Duration(o.job.job.LimitMillis) * time.Millisecond
+	if limit <= 0 || r.confirmed.IsZero() || now.Sub(r.confirmed) <= limit || o.state.Final() {
+		return
+	}
+	r.task.err = fmt.Sprintf("the task ran longer than its limit of %v", limit)
+	p.finish(o, job.Failed, now)
+}
+
 // OrderDone takes the result of an order, or nil if there was none.
 func (p *Planner) OrderDone(name string, life *agentrpc.Life, o Order, res *agentrpc.OrderResult, now time.Time) {
 	t := p.target(name)
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -43,6 +43,7 @@
 func (p *Planner) Plan(now time.Time) Batch {
 	if p.snap != nil {
 		p.recur(now)
+		p.expire(now)
 		p.serveClaims(now)
 		for _, u := range p.units(now) {
 			p.place(u, now)
@@ -173,9 +174,12 @@
 	}
 	o.state = job.Running
 	o.begun = true
+	if o.started.IsZero() {
+		o.started = now
+	}
 	if o.job.waiting {
 		o.job.waiting = false
-		p.begun = append(p.begun, job.WaitingKey(o.job.job.Kind, o.job.job.ID))
+		p.begun = append(p.begun, o.job.job.WaitingKey())
 	}
 	p.dirty[o] = struct{}{}
 }
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -151,6 +151,14 @@
 			return nil
 		}
 	}
+	if spec.SameWorker {
+		for _, r := range rooms {
+			if on := fill(u, []*room{r}); on != nil {
+				return on
+			}
+		}
+		return nil
+	}
 	if !spec.SameRack || spec.Tasks == 1 {
 		return fill(u, rooms)
 	}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -136,6 +136,7 @@
 	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
 		Str("Reason", why).Float64("LostCoreSeconds", p.loss(r, now)).Msg("a run is over without an end")
 	p.remove(r)
+	p.mayHaveRun(r, now)
 	p.stopGang(r, "another member of the gang is lost")
 }
 
@@ -184,7 +185,9 @@
 	for key, r := range known {
 		// The stop reached the worker before the start did, so the run never was.
 		if _, ok := listed[key]; !ok && r.stopLook > 0 && t.look >= r.stopLook {
-			p.lose(r, "stopped before it started", now)
+			p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
+				Str("Reason", "stopped before it started").Send()
+			p.remove(r)
 		}
 	}
 }
--- /dev/null
+++ b/coordination/shard/dump.go
@@ -0,0 +1,33 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/planner"
+)
+
+// State is the state of the owner of a shard as a dump shows it.
+type State struct {
+	Epoch       uint64
+	Owned       string // since when
+	Unconfirmed string // how long the store has not confirmed the owner
+	Silent      map[string]int64
+	Plan        planner.State
+}
+
+// State returns the state of the shard if this process owns it, or nil.
+func (c *Candidate) State() *State {
+	c.mu.Lock()
+	o := c.owner
+	c.mu.Unlock()
+	if o == nil {
+		return nil
+	}
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return &State{
+		Epoch: o.row.Epoch, Owned: now.Sub(o.taken).String(), Unconfirmed: now.Sub(o.confirmed).String(),
+		Silent: o.silentLocked(), Plan: o.plan.State(now),
+	}
+}
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -35,8 +35,6 @@
 	// lookPause is the pause between two looks at the row; a random part is added,
 	// so that candidates don't act in step.
 	lookPause = 250 * time.Millisecond
-	// probeTimeout bounds the test whether an owner's address refuses connections.
-	probeTimeout = 300 * time.Millisecond
 	// planPeriod is the longest time between two passes.
 	planPeriod = 200 * time.Millisecond
 	// retryPause is the pause before a transaction is repeated.
--- a/operator/config.go
+++ b/operator/config.go
@@ -13,7 +13,7 @@
 }
 
 // NewConfig returns a configuration without workspaces.
-func NewConfig(s Site) Config { return Config{site: s, limits: DefaultLimits()} }
+func NewConfig(s Site) Config { return Config{site: s} }
 
 // WithPool returns a copy of c with p added, or replaced if c has a pool of that
 // name.
@@ -98,7 +98,12 @@
 func (c Config) Pools() []Pool { return slices.Clone(c.pools) }
 
 // Limits returns the limits on calls.
-func (c Config) Limits() Limits { return c.limits }
+func (c Config) Limits() Limits {
+	if c.limits == (Limits{}) {
+		return DefaultLimits()
+	}
+	return c.limits
+}
 
 // Workspace returns the workspace of that name.
 func (c Config) Workspace(name string) (Workspace, bool) {
--- a/operator/json.go
+++ b/operator/json.go
@@ -139,5 +139,5 @@
 	if err != nil {
 		return Kind{}, fmt.Errorf("kind %s/%s: %w", j.Workspace, j.Name, err)
 	}
-	return Kind{workspace: j.Workspace, name: j.Name, class: j.Class, idempotent: j.Idempotent, limit: d}, nil
+	return NewKind(j.Workspace, j.Name, j.Class).WithIdempotent(j.Idempotent).WithLimit(d), nil
 }
--- a/operator/kind.go
+++ b/operator/kind.go
@@ -37,7 +37,7 @@
 
 // NewKind returns a non-idempotent kind without a limit on its run time.
 func NewKind(workspace, name string, class Class) Kind {
-	return Kind{workspace: workspace, name: name, class: class}
+	return Kind{workspace: workspace, name: name, class: class, priority: class.priority()}
 }
 
 // WithClass returns a copy of k of another scheduling class.
@@ -107,6 +107,14 @@
 // Name returns the name, unique within the workspace.
 func (k Kind) Name() string { return k.name }
 
+// Queue returns the name of the kind's queue, unique in the configuration.
+func (k Kind) Queue() string {
+	if k.workspace == "" {
+		return k.name
+	}
+	return k.workspace + "/" + k.name
+}
+
 // Class returns the scheduling class.
 func (k Kind) Class() Class { return k.class }
 
--- a/operator/parse.go
+++ b/operator/parse.go
@@ -247,11 +247,7 @@
 
 func (p *parser) kind(n node) Kind {
 	f := p.object(n, "Workspace", "Name", "Class", "Idempotent", "Limit")
-	return Kind{
-		workspace:  p.string(f["Workspace"]),
-		name:       p.string(f["Name"]),
-		class:      Class(p.string(f["Class"])),
-		idempotent: p.bool(f["Idempotent"]),
-		limit:      p.duration(f["Limit"]),
-	}
+	return NewKind(p.string(f["Workspace"]), p.string(f["Name"]), Class(p.string(f["Class"]))).
+		WithIdempotent(p.bool(f["Idempotent"])).
+		WithLimit(p.duration(f["Limit"]))
 }
--- a/operator/workspace.go
+++ b/operator/workspace.go
@@ -80,3 +80,15 @@
 	ClassLong  Class = "long"  // runs for minutes to hours
 	ClassFill  Class = "fill"  // takes what is left and gives way first
 )
+
+// priority returns the priority of a kind of the class that names none.
+func (c Class) priority() int {
+	switch c {
+	case ClassShort:
+		return 0
+	case ClassFill:
+		return 2
+	case ClassLong:
+	}
+	return 1
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,49 +60,43 @@
 }
 
 platform=127.0.0.1:$base
+url=http://$platform
 e1=http://127.0.0.1:$((base + 11)) e2=http://127.0.0.1:$((base + 21))
-ops=http://127.0.0.1:$((base + 13))
+ops=http://127.0.0.1:$((base + 13)) ops2=http://127.0.0.1:$((base + 23))
+worker_url() { echo "http://127.0.0.1:$((base + 100 + $1))"; }
 
 start_target() { # NUMBER
-	local i=$1 rack=$((($1 + 2) / 3))
-	start "target$i" target --name "t$i" --data-centre "dc$rack" --rack "dc$rack-r1" \
+	local i=$1
+	start "target$i" target --name "t$i" --data-centre "dc$((($1 + 2) / 3))" \
 		--address "127.0.0.1:$((base + 200 + i))" \
 		--operator-address "127.0.0.1:$((base + 300 + i))" \
-		--worker "http://127.0.0.1:$((base + 100 + i))" \
-		--entry "127.0.0.1:$((base + 12))" --entry "127.0.0.1:$((base + 22))"
+		--report-address "127.0.0.1:$((base + 400 + i))" \
+		--worker "$(worker_url "$i")" --platform "$url"
 }
 
 # The order of starts must not matter: a target comes first, before its worker and
 # any entry, and the platform comes last.
 start_target 1
 sleep 0.5
-for i in 6 5 4 3 2 1; do
-	start "worker$i" standin-worker --address "127.0.0.1:$((base + 100 + i))"
-done
 for i in 1 2; do
 	start "entry$i" entry --name "e$i" --data-centre "dc$i" \
 		--caller-address "127.0.0.1:$((base + 10 * i + 1))" \
-		--target-address "127.0.0.1:$((base + 10 * i + 2))" \
 		--operator-address "127.0.0.1:$((base + 10 * i + 3))" \
-		--platform "http://$platform"
+		--platform "$url" --drain-time 20s
 done
 for i in 2 3 4 5 6; do start_target "$i"; done
 await "start of entry 1" 100 curl -fsS "$ops/health"
 out=$("$bin" submit --entry "$e1" --workspace roller --kind cut-check 2>/dev/null)
 check "request before the platform is up is not run" NotReady "$(field Reason <<<"$out")"
-start platform standin-platform --address "$platform"
+start standin standin --address "$platform" --workers 6 --worker-port "$((base + 101))" --report-port "$((base + 401))"
 
-url=http://$platform
 await "apply of the configuration" 50 "$bin" config apply --platform "$url" examples/quillfold/config.json
 check "configuration is accepted" '"Name": "quillfold"' "$("$bin" config show --platform "$url" 2>&1)"
 
-targets_ready() {
-	local n
-	n=$("$bin" status --process "$1" --json | grep -c '"Ready": *true')
-	((n >= 7)) # the entry and six targets
-}
-await "readiness of all targets at entry 1" 100 targets_ready "$ops"
-await "readiness of all targets at entry 2" 100 targets_ready "http://127.0.0.1:$((base + 23))"
+answering() { (($("$bin" status --platform "$url" | grep -c answers) >= 6)); }
+await "announcement of all targets" 100 answering
+await "readiness of entry 1" 100 curl -fsS "$ops/ready"
+await "readiness of entry 2" 100 curl -fsS "$ops2/ready"
 
 submit() { "$bin" submit --entry "$@" 2>/dev/null; }
 
@@ -126,11 +120,7 @@
 check "its repetition at the other entry is the same job" "$job" "$(field Job <<<"$out")"
 out=$(submit "$e2" --workspace roller --kind plan-release --key order-1 --payload '{"Result": "other"}')
 check "its key is refused for another request" KeyConflict "$(field Reason <<<"$out")"
-runs=0
-for i in 1 2 3 4 5 6; do
-	n=$(curl -fsS "http://127.0.0.1:$((base + 100 + i))/history" | grep -o "$job" | wc -l)
-	runs=$((runs + n))
-done
+runs=$(curl -fsS "$(worker_url 1)/history" | grep -o "\"$job\.0\.0\.0\"" | wc -l)
 check "the workers ran it once" 1 "$runs"
 
 out=$(submit "$e1" --wait 0s --workspace roller --kind offcut-renest --key night-1 --payload '{"RunMillis": 600000}')
@@ -146,62 +136,75 @@
 out=$(submit "$e1" --workspace nobody --kind cut-check)
 check "unknown workspace is not run" Invalid "$(field Reason <<<"$out")"
 
-curl -fsS -X POST "$url/fault" -d '{"Down": true}' >/dev/null
-out=$(submit "$e1" --workspace roller --kind cut-check --payload '{"Result": "cut"}')
-check "short request runs while the store is down" Ran "$(field Outcome <<<"$out")"
+curl -fsS -X POST "$url/fault" -d '{"Down": "Busy"}' >/dev/null
 out=$(submit "$e1" --workspace roller --kind plan-release --key order-2)
-check "non-idempotent request is not run while the store is down" StoreDown "$(field Reason <<<"$out")"
+check "request is not run while the store is down" StoreDown "$(field Reason <<<"$out")"
 curl -fsS -X POST "$url/fault" -d '{}' >/dev/null
 
-"$bin" status --process "$ops"
+served_again() { [[ $(submit "$e1" --workspace roller --kind cut-check) == *Ran* ]]; }
+await "service after the outage" 50 served_again
+
+"$bin" status --platform "$url"
 
-running_on() { # OPERATORS-URL KIND: prints the target of a running task of the kind
-	"$bin" status --process "$1" | awk -v kind="$2" '$3 == kind && $7 != "" { print $5; exit }'
-}
-is_running() { [[ -n $(running_on "$@") ]]; }
 millis() { date +%s%3N; }
+planner() { "$bin" status --platform "$url" | sed -n 's/.*planner t\([0-9]\).*/\1/p'; }
+running() { "$bin" status --platform "$url" | grep -q "$1 .*running"; }
 
-# A long request is in flight when its entry and its target are asked to leave.
-"$bin" submit --entry "$e1" --workspace roller --kind roll-nesting \
-	--payload '{"RunMillis": 4000, "Result": "whole plan"}' >"$logs/long.json" 2>&1 &
+# A long request is in flight when its entry is asked to leave and the process that
+# plans the site is killed.
+"$bin" submit --entry "$e1" --wait 3s --workspace roller --kind roll-nesting --key night-2 \
+	--payload '{"RunMillis": 5000, "Result": "whole plan"}' >"$logs/long.json" 2>&1 &
 long=$!
-await "start of the long request" 50 is_running "$ops" roll-nesting
-name=$(running_on "$ops" roll-nesting)
-entry_pid=${pid_of[entry1]} target_pid=${pid_of[target${name#t}]}
-kill -TERM "$entry_pid" "$target_pid"
-sleep 0.5
-out=$(submit "$e1" --workspace roller --kind cut-check)
-check "leaving entry refuses new work" Leaving "$(field Reason <<<"$out")"
-check "leaving entry is not ready" 503 "$(curl -s -o /dev/null -w '%{http_code}' "$ops/ready")"
+await "start of the long request" 50 running roll-nesting
+n=$(planner)
+kill -KILL "${pid_of[target$n]}"
+entry_pid=${pid_of[entry1]}
+kill -TERM "$entry_pid"
+sleep 0.3
 out=$(submit "$e2" --workspace roller --kind cut-check --payload '{"Result": "cut"}')
-check "the other entry serves on" Ran "$(field Outcome <<<"$out")"
+check "the other entry serves on under another planner" Ran "$(field Outcome <<<"$out")"
 wait "$long"
-check "the long request was not cut short" "0 Ran 1" "$? $(field Outcome <"$logs/long.json") $(grep -c '"whole plan"' "$logs/long.json")"
+check "the waiting caller was told the state of its job" "0 Dispatched" "$? $(field State <"$logs/long.json")"
 wait "$entry_pid"
-check "its entry has ended gracefully" "0" "$?"
-wait "$target_pid"
-check "its target $name has ended gracefully" "0" "$?"
-
-# A second signal ends a process at once, whatever it holds.
-ops2=http://127.0.0.1:$((base + 23))
-"$bin" submit --entry "$e2" --workspace roller --kind plan-release --key order-3 \
-	--payload '{"RunMillis": 20000}' >"$logs/cut.json" 2>&1 &
+check "the entry has ended gracefully" "0" "$?"
+start_target "$n"
+out=$("$bin" job --entry "$e2" --wait 20s roller night-2 2>/dev/null)
+check "the long request ran to its end" "Ran 1" "$(field Outcome <<<"$out") $(grep -c '"whole plan"' <<<"$out")"
+
+# A worker leaves while a job runs on it.
+"$bin" submit --entry "$e2" --wait 0s --workspace roller --kind roll-nesting --key night-3 \
+	--payload '{"RunMillis": 3000, "Result": "moved plan"}' >/dev/null 2>&1
+where() { "$bin" dump --process "http://127.0.0.1:$((base + 300 + $(planner)))" | grep -o '"Target": *"t[0-9]"' | head -1 | tr -dc 0-9; }
+await "start of the job" 50 running roll-nesting
+w=$(where)
+curl -fsS -X POST "$(worker_url "${w:-1}")/drain" -d '{"Millis": 1500}' >/dev/null
+out=$("$bin" job --entry "$e2" --wait 20s roller night-3 2>/dev/null)
+check "job of a leaving worker runs to its end elsewhere" "Ran 1" "$(field Outcome <<<"$out") $(grep -c '"moved plan"' <<<"$out")"
+
+# The worker of an at-most-once request crashes.
+"$bin" submit --entry "$e2" --wait 20s --workspace roller --kind plan-release --key order-3 \
+	--payload '{"RunMillis": 8000}' >"$logs/cut.json" 2>&1 &
 cut=$!
-await "start of the request to be cut" 50 is_running "$ops2" plan-release
-name=$(running_on "$ops2" plan-release)
-target_pid=${pid_of[target${name#t}]}
-kill -TERM "$target_pid"
-sleep 0.3
-check "target goes on after the first signal" 0 "$(kill -0 "$target_pid" && echo $?)"
-begin=$(millis)
-kill -TERM "$target_pid"
-wait "$target_pid"
-check "the second signal ends target $name with code 1" 1 "$?"
-check "and at once" yes "$( (($(millis) - begin < 500)) && echo yes)"
-# Its answer could still be there, until a new process takes its address.
-start_target "${name#t}"
+await "start of the request to be cut" 50 running plan-release
+w=$(where)
+curl -fsS -X POST "$(worker_url "${w:-1}")/crash" >/dev/null
+curl -fsS -X POST "$(worker_url "${w:-1}")/restart" >/dev/null
 wait "$cut"
 check "the outcome of its at-most-once request is unknown" "5 Unknown" "$? $(field Outcome <"$logs/cut.json")"
 
+# An entry that is asked to leave does not wait for the jobs of its callers.
+"$bin" submit --entry "$e2" --wait 15s --workspace roller --kind roll-nesting --key night-4 \
+	--payload '{"RunMillis": 15000}' >"$logs/last.json" 2>&1 &
+last=$!
+await "start of the last request" 50 running roll-nesting
+entry_pid=${pid_of[entry2]}
+begin=$(millis)
+kill -TERM "$entry_pid"
+wait "$last"
+check "its caller was told the state of its job" "0 Dispatched" "$? $(field State <"$logs/last.json")"
+wait "$entry_pid"
+check "the entry has ended gracefully" "0" "$?"
+check "and soon" yes "$( (($(millis) - begin < 2000)) && echo yes)"
+
 printf '\n%d failures, %d s, logs in %s\n' "$failures" "$SECONDS" "$logs"
 exit $((failures > 0))
--- /dev/null
+++ b/standin/platform/rows.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Row is one row of the store.
+type Row struct {
+	Table   string `json:"Table"`
+	Part    string `json:"part,omitempty"`
+	Key     string `json:"Key"`
+	Value   string `json:"Value,omitempty"` // base64
+	Version uint64 `json:"Ver"`
+	Deleted bool   `json:"Deleted,omitempty"`
+}
+
+type rowKey struct{ table, part, key string }
+
+// change is one entry of the history.
+type change struct {
+	row Row
+	at  time.Time
+}
+
+// condition, write and deletion are the entries of a transaction.
+type condition struct {
+	Table   string `json:"Table"`
+	Part    string `json:"part"`
+	Key     string `json:"Key"`
+	Version uint64 `json:"Ver"`
+}
+
+type write struct {
+	Table string `json:"Table"`
+	Part  string `json:"part"`
+	Key   string `json:"Key"`
+	Value string `json:"Value"`
+}
+
+type deletion struct {
+	Table string `json:"Table"`
+	Part  string `json:"part"`
+	Key   string `json:"Key"`
+}
+
+type transaction struct {
+	Conditions []condition `json:"Precondition"`
+	Writes     []write     `json:"Writes"`
+	Deletions  []deletion  `json:"Remove"`
+	Spread     bool        `json:"Spread"`
+}
+
+// part returns the part of all entries and whether they agree on it.
+func (t transaction) part() (string, bool) {
+	parts := make(map[string]struct{})
+	last := ""
+	add := func(p string) { parts[p], last = struct{}{}, p }
+	for _, c := range t.Conditions {
+		add(c.Part)
+	}
+	for _, w := range t.Writes {
+		add(w.Part)
+	}
+	for _, d := range t.Deletions {
+		add(d.Part)
+	}
+	return last, len(parts) <= 1
+}
+
+func (t transaction) entries() int { return len(t.Conditions) + len(t.Writes) + len(t.Deletions) }
+
+// applyLocked carries out a transaction, or returns the present rows of its
+// conditions.
+func (s *Server) applyLocked(t transaction) (version uint64, conflict []Row, ok bool) {
+	ok = true
+	for _, c := range t.Conditions {
+		row, exists := s.rows[rowKey{c.Table, c.Part, c.Key}]
+		if exists {
+			conflict = append(conflict, row)
+		}
+		if row.Version != c.Version {
+			ok = false
+		}
+	}
+	if !ok {
+		s.counts.Conflicts++
+		return s.version, conflict, false
+	}
+	s.version++
+	for _, w := range t.Writes {
+		s.putLocked(Row{Table: w.Table, Part: w.Part, Key: w.Key, Value: w.Value, Version: s.version})
+	}
+	for _, d := range t.Deletions {
+		k := rowKey{d.Table, d.Part, d.Key}
+		if _, exists := s.rows[k]; exists {
+			delete(s.rows, k)
+			s.noteLocked(Row{Table: d.Table, Part: d.Part, Key: d.Key, Version: s.version, Deleted: true})
+		}
+	}
+	s.counts.Writes++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version, nil, true
+}
+
+func (s *Server) putLocked(r Row) {
+	s.rows[rowKey{r.Table, r.Part, r.Key}] = r
+	s.noteLocked(r)
+}
+
+// noteLocked adds a change to the history and drops what is too old.
+func (s *Server) noteLocked(r Row) {
+	now := time.Now()
+	s.history = append(s.history, change{r, now})
+	n := 0
+	for n < len(s.history) && now.Sub(s.history[n].at) > s.cfg.History {
+		s.dropped = s.history[n].row.Version
+		n++
+	}
+	s.history = slices.Delete(s.history, 0, n)
+}
+
+// scanLocked returns the rows of a range in key order.
+func (s *Server) scanLocked(table, part, from, to string) []Row {
+	var out []Row
+	for k, r := range s.rows {
+		if k.table == table && k.part == part && k.key >= from && (to == "" || k.key < to) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(x, y Row) int { return strings.Compare(x.Key, y.Key) })
+	return out
+}
+
+// changesLocked returns the newest state of the rows of a table that changed after
+// a version, in the order of their versions, and false if the history is gone.
+func (s *Server) changesLocked(table string, after uint64) ([]Row, bool) {
+	if after < s.dropped {
+		return nil, false
+	}
+	last := make(map[rowKey]int)
+	for i, c := range s.history {
+		if c.row.Table == table && c.row.Version > after {
+			last[rowKey{c.row.Table, c.row.Part, c.row.Key}] = i
+		}
+	}
+	indexes := make([]int, 0, len(last))
+	for _, i := range last {
+		indexes = append(indexes, i)
+	}
+	slices.Sort(indexes)
+	out := make([]Row, 0, len(indexes))
+	for _, i := range indexes {
+		out = append(out, s.history[i].row)
+	}
+	return out, true
+}
--- a/standin/worker/doc.go
+++ b/standin/worker/doc.go
@@ -1,25 +1,16 @@
-// Package worker is a stand-in for a worker, for tests and the demonstration.
-// It runs no user code: a task is a timer, and its payload says how it behaves.
+// Package worker is a stand-in for the users' workers, spoken to over the
+// platform's HTTP protocol. It runs tasks under leases and fencing tokens, keeps
+// gangs together, makes checkpoints, lists ends until they are forgotten, and
+// reports to the target process beside it.
 //
-// It serves the protocol of package workerapi and, beside it, GET and POST
-// /fault with Faults, and GET /history with History. POST /fault replaces all
-// faults: those that it does not name are switched off.
-//
-// A payload that is a JSON object may have the fields of Behaviour. A task
-// whose payload has none of them ends at once with the payload as its result.
-//
-// The history is the ground truth of what ran: it has a record of every task
-// that was released, and of no other. It is kept for the life of the Worker
-// and grows with each task, as does the set of task IDs; results are kept for
-// the retention.
+// All workers of a Site know of each other what real work would: which tasks form
+// a gang. A Site also records every run, so that tests can check what callers were
+// promised. The payload of a job may say how its tasks behave; see Behaviour.
 //
 // # Usage
 //
-//	w := worker.New(worker.Settings{}, logger)
-//	defer w.Close()
-//	go http.Serve(listener, w)
-//	w.SetFaults(worker.Faults{FailTasks: true})
-//	for _, r := range w.History() {
-//		...
-//	}
+//	site := worker.NewSite(lookup)
+//	w := worker.New(site, worker.Settings{Name: "w1", Rack: "r1", Report: "127.0.0.1:8600"}, client, log)
+//	go w.Run(ctx)
+//	http.ListenAndServe("127.0.0.1:8500", w)
 package worker
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -15,16 +17,19 @@
 	TableJobs = "Jobs"
 	// TableProgress has a Progress under ProgressKey.
 	TableProgress = "Progress"
-	// TableWaiting has an empty row under WaitingKey for each accepted job of
+	// TableWaiting has an empty row under Job.WaitingKey for each accepted job of
 	// which no task has been started.
 	TableWaiting = "Waiting"
+	// TableKeys has the ID of a job under KeysKey, for jobs with a key.
+	TableKeys = "Keys"
 )
 
 // Job is an accepted job. It never changes.
 type Job struct {
 	ID        string
 	Workspace string
-	Kind      string // name of the queue
+	Kind      string
+	Queue     string `json:",omitempty"` // name of the queue, if it is not that of the kind
 	Pool      string // workers that may run the tasks, as configured at acceptance
 	Payload   string `json:",omitempty"` // passed to each task as it is
 	Steps     []Step
@@ -37,6 +42,18 @@
 	AcceptedMillis int64
 	// Token tells apart the writes of one ID by several submissions.
 	Token string
+	// Key is the idempotency key of a job that was submitted under one.
+	Key string `json:",omitempty"`
+	// PayloadObject is the key of the object that holds a payload that is too large
+	// for the row.
+	PayloadObject string `json:",omitempty"`
+	// AtMostOnce jobs are not started again once a run may have had effects.
+	AtMostOnce bool `json:",omitempty"`
+	// DeadlineMillis is the store's steady clock from which on the job is not
+	// started any more; 0 for none.
+	DeadlineMillis int64 `json:",omitempty"`
+	// LimitMillis bounds the run time of a task; 0 for none.
+	LimitMillis int64 `json:",omitempty"`
 }
 
 // Step is a number of equal tasks.
@@ -49,6 +66,7 @@
 	After          []int  `json:",omitempty"` // steps that must be done first
 	Gang           bool   `json:",omitempty"` // the tasks only work together
 	SameRack       bool   `json:",omitempty"` // slow on more than one rack
+	SameWorker     bool   `json:",omitempty"` // runs on one worker only
 	Label          string `json:",omitempty"` // that the worker must have
 	DataRack       string `json:",omitempty"` // slow on any other rack
 	MaxPerWorker   int    `json:",omitempty"` // 0 for no limit
@@ -116,11 +134,34 @@
 // belong to a job.
 func KeyRange(id string) (from, to string) { return id, id + "0" } // '0' follows '/'
 
-// WaitingKey returns the key of a job in TableWaiting.
-func WaitingKey(kind, id string) string { return kind + "/" + id }
+// KeysKey returns the key of a job in TableKeys.
+func KeysKey(workspace, key string) string { return workspace + "/" + key }
 
-// WaitingRange returns the bounds of the keys in TableWaiting of a kind.
-func WaitingRange(kind string) (from, to string) { return kind + "/", kind + "0" }
+// KeysRange returns the bounds of the keys in TableKeys of a workspace, after a
+// key.
+func KeysRange(workspace, after string) (from, to string) {
+	if after != "" {
+		return KeysKey(workspace, after) + "\x00", workspace + "0"
+	}
+	return workspace + "/", workspace + "0"
+}
+
+// IDOf returns the ID of the job of a workspace under an idempotency key.
+func IDOf(workspace, key string) string {
+	h := sha256.Sum256([]byte(workspace + "\x00" + key))
+	return hex.EncodeToString(h[:8])
+}
+
+// WaitingKey returns the key of the job in TableWaiting.
+func (j Job) WaitingKey() string {
+	if j.Queue != "" {
+		return j.Queue + "/" + j.ID
+	}
+	return j.Kind + "/" + j.ID
+}
+
+// WaitingRange returns the bounds of the keys in TableWaiting of a queue.
+func WaitingRange(queue string) (from, to string) { return queue + "/", queue + "0" }
 
 // TaskName names a task of an occurrence of a job.
 type TaskName struct {
--- a/state/job/progress.go
+++ b/state/job/progress.go
@@ -8,17 +8,21 @@
 // State is the state of a job or of one occurrence.
 type State string
 
-// States. Completed, Failed and Cancelled are final.
+// States. All but Queued and Running are final.
 const (
 	Queued    State = "queued"
 	Running   State = "running"
 	Completed State = "completed"
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
+	// Expired is the state of a job whose deadline passed before it was started.
+	Expired State = "expired"
+	// Lost is the state of an at-most-once job that may have run.
+	Lost State = "lost"
 )
 
 // Final reports whether the state never changes again.
-func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+func (s State) Final() bool { return s != Queued && s != Running && s != "" }
 
 // Place is one life of a worker.
 type Place struct {
@@ -40,6 +44,11 @@
 	Done       bool   `json:",omitempty"`
 	Failures   int    `json:",omitempty"` // runs that ended failed
 	Checkpoint string `json:",omitempty"`
+	// Result is what the run that was done left, and ResultObject the key of the
+	// object that holds it if it is too large for the row.
+	Result       []byte `json:",omitempty"`
+	ResultObject string `json:",omitempty"`
+	Error        string `json:",omitempty"` // of the last run that failed
 }
 
 // StepProgress is the recorded state of one step.
@@ -54,7 +63,9 @@
 	Occurrence int
 	State      State
 	Begun      bool `json:",omitempty"` // a task has been started
-	Steps      []StepProgress
+	// ElapsedMillis is the time from the first start to the final state.
+	ElapsedMillis int64 `json:",omitempty"`
+	Steps         []StepProgress
 }
 
 // NewProgress returns the state of an occurrence that has not begun.
@@ -88,8 +99,12 @@
 	switch {
 	case count[Failed] > 0:
 		return Failed
+	case count[Lost] > 0:
+		return Lost
 	case count[Cancelled] > 0:
 		return Cancelled
+	case count[Expired] > 0:
+		return Expired
 	case count[Completed] == total:
 		return Completed
 	case count[Running]+count[Completed] > 0:
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -122,6 +122,19 @@
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
 
+// Objects is the platform's store of objects. Its methods are safe for concurrent
+// use. Their errors are those of Store.
+type Objects interface {
+	// PutObject stores an object. An object is never changed: storing another body
+	// under its key succeeds without an effect.
+	PutObject(ctx context.Context, key string, body []byte) error
+	// GetObject returns an object, or ErrNoObject.
+	GetObject(ctx context.Context, key string) ([]byte, error)
+}
+
+// ErrNoObject reports an object that does not exist.
+var ErrNoObject = errors.New("no such object")
+
 // ErrHistoryLost reports that a watch can't continue from its version. The reader
 // must read the whole table again.
 var ErrHistoryLost = errors.New("the store no longer has the changes since this version")
--- /dev/null
+++ b/transport/caller/requests.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/intake"
+	"github.com/medlargrade/medlargrade/protocol/callerapi"
+	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+// requestsService presents an entry's requests in the types of the callers' API.
+type requestsService struct {
+	q *intake.Requests
+}
+
+// NewService returns the Service of an entry's requests.
+func NewService(q *intake.Requests) Service { return &requestsService{q: q} }
+
+// Submit implements Service.
+func (v *requestsService) Submit(ctx context.Context, req callerapi.Request, wait time.Duration) (callerapi.Response, error) {
+	req = req.WithDefaults()
+	st, err := v.q.Submit(ctx, intake.Request{
+		Workspace:    req.Workspace,
+		Kind:         req.Kind,
+		Workers:      req.Shape.Workers,
+		Accelerators: req.Shape.Accelerators,
+		Adjacent:     req.Shape.Adjacent,
+		Declared:     req.DeclaredDuration(),
+		Deadline:     req.DeadlineDuration(),
+		Idempotent:   req.Idempotent,
+		Key:          req.Key,
+		Payload:      req.Payload,
+	}, wait)
+	return responseOf(st), err
+}
+
+// Lookup implements Service.
+func (v *requestsService) Lookup(ctx context.Context, workspace, key string, wait time.Duration) (callerapi.Response, error) {
+	st, err := v.q.Lookup(ctx, workspace, key, wait)
+	return responseOf(st), apiError(err)
+}
+
+// Cancel implements Service.
+func (v *requestsService) Cancel(ctx context.Context, workspace, key string) (callerapi.Response, error) {
+	st, err := v.q.Cancel(ctx, workspace, key)
+	return responseOf(st), apiError(err)
+}
+
+// List implements Service.
+func (v *requestsService) List(ctx context.Context, workspace, after string, limit int) (callerapi.List, error) {
+	list, err := v.q.List(ctx, workspace, after, limit)
+	if err != nil {
+		return callerapi.List{}, apiError(err)
+	}
+	out := callerapi.List{Jobs: make([]callerapi.Response, 0, len(list))}
+	for _, st := range list {
+		r := responseOf(st)
+		r.Answer = nil
+		out.Jobs = append(out.Jobs, r)
+	}
+	if len(list) == limit && limit > 0 {
+		out.After = list[limit-1].Key
+	}
+	return out, nil
+}
+
+func apiError(err error) error {
+	if errors.Is(err, intake.ErrNoJob) {
+		return callerapi.ErrNotFound
+	}
+	var unavailable *table.UnavailableError
+	var lost *table.LostError
+	if errors.As(err, &unavailable) || errors.As(err, &lost) || errors.Is(err, intake.ErrStoreDown) {
+		return fmt.Errorf("%w: %w", callerapi.ErrUnavailable, err)
+	}
+	return err
+}
+
+func responseOf(st intake.Status) callerapi.Response {
+	r := callerapi.Response{Workspace: st.Workspace, Key: st.Key, Job: st.Job, State: callerapi.Queued}
+	if st.State == job.Running {
+		r.State = callerapi.Dispatched
+	}
+	return describe(r, st.Outcome)
+}
--- a/transport/rpc/doc.go
+++ b/transport/rpc/doc.go
@@ -15,17 +15,17 @@
 //
 //	p := rpc.NewPool(rpc.Settings{Dial: dial})
 //	defer p.Close()
-//	client := targetrpc.NewDRPCTargetClient(p.Conn("10.0.0.1:7000"))
-//	reply, err := client.Fence(ctx, req)
+//	client := agentrpc.NewDRPCAgentClient(p.Conn("10.0.0.1:7000"))
+//	reply, err := client.Watch(ctx, req)
 //	var notSent *rpc.NotSentError
 //	if errors.As(err, &notSent) {
-//		// The target knows nothing of this call.
+//		// The agent knows nothing of this call.
 //	}
 //
 // Serve is the other side:
 //
 //	mux := drpcmux.New()
-//	if err := targetrpc.DRPCRegisterTarget(mux, impl); err != nil {
+//	if err := agentrpc.DRPCRegisterAgent(mux, impl); err != nil {
 //		return err
 //	}
 //	return rpc.Serve(log.WithContext(ctx), listener, mux)
--- a/transport/rpc/pool.go
+++ b/transport/rpc/pool.go
@@ -17,11 +17,6 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Limit is the number of connections per address; 0 means ConnLimit.
 	Limit int
-	// Generation returns the generation of this process. It may be nil.
-	Generation func() uint64
-	// Learn is called with the generation of a reply that is higher than that of
-	// this process, and with the peer's address. It must not block. It may be nil.
-	Learn func(generation uint64, address string)
 }
 
 // Pool keeps client connections by address. Its methods are safe for concurrent
@@ -126,7 +121,6 @@
 		again, err := c.invoke(ctx, rpc, enc, in, out)
 		if err == nil {
 			p.put(pe, c)
-			p.learn(address, out)
 			return nil
 		}
 		p.drop(pe, c)
@@ -270,21 +264,6 @@
 	p.mu.Unlock()
 }
 
-// learn passes on the generation of a reply if it is news.
-func (p *Pool) learn(address string, out drpc.Message) {
-	if p.cfg.Learn == nil {
-		return
-	}
-	reply, ok := out.(interface{ GetGeneration() uint64 })
-	if !ok {
-		return
-	}
-	g := reply.GetGeneration()
-	if p.cfg.Generation == nil || g > p.cfg.Generation() {
-		p.cfg.Learn(g, address)
-	}
-}
-
 // closeIdle closes connections that were not used for ClientIdle and forgets
 // peers without connections and calls.
 func (p *Pool) closeIdle() {
