Account for guarantees; let guaranteed work reclaim from work beyond other guarantees

Cause: only priority decided who gives way, so that urgent work of one workspace could hold the guarantee of another, and the callers' API had no claims.

Change: guarantee.go counts the covered use of each workspace. Guaranteed units may stop work that is not covered or is beyond its workspace's guarantee; urgent units beyond their guarantee only what costs at most twice their own work.

--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -91,17 +91,19 @@
 	return true
 }
 
-// reclaim stops work of lower priority so that an urgent unit fits.
+// reclaim stops other work so that a unit fits that is urgent or guaranteed.
 func (p *Planner) reclaim(u unit, rooms []*room, now time.Time) {
-	if !isUrgent(u.kind) || u.tier == tierOver {
+	c := &claimant{unit: u, guaranteed: p.isGuaranteed(u), use: make(map[string]int)}
+	if !c.guaranteed && (!isUrgent(u.kind) || u.tier == tierOver) {
 		return
 	}
-	best := p.cheapestVictims(u, rooms, now)
-	if best == nil {
+	best := p.cheapestVictims(c, rooms, now)
+	if best == nil || !p.isWorth(c, best.loss) {
 		return
 	}
 	p.log.Info().Int("Event", EventClaim).Str("Job", u.step.occ.job.job.ID).Int("Step", u.step.index).
-		Int("Tasks", len(u.tasks)).Int("Victims", len(best.victims)).Float64("Loss", best.loss).Msg("capacity is reclaimed")
+		Int("Tasks", len(u.tasks)).Int("Victims", len(best.victims)).Float64("Loss", best.loss).Bool("Guaranteed", c.guaranteed).
+		Msg("capacity is reclaimed")
 	for _, r := range best.victims {
 		p.stopGang(r, "reclaimed for "+u.step.occ.job.job.ID)
 	}
@@ -116,14 +118,14 @@
 }
 
 // cheapestVictims chooses the runs to stop whose loss is least.
-func (p *Planner) cheapestVictims(u unit, rooms []*room, now time.Time) *clearing {
+func (p *Planner) cheapestVictims(u *claimant, rooms []*room, now time.Time) *clearing {
 	groups := [][]*room{rooms}
 	if u.step.spec.SameWorker {
 		groups = nil
 		for _, r := range rooms {
 			groups = append(groups, []*room{r})
 		}
-	} else if u.step.spec.SameRack && len(u.tasks) > 1 && p.rackCouldHold(u) {
+	} else if u.step.spec.SameRack && len(u.tasks) > 1 && p.rackCouldHold(u.unit) {
 		byRack := make(map[string][]*room)
 		for _, r := range rooms {
 			byRack[r.rack] = append(byRack[r.rack], r)
@@ -144,7 +146,7 @@
 
 // clear stops the cheapest victims of a group of targets one after another until
 // the unit fits, and then spares those that were not needed.
-func (p *Planner) clear(u unit, group []*room, now time.Time) *clearing {
+func (p *Planner) clear(u *claimant, group []*room, now time.Time) *clearing {
 	type victim struct {
 		run  *run
 		loss float64
@@ -157,8 +159,12 @@
 		work[i] = &c
 		byTarget[r.target] = &c
 		for v := range r.target.runs {
-			if v.stop == "" && p.mayStop(u, v) {
-				victims = append(victims, victim{v, p.gangLoss(v, now)})
+			if ok, straddles := p.mayStop(u, v); ok && v.stop == "" {
+				loss := p.gangLoss(v, now)
+				if straddles {
+					loss += straddleLoss
+				}
+				victims = append(victims, victim{v, loss})
 			}
 		}
 	}
@@ -166,7 +172,7 @@
 		return cmp.Or(cmp.Compare(x.loss/weight(x.run), y.loss/weight(y.run)), cmp.Compare(x.run.task.name, y.run.task.name))
 	})
 	var chosen []victim
-	on := fill(u, work)
+	on := fill(u.unit, work)
 	for _, v := range victims {
 		if on != nil {
 			break
@@ -174,7 +180,7 @@
 		r := byTarget[p.target(v.run.place.Target)]
 		r.free = r.free.plus(v.run.size)
 		chosen = append(chosen, v)
-		on = fill(u, work)
+		on = fill(u.unit, work)
 	}
 	if on == nil {
 		return nil
@@ -183,7 +189,7 @@
 	for i := len(chosen) - 1; i >= 0; i-- {
 		r := byTarget[p.target(chosen[i].run.place.Target)]
 		r.free = r.free.minus(chosen[i].run.size)
-		if spared := fill(u, work); spared != nil {
+		if spared := fill(u.unit, work); spared != nil {
 			on = spared
 			chosen = append(chosen[:i:i], chosen[i+1:]...)
 			continue
@@ -201,12 +207,6 @@
 // weight is how much a victim frees, in accelerators.
 func weight(r *run) float64 { return float64(max(r.size.accelerators, 1)) }
 
-// mayStop reports whether a run may give way to a unit.
-func (p *Planner) mayStop(u unit, v *run) bool {
-	s := v.task.step
-	return p.kind(s.occ.job).Priority() > u.kind.Priority() && !s.spec.LongRunning
-}
-
 // atMostOnceLoss is the loss of work that can't be started again: more than any
 // other choice of victims loses.
 const atMostOnceLoss = 1e9
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/medlargrade/medlargrade/operator"
 )
 
 // room is what a pass may still use of a target.
@@ -298,6 +296,3 @@
 func tighter(x, y size) bool {
 	return cmp.Or(cmp.Compare(x.accelerators, y.accelerators), cmp.Compare(x.memory, y.memory), cmp.Compare(x.cpu, y.cpu)) < 0
 }
-
-// isUrgent reports whether work of a kind may take the place of others' work.
-func isUrgent(k operator.Kind) bool { return k.Priority() == 0 }
