Prove the promises on the new core with the fault matrix; mend what it found

The matrix runs the real entries and target processes with stand-ins that speak the platform's protocols in one bubble: 13 scenarios, 45 faults, every message, transaction and worker call as a step.

Found and mended, each with a test: - an order under way reached the next life of a worker that kept its ID, and the task was started a second time (TestOrderReachesNextLife); - a start whose answer was lost and which ended before it was repeated was taken for refused (keyed/run-start-after/silence); - a look-up told 'not run' for a cancellation that the planner had not taken yet; - the answer of a gang lacked members whose ends came later (TestGangAnswerIsWhole); - a repeated stop put off the look that settles it, and looks of a former agent were waited for (TestRepeatedStopIsSettled, TestStopIsRepeatedToNewAgent); - an agent without a planner counted its worker as silent; - agents asked the worker without pause while a large result could not be stored; - processes left connections open at their end.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -73,6 +73,7 @@
 	running   []*agentrpc.RunStatus
 	ended     []*agentrpc.RunEnd
 	stored    map[string]struct{} // keys of objects with results
+	unstored  bool                // an end waits until its result is stored
 	revision  uint64
 	look      int64 // number of the last hold that was sent
 	listLook  int64 // number of the hold that running and ended are from
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -36,7 +36,8 @@
 		Call:  Call{Worker: life.GetWorker(), Fence: a.life.fence},
 		Until: a.untilLocked(), Seen: a.life.seen, Wait: holdWait,
 	}
-	pending := len(a.life.ended) > 0 && a.life.seen == a.life.seenSent
+	// The worker answers at once as long as it lists ends, so the next look waits.
+	pending := a.life.unstored || len(a.life.ended) > 0 && a.life.seen == a.life.seenSent
 	fresh := a.life.confirmed != a.life.fence
 	a.mu.Unlock()
 	if pending {
@@ -89,6 +90,7 @@
 	look := a.life.look
 	a.mu.Unlock()
 	reply, err := a.worker.Hold(ctx, r)
+	listed := len(reply.Ended)
 	if err == nil {
 		reply.Ended = a.storeResults(ctx, reply.Ended)
 	}
@@ -119,6 +121,7 @@
 		changed = true
 	}
 	a.life.listLook = look
+	a.life.unstored = len(reply.Ended) < listed
 	a.life.running, a.life.ended = reply.Running, reply.Ended
 	for _, s := range reply.Running {
 		delete(a.life.doubt, runKey{s.GetTask(), s.GetRun()})
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -96,8 +96,9 @@
 		}
 		return clock, err
 	})
-	// An earlier call of this start that got no answer may still be carried out.
-	if res.GetOutcome() == agentrpc.Outcome_REFUSED && (doubt || !first) && res.GetReason() != ReasonOld {
+	// An earlier call of this start that got no answer may still be carried out, or
+	// has been and is the reason of this refusal.
+	if res.GetOutcome() == agentrpc.Outcome_REFUSED && (doubt || !first) {
 		res.Outcome = agentrpc.Outcome_UNKNOWN
 	}
 	if res.GetOutcome() != agentrpc.Outcome_UNKNOWN {
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -71,6 +71,11 @@
 func (a *Agent) takeLocked(in *agentrpc.WatchRequest) {
 	wake := false
 	if in.GetFence() > a.life.fence {
+		if a.life.fence == 0 {
+			// Without a fencing token the worker has not been asked yet, so its silence
+			// begins now.
+			a.life.answered = time.Now()
+		}
 		a.life.fence = in.GetFence()
 		wake = true
 	}
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -165,8 +165,11 @@
 // found is what the store has of a job.
 type found struct {
 	job     job.Job
-	version uint64 // of the job's row; 0 if it was not read
-	state   job.State
+	version uint64    // of the job's row; 0 if it was not read
+	state   job.State // as the planner has recorded it
+	// cancelled reports a recorded cancellation, which the planner may not have taken
+	// yet.
+	cancelled bool
 	// progress has the recorded occurrences.
 	progress []job.Progress
 }
@@ -174,6 +177,9 @@
 // State returns the state of a job, or ErrNoJob.
 func (s *Service) State(ctx context.Context, id string) (job.State, error) {
 	f, err := s.find(ctx, id)
+	if f.cancelled && !f.state.Final() {
+		return job.Cancelled, err
+	}
 	return f.state, err
 }
 
@@ -215,9 +221,7 @@
 		f.progress = append(f.progress, p)
 	}
 	f.state = job.Combine(states, f.job.Occurrences())
-	if canceled && !f.state.Final() {
-		f.state = job.Cancelled
-	}
+	f.cancelled = canceled
 	return f, nil
 }
 
@@ -240,7 +244,7 @@
 	if err != nil {
 		return err
 	}
-	if f.state.Final() {
+	if f.state.Final() || f.cancelled {
 		return nil
 	}
 	tx := table.Tx{Part: s.part}.
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -42,6 +42,7 @@
 		p.failed(t, r, now)
 	default:
 		r.task.step.ready = time.Time{}
+		r.task.step.reopen()
 		p.mayHaveRun(r, now)
 		p.stopGang(r, "another member of the gang has ended")
 	}
@@ -80,13 +81,14 @@
 	if s.spec.LongRunning {
 		return
 	}
-	if s.spec.Gang {
+	if s.spec.Gang && !s.needsResults() {
 		// One end stands for the whole gang.
 		for _, t := range s.tasks {
 			t.done = true
 		}
 	}
 	r.task.done = true
+	s.reopen()
 	for _, other := range r.task.runs {
 		if !s.spec.Gang {
 			p.stopRun(other, "another copy is done")
@@ -95,6 +97,25 @@
 	p.settle(s.occ, now)
 }
 
+// needsResults reports whether the caller of the job gets the results of its tasks.
+func (s *step) needsResults() bool { return s.occ.job.job.Key != "" }
+
+// reopen lets a gang run again of which one member's result was lost after others
+// were done.
+func (s *step) reopen() {
+	if !s.spec.Gang || s.done() {
+		return
+	}
+	for _, t := range s.tasks {
+		if len(t.runs) > 0 {
+			return
+		}
+	}
+	for _, t := range s.tasks {
+		t.done, t.result, t.resultObj = false, nil, ""
+	}
+}
+
 // settle completes an occurrence whose tasks are all done.
 func (p *Planner) settle(o *occurrence, now time.Time) {
 	if o.state.Final() {
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -22,6 +22,9 @@
 	EventTargetLife = 558
 	// EventForeignRun occurs when a worker runs what no row names.
 	EventForeignRun = 559
+	// EventRunFollowed occurs when a run is found in the next life of its worker,
+	// which has the ID of the former one.
+	EventRunFollowed = 562
 	// EventStartRefused occurs when a start was refused.
 	EventStartRefused = 560
 	// EventClaim occurs when capacity is reclaimed for a job.
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -12,8 +12,12 @@
 	// repeatAfter is when an order whose effect is not known is sent again.
 	repeatAfter = time.Second
 	// refusedPause keeps a target without new work after it refused a start, and a
-	// task without a new start.
-	refusedPause = 300 * time.Millisecond
+	// task without a new start. For the target it doubles with each refusal, up to
+	// maxRefusedPause.
+	refusedPause    = 300 * time.Millisecond
+	maxRefusedPause = 8 * time.Second
+	// reasonOld is the worker's reason to refuse a run that it has seen.
+	reasonOld = "old"
 )
 
 // orderStart adds the order that starts a run.
@@ -118,9 +122,17 @@
 	}
 	switch {
 	case o.Stop && res.GetOutcome() == agentrpc.Outcome_DONE:
-		r.stopLook = res.GetLook()
+		// A repeated stop must not put off the look that settles the first one.
+		if r.stopLook == 0 {
+			r.stopLook = res.GetLook()
+		}
 	case o.Stop:
+	case res.GetOutcome() == agentrpc.Outcome_UNKNOWN && res.GetReason() == reasonOld:
+		// The run has ended, which the next list shows, or it was stopped before it
+		// started, which the stop confirms.
+		p.stopGang(r, "the worker has seen this run before")
 	case res.GetOutcome() == agentrpc.Outcome_DONE:
+		t.refusals = 0
 		if r.confirmed.IsZero() {
 			r.confirmed, r.moved = now, now
 		}
@@ -137,7 +149,8 @@
 	}
 	p.log.Info().Int("Event", EventStartRefused).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
 		Str("Reason", reason).Msg("a start was refused")
-	t.pauseUntil = now.Add(refusedPause)
+	t.refusals++
+	t.pauseUntil = now.Add(min(refusedPause<<min(t.refusals-1, 8), maxRefusedPause))
 	r.task.retryAt = now.Add(refusedPause)
 	p.stopGang(r, "a start of it was refused")
 	if r.orders == 1 {
--- a/coordination/planner/site_test.go
+++ b/coordination/planner/site_test.go
@@ -153,7 +153,7 @@
 // end ends a run.
 func (w *simWorker) end(task, how string) {
 	w.ends++
-	w.ended = append(w.ended, &agentrpc.RunEnd{Number: w.ends, Task: task, Run: w.running[task].GetRun(), How: how})
+	w.ended = append(w.ended, &agentrpc.RunEnd{Number: w.ends, Task: task, Run: w.running[task].GetRun(), How: how, Result: []byte("result")})
 	delete(w.running, task)
 }
 
@@ -177,11 +177,11 @@
 	s.pass()
 }
 
-// finish ends all runs of a task's job on all workers.
-func (s *site) finish(task, how string) {
+// finish lets the run of a task be done.
+func (s *site) finish(task string) {
 	for _, n := range s.names {
 		if _, ok := s.workers[n].running[task]; ok {
-			s.workers[n].end(task, how)
+			s.workers[n].end(task, endDone)
 		}
 	}
 }
--- a/coordination/planner/takeover_test.go
+++ b/coordination/planner/takeover_test.go
@@ -64,7 +64,7 @@
 	s.step(time.Second)
 	s.step(time.Second)
 	qt.Assert(t, s.starts, qt.HasLen, 1)
-	s.finish("j1.0.0.0", endDone)
+	s.finish("j1.0.0.0")
 	s.step(time.Second)
 	qt.Assert(t, s.state("j1"), qt.Equals, job.Completed)
 }
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -22,8 +22,11 @@
 	// part of its capacity until they have been stopped.
 	foreign map[foreignRun]time.Time // when the stop was ordered last
 	health  health
-	// pauseUntil keeps new work away after a refusal.
+	// pauseUntil keeps new work away after a refusal; refusals counts those since the
+	// last start.
 	pauseUntil time.Time
+	refusals   int
+	boot       uint64 // of the agent
 }
 
 type foreignRun struct {
@@ -66,6 +69,10 @@
 func (p *Planner) Report(name string, in *agentrpc.WatchReply, now time.Time) {
 	t := p.target(name)
 	t.connected = true
+	if in.GetBoot() != t.boot {
+		t.boot = in.GetBoot()
+		t.forgetLooks()
+	}
 	w := in.GetWorker()
 	if w == nil {
 		return
@@ -74,13 +81,13 @@
 		p.newLife(t, w)
 	}
 	t.worker = w
-	p.loseFormer(t, now)
 	t.silent = time.Duration(in.GetSilentMillis()) * time.Millisecond
 	t.capacity = size{int(w.GetCpu()), int(w.GetMemoryMb()), int(w.GetAccelerators())}
 	t.listed = in.GetListed() && !w.GetGone()
 	if w.GetGone() {
 		p.Lapsed(name, "the worker has left", now)
 	}
+	p.loseFormer(t, in, now)
 	if !t.listed {
 		return
 	}
@@ -95,6 +102,15 @@
 	p.compare(t, in.GetRunning(), now)
 }
 
+// forgetLooks sends stops again whose effect is not known: a new agent counts its
+// looks at the worker anew.
+func (t *target) forgetLooks() {
+	t.look = 0
+	for r := range t.runs {
+		r.stopLook, r.stopSent = 0, time.Time{}
+	}
+}
+
 func sameLife(x, y *agentrpc.Life) bool {
 	return x != nil && y != nil && x.GetWorker() == y.GetWorker() && x.GetBorn() == y.GetBorn()
 }
@@ -106,19 +122,49 @@
 	if t.worker != nil {
 		t.health = health{}
 	}
-	t.worker, t.seen, t.look = w, 0, 0
+	t.worker, t.seen = w, 0
+	t.forgetLooks()
 	clear(t.foreign)
 }
 
 // loseFormer takes that what ran in former lives of a worker is over. Rows may be
 // restored after the new life was reported first.
-func (p *Planner) loseFormer(t *target, now time.Time) {
+//
+// An order that was under way when a worker started again under its ID can reach the
+// new life. Such runs are given up only when the new life has confirmed a higher
+// fencing token and does not list them; if it does, they run there.
+func (p *Planner) loseFormer(t *target, in *agentrpc.WatchReply, now time.Time) {
 	here := t.place()
 	for r := range t.runs {
-		if r.place != here {
+		switch {
+		case r.place == here:
+		case r.place.Worker != here.Worker:
 			p.lose(r, "worker started again", now)
+		case !t.listed:
+		case lists(in, r):
+			p.log.Info().Int("Event", EventRunFollowed).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
+				Int64("Born", here.Born).Msg("a run was started in the next life of its worker")
+			r.place = here
+			p.dirty[r.task.step.occ] = struct{}{}
+		default:
+			p.lose(r, "worker started again under its ID", now)
+		}
+	}
+}
+
+// lists reports whether a report names a run.
+func lists(in *agentrpc.WatchReply, r *run) bool {
+	for _, s := range in.GetRunning() {
+		if s.GetTask() == r.task.name && int(s.GetRun()) == r.number {
+			return true
+		}
+	}
+	for _, e := range in.GetEnded() {
+		if e.GetTask() == r.task.name && int(e.GetRun()) == r.number {
+			return true
 		}
 	}
+	return false
 }
 
 // Lapsed takes that everything that ran on a target's worker has ended: nothing has
@@ -136,6 +182,7 @@
 	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
 		Str("Reason", why).Float64("LostCoreSeconds", p.loss(r, now)).Msg("a run is over without an end")
 	p.remove(r)
+	r.task.step.reopen()
 	p.mayHaveRun(r, now)
 	p.stopGang(r, "another member of the gang is lost")
 }
--- /dev/null
+++ b/matrix/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package matrix
+
+const raceEnabled = false
--- a/process/entry.go
+++ b/process/entry.go
@@ -41,6 +41,7 @@
 
 	Settings EntrySettings
 	Network  Network
+	Clients  *clients
 	Log      zerolog.Logger
 	Config   *configuration.Holder
 	Follower *follow.Follower
@@ -56,7 +57,8 @@
 		func() zerolog.Logger { return log },
 		func() *table.Clock { return new(table.Clock) },
 		metrics.NewSet,
-		func() *platform.Store { return platform.NewStore(n.HTTP(), set.Platform) },
+		func() *clients { return &clients{network: n} },
+		func(c *clients) *platform.Store { return platform.NewStore(c.add(), set.Platform) },
 		func(s *platform.Store) table.Store { return s },
 		func(log zerolog.Logger) *configuration.Holder { return newHolder(set.Config, log) },
 		func(s table.Store, h *configuration.Holder, c *table.Clock, log zerolog.Logger) *follow.Follower {
@@ -83,6 +85,7 @@
 // run serves until ctx ends. It then withdraws its readiness, goes on to serve until
 // the load balancer has noticed, and ends when no request is in progress.
 func (e entry) run(ctx context.Context) error {
+	defer e.Clients.close()
 	defer e.Intake.Close()
 	defer e.Requests.Close()
 	s := e.Settings
--- a/process/network.go
+++ b/process/network.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// clients are the HTTP clients of a process.
+type clients struct {
+	network Network
+	list    []*http.Client
+}
+
+// add returns a client that close closes.
+func (c *clients) add() *http.Client {
+	h := c.network.HTTP()
+	c.list = append(c.list, h)
+	return h
+}
+
+// close closes the connections that no call uses.
+func (c *clients) close() {
+	for _, h := range c.list {
+		h.CloseIdleConnections()
+	}
+}
+
 // HTTP returns an HTTP client with connections of its own.
 func (n Network) HTTP() *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/process/target.go
+++ b/process/target.go
@@ -25,6 +25,7 @@
 
 	Settings  TargetSettings
 	Network   Network
+	Clients   *clients
 	Log       zerolog.Logger
 	Agent     *coordagent.Agent
 	Agents    *agent.Agents
@@ -39,11 +40,12 @@
 		func() zerolog.Logger { return log },
 		func() *table.Clock { return new(table.Clock) },
 		metrics.NewSet,
-		func() *platform.Store { return platform.NewStore(n.HTTP(), set.Platform) },
+		func() *clients { return &clients{network: n} },
+		func(c *clients) *platform.Store { return platform.NewStore(c.add(), set.Platform) },
 		func(s *platform.Store) table.Store { return s },
 		func() *agent.Agents { return agent.NewAgents(n.Dial) },
-		func(s *platform.Store, log zerolog.Logger) *coordagent.Agent {
-			w := platform.NewWorker(n.HTTP(), set.Worker)
+		func(s *platform.Store, c *clients, log zerolog.Logger) *coordagent.Agent {
+			w := platform.NewWorker(c.add(), set.Worker)
 			return coordagent.New(coordagent.Settings{Name: set.Name, HoldMax: time.Duration(set.Bounds.LeaseMax)}, w, s, log)
 		},
 		func(s table.Store, c *table.Clock, as *agent.Agents, a *coordagent.Agent, log zerolog.Logger) *shard.Candidate {
@@ -72,10 +74,11 @@
 }
 
 func (t target) run(ctx context.Context) error {
+	defer t.Clients.close()
 	s := t.Settings
 	lis, err := t.Network.listenAll(ctx, s.ReportAddress, s.Address, s.OperatorAddress)
 	if err != nil {
-		return err
+		return errors.Join(err, t.Agents.Close())
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -302,14 +302,18 @@
 	if !s.admit(w, r) {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	id := objectID(r)
-	if _, ok := s.objects[id]; ok && r.Header.Get("If-None-Match") == "*" {
+	s.mu.Lock()
+	_, exists := s.objects[id]
+	refused := exists && r.Header.Get("If-None-Match") == "*"
+	if !refused {
+		s.objects[id] = body
+	}
+	s.mu.Unlock()
+	if refused {
 		refuse(w, http.StatusPreconditionFailed, "the object exists")
 		return
 	}
-	s.objects[id] = body
 	jsonhttp.Write(w, http.StatusOK, struct{}{})
 }
 
@@ -333,8 +337,8 @@
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	delete(s.objects, objectID(r))
+	s.mu.Unlock()
 	jsonhttp.Write(w, http.StatusOK, struct{}{})
 }
 
--- a/standin/worker/handlers.go
+++ b/standin/worker/handlers.go
@@ -157,7 +157,7 @@
 	r := &run{
 		worker: w, name: name, task: o.Task, number: o.Run, payload: o.Payload, step: step, pace: 100,
 		record: &Record{
-			Task: o.Task, Run: o.Run, Worker: w.life.id, Target: w.cfg.Name, Payload: o.Payload,
+			Task: o.Task, Run: o.Run, Worker: w.life.id, Born: w.life.born, Target: w.cfg.Name, Payload: o.Payload,
 			Checkpoint: o.Checkpoint, Arrived: time.Now(),
 		},
 	}
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -27,7 +27,8 @@
 type Record struct {
 	Task       string
 	Run        int64
-	Worker     string // ID of the life
+	Worker     string // ID
+	Born       int64  // Unix milliseconds; tells lives of one ID apart
 	Target     string // name of the worker
 	Payload    string
 	Checkpoint string    // that the run began from
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -203,11 +203,12 @@
 	w.reportSoonLocked()
 }
 
-// ID returns the ID of the present life.
-func (w *Worker) ID() string {
+// Life returns the ID of the present life and the Unix time in milliseconds at which
+// it began.
+func (w *Worker) Life() (id string, born int64) {
 	w.site.mu.Lock()
 	defer w.site.mu.Unlock()
-	return w.life.id
+	return w.life.id, w.life.born
 }
 
 // Running returns the names of the tasks that run.
@@ -285,7 +286,8 @@
 
 // leave tells the target process that the worker ends, and ends.
 func (w *Worker) leave(ctx context.Context) {
-	w.send(ctx, http.MethodDelete, w.ID(), nil)
+	id, _ := w.Life()
+	w.send(ctx, http.MethodDelete, id, nil)
 	w.Crash()
 }
 
