Play loads against the planner in simulated time

Change: package experiment draws jobs of a load file from a seed and plays them against the planner with simulated workers; the same seed gives the same run.

--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -18,6 +18,11 @@
 	FarFactor  float64       // slow-down of work far from its data or its peers
 	Restore    time.Duration // time that a start from a checkpoint takes
 	Checkpoint time.Duration // work between two checkpoints
+	Policy     Policy
+}
+
+// Policy has the choices between ways to decide. The zero value is the default.
+type Policy struct {
 }
 
 // Planner is the state of one shard. It is not safe for concurrent use.
--- /dev/null
+++ b/experiment/draw.go
@@ -0,0 +1,204 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// drawn is a job with what only the simulation knows of it.
+type drawn struct {
+	job      job.Job
+	kind     *Kind
+	at       time.Duration
+	work     [][]time.Duration // of each task on a sound worker near its data
+	hopeless bool
+	cancel   time.Duration // after the submission; 0 for never
+	// chain is the longest chain of work, and worth what is owed for the job.
+	chain time.Duration
+	worth float64
+	cores float64 // core-seconds of all tasks
+}
+
+// draw returns a value of the distribution.
+func (d Draw) draw(r *rand.Rand) float64 {
+	x := d.Mean
+	if d.Spread > 0 {
+		x = d.Mean * math.Exp(d.Spread*r.NormFloat64()-d.Spread*d.Spread/2)
+	}
+	if d.Max > 0 {
+		x = min(x, d.Max)
+	}
+	return x
+}
+
+func (d Draw) count(r *rand.Rand) int { return max(1, int(math.Round(d.draw(r)))) }
+
+// rate returns the rate of submissions of a kind at a time, in jobs a second.
+func (l Load) rate(k *Kind, at float64) float64 {
+	x := k.PerSecond
+	if l.Swing > 0 {
+		x *= 1 + l.Swing*math.Sin(2*math.Pi*at/l.PeriodSeconds)
+	}
+	for _, b := range l.Bursts {
+		if b.Kind == k.Name && at >= b.AtSeconds && at < b.AtSeconds+b.ForSeconds {
+			x *= b.Factor
+		}
+	}
+	return x
+}
+
+// jobs draws the jobs of a run in the order of their submissions.
+func (l Load) jobs(seed uint64) []*drawn {
+	var out []*drawn
+	for i := range l.Kinds {
+		k := &l.Kinds[i]
+		r := rand.New(rand.NewPCG(seed, uint64(i)+1)) //nolint:gosec // reproducible draws
+		for at := 0.0; ; {
+			// Thinning of a process whose rate is the highest that can occur.
+			top := k.PerSecond * (1 + l.Swing) * l.topFactor(k)
+			if top <= 0 {
+				break
+			}
+			at += r.ExpFloat64() / top
+			if at >= l.LengthSeconds {
+				break
+			}
+			if r.Float64()*top >= l.rate(k, at) {
+				continue
+			}
+			out = append(out, l.job(r, k, len(out), seconds(at)))
+		}
+	}
+	slices.SortStableFunc(out, func(x, y *drawn) int { return cmp.Compare(x.at, y.at) })
+	return out
+}
+
+func (l Load) topFactor(k *Kind) float64 {
+	f := 1.0
+	for _, b := range l.Bursts {
+		if b.Kind == k.Name {
+			f *= max(b.Factor, 1)
+		}
+	}
+	return f
+}
+
+// job draws one job.
+func (l Load) job(r *rand.Rand, k *Kind, n int, at time.Duration) *drawn {
+	d := &drawn{kind: k, at: at, hopeless: r.Float64() < k.HopelessShare}
+	d.job = job.Job{
+		ID: fmt.Sprintf("%s-%04d", k.Name, n), Kind: k.Name, Workspace: l.workspace(r), Pool: pool,
+		AcceptedMillis: at.Milliseconds(),
+	}
+	accelerators := 0
+	if len(k.Accelerators) > 0 {
+		accelerators = k.Accelerators[r.IntN(len(k.Accelerators))]
+	}
+	saves := r.Float64() < k.CheckpointableShare
+	tail := 1.0
+	if r.Float64() < k.TailShare {
+		tail = k.TailFactor
+	}
+	if r.Float64() < k.CancelShare {
+		d.cancel = time.Duration(r.Int64N(int64(4 * time.Second)))
+	}
+	steps := k.Steps.count(r)
+	for i := range steps {
+		s := job.Step{
+			Tasks: k.Tasks.count(r), CPU: k.CPU, MemoryMB: k.MemoryMB, Accelerators: accelerators, Checkpointable: saves,
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		mean := k.Work.draw(r) * tail
+		s.EstimateMillis = max(1, int64(mean*math.Exp(k.EstimateSpread*r.NormFloat64())))
+		if s.Tasks > 1 && s.Tasks*accelerators <= k.MaxAccelerators && r.Float64() < k.GangShare {
+			s.Gang = true
+			s.SameRack = r.Float64() < k.SameRackShare
+		}
+		if r.Float64() < k.ApartShare {
+			s.MaxPerWorker = 1 + r.IntN(2)
+		}
+		work := make([]time.Duration, s.Tasks)
+		for t := range work {
+			work[t] = time.Duration(mean * math.Exp(k.Uneven*r.NormFloat64()-k.Uneven*k.Uneven/2) * float64(time.Millisecond))
+		}
+		d.job.Steps = append(d.job.Steps, s)
+		d.work = append(d.work, work)
+	}
+	l.owe(d)
+	return d
+}
+
+func (l Load) workspace(r *rand.Rand) string {
+	x := r.Float64()
+	for _, w := range l.Workspaces {
+		if x -= w.Share; x < 0 {
+			return w.Name
+		}
+	}
+	return l.Workspaces[len(l.Workspaces)-1].Name
+}
+
+// Worth of a job: a fixed part, and one by its work against the mean of its kind.
+const (
+	fixedWorth   = 0.3
+	worthByWork  = 0.7
+	maxWorthTime = 4
+)
+
+// owe computes what is owed for a job, and its longest chain of work. Tasks of a
+// step that is wider than a quarter of the site run in waves.
+func (l Load) owe(d *drawn) {
+	ends := make([]time.Duration, len(d.job.Steps))
+	for i, s := range d.job.Steps {
+		longest := time.Duration(0)
+		for _, w := range d.work[i] {
+			longest = max(longest, w)
+			d.cores += w.Seconds() * cores(s)
+		}
+		waves := 1.0
+		if room := float64(l.Site.room(s)) / 4; float64(s.Tasks) > room && room > 0 {
+			waves = math.Ceil(float64(s.Tasks) / room)
+		}
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += time.Duration(float64(longest) * waves)
+		d.chain = max(d.chain, ends[i])
+	}
+	k := d.kind
+	accelerators := 0.0
+	for _, a := range k.Accelerators {
+		accelerators += float64(a) / float64(len(k.Accelerators))
+	}
+	mean := k.Steps.Mean * k.Tasks.Mean * k.Work.Mean / 1000 * (float64(k.CPU)/1000 + coresPerAccelerator*accelerators)
+	d.worth = k.Worth * min(fixedWorth+worthByWork*d.cores/mean, maxWorthTime)
+}
+
+// coresPerAccelerator weighs accelerators in cores when work is counted.
+const coresPerAccelerator = 8
+
+// cores returns the cores that a task of a step counts as.
+func cores(s job.Step) float64 {
+	return float64(s.CPU)/1000 + coresPerAccelerator*float64(s.Accelerators)
+}
+
+// room returns how many tasks of a step the empty site holds.
+func (s Site) room(st job.Step) int {
+	n := s.MemoryMB / max(st.MemoryMB, 1)
+	n = min(n, s.CPU/max(st.CPU, 1))
+	if st.Accelerators > 0 {
+		n = min(n, s.Accelerators/st.Accelerators)
+	}
+	if st.MaxPerWorker > 0 {
+		n = min(n, st.MaxPerWorker)
+	}
+	return n * s.Workers
+}
--- /dev/null
+++ b/experiment/result.go
@@ -0,0 +1,231 @@
+package experiment
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// Result is what a run came to.
+type Result struct {
+	Kinds  []KindResult // in the order of the load
+	Owed   float64      // worth of all jobs that were not cancelled
+	Earned float64
+	// Wasted has the core-seconds of work that was thrown away, and Cost their price
+	// in worth.
+	Wasted  float64
+	Cost    float64
+	Starts  int
+	Stopped int // runs that were ordered to stop
+	Refused int // starts that a worker refused for want of room
+	// Windows is the mean share of the worth that was earned in the two worst of the
+	// windows of submissions.
+	Windows float64
+	Jobs    []JobResult // in the order of their submissions
+
+	ends  map[string]time.Duration
+	final map[string]job.State
+	first map[string]time.Duration
+}
+
+// KindResult is what the jobs of one kind came to.
+type KindResult struct {
+	Name     string
+	Jobs     int // that were not cancelled
+	OnTime   int
+	Late     int
+	Over     int // after three times the objective, or never
+	Owed     float64
+	Earned   float64
+	Duration time.Duration // mean time to the end of those that ended
+	ended    int
+}
+
+// JobResult is what one job came to.
+type JobResult struct {
+	ID        string
+	Workspace string
+	At        time.Duration // of its submission
+	First     time.Duration // of its first start; -1 for none
+	Objective time.Duration
+	Took      time.Duration // to its end; -1 for none
+	State     job.State
+	Cancelled bool
+	Owed      float64
+	Earned    float64
+}
+
+// Share returns the share of the worth owed that was earned, less the cost of work
+// that was thrown away.
+func (r Result) Share() float64 {
+	if r.Owed == 0 {
+		return 0
+	}
+	return (r.Earned - r.Cost) / r.Owed
+}
+
+// record takes the recorded state of a job.
+func (r *Result) record(d *drawn, pr job.Progress, now time.Duration) {
+	if r.ends == nil {
+		r.ends, r.final = make(map[string]time.Duration), make(map[string]job.State)
+		r.first = make(map[string]time.Duration)
+	}
+	if _, ok := r.first[d.job.ID]; !ok && pr.Begun {
+		r.first[d.job.ID] = now
+	}
+	if _, ok := r.ends[d.job.ID]; !ok && pr.State.Final() {
+		r.ends[d.job.ID], r.final[d.job.ID] = now, pr.State
+	}
+}
+
+// lateFactor times the objective is when a job is worth nothing any more.
+const lateFactor = 3
+
+// window is the length of the windows of submissions, of which the worst count.
+const window = 2 * time.Second
+
+func (r *Result) finish(l Load, jobs map[string]*drawn) {
+	byKind := make(map[string]*KindResult)
+	for _, k := range l.Kinds {
+		byKind[k.Name] = &KindResult{Name: k.Name}
+	}
+	list := make([]*drawn, 0, len(jobs))
+	for _, d := range jobs {
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(x, y *drawn) int { return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.job.ID, y.job.ID)) })
+	for _, d := range list {
+		j := r.judge(d)
+		r.Jobs = append(r.Jobs, j)
+		k := byKind[d.kind.Name]
+		if j.Cancelled {
+			continue
+		}
+		k.Jobs++
+		k.Owed += j.Owed
+		k.Earned += j.Earned
+		r.Owed += j.Owed
+		r.Earned += j.Earned
+		switch {
+		case j.Earned == j.Owed:
+			k.OnTime++
+		case j.Earned > 0:
+			k.Late++
+		default:
+			k.Over++
+		}
+		if j.Took >= 0 {
+			k.Duration += j.Took
+			k.ended++
+		}
+	}
+	for _, k := range l.Kinds {
+		x := byKind[k.Name]
+		if x.ended > 0 {
+			x.Duration /= time.Duration(x.ended)
+		}
+		r.Kinds = append(r.Kinds, *x)
+	}
+	r.Cost = r.Wasted * l.Site.WastePrice
+	r.Windows = worstWindows(r.Jobs)
+}
+
+// judge returns what a job came to.
+func (r *Result) judge(d *drawn) JobResult {
+	k := d.kind
+	objective := time.Duration(k.Stretch*float64(d.chain)) + millis(k.ObjectiveMillis)
+	j := JobResult{
+		ID: d.job.ID, Workspace: d.job.Workspace, At: d.at, First: -1, Took: -1, Objective: objective, Owed: d.worth,
+		Cancelled: d.cancel > 0, State: r.final[d.job.ID],
+	}
+	if at, ok := r.first[d.job.ID]; ok {
+		j.First = at - d.at
+	}
+	end, ended := r.ends[d.job.ID]
+	if !ended {
+		return j
+	}
+	j.Took = end - d.at
+	if d.hopeless != (j.State == job.Failed) {
+		return j
+	}
+	switch {
+	case j.Took <= objective:
+		j.Earned = d.worth
+	case j.Took <= lateFactor*objective:
+		j.Earned = d.worth * k.LateWorth / k.Worth
+	}
+	return j
+}
+
+// worstWindows returns the mean share of the two worst windows.
+func worstWindows(jobs []JobResult) float64 {
+	owed, earned := make(map[time.Duration]float64), make(map[time.Duration]float64)
+	for _, j := range jobs {
+		if !j.Cancelled {
+			owed[j.At/window] += j.Owed
+			earned[j.At/window] += j.Earned
+		}
+	}
+	shares := make([]float64, 0, len(owed))
+	for w, o := range owed {
+		shares = append(shares, earned[w]/o)
+	}
+	slices.Sort(shares)
+	if len(shares) < 2 {
+		return 0
+	}
+	return (shares[0] + shares[1]) / 2
+}
+
+// Summary sums up the results of several runs of a load.
+type Summary struct {
+	Runs    int
+	total   Result
+	windows float64
+}
+
+// Add adds a result.
+func (s *Summary) Add(r Result) {
+	s.Runs++
+	t := &s.total
+	if t.Kinds == nil {
+		t.Kinds = make([]KindResult, len(r.Kinds))
+	}
+	for i, k := range r.Kinds {
+		x := &t.Kinds[i]
+		x.Name = k.Name
+		x.Jobs, x.OnTime, x.Late, x.Over = x.Jobs+k.Jobs, x.OnTime+k.OnTime, x.Late+k.Late, x.Over+k.Over
+		x.Owed, x.Earned = x.Owed+k.Owed, x.Earned+k.Earned
+		x.Duration += k.Duration * time.Duration(k.ended)
+		x.ended += k.ended
+	}
+	t.Owed, t.Earned, t.Wasted, t.Cost = t.Owed+r.Owed, t.Earned+r.Earned, t.Wasted+r.Wasted, t.Cost+r.Cost
+	t.Starts, t.Stopped, t.Refused = t.Starts+r.Starts, t.Stopped+r.Stopped, t.Refused+r.Refused
+	s.windows += r.Windows
+}
+
+// Share returns the share of all runs together.
+func (s *Summary) Share() float64 { return s.total.Share() }
+
+// String returns a table.
+func (s *Summary) String() string {
+	var b strings.Builder
+	t := s.total
+	runs := float64(max(s.Runs, 1))
+	fmt.Fprintf(&b, "%d runs: %.3f earned, %.3f lost by waste, %.3f left; worst windows %.3f; a run: %.0f core-seconds wasted, %.0f starts, %.1f stops, %.1f refusals\n",
+		s.Runs, t.Earned/t.Owed, t.Cost/t.Owed, t.Share(), s.windows/runs, t.Wasted/runs, float64(t.Starts)/runs, float64(t.Stopped)/runs, float64(t.Refused)/runs)
+	for _, k := range t.Kinds {
+		mean := time.Duration(0)
+		if k.ended > 0 {
+			mean = k.Duration / time.Duration(k.ended)
+		}
+		fmt.Fprintf(&b, "%-16s %5d jobs: %4.1f%% on time, %4.1f%% late, %4.1f%% over; %.3f of the worth; mean time %v\n", k.Name, k.Jobs,
+			100*float64(k.OnTime)/float64(k.Jobs), 100*float64(k.Late)/float64(k.Jobs), 100*float64(k.Over)/float64(k.Jobs), k.Earned/k.Owed, mean.Round(time.Millisecond))
+	}
+	return b.String()
+}
