Take over from an owner that the store refuses

The owner went on trying, its row went stale after 2.5 s, and ends of that time were recorded late.

Change: an owner whose transaction has no answer for 300 ms (and ten times that of the last one) asks the other processes, one after the other, to take over (Agent.TakeOver). A process that is asked replaces an owner whose row is older than 600 ms; unasked, after 1.2 s (three beats of 400 ms). After an outage of the store nobody replaces the owner for 300 ms, since its row is old without its fault.

Ruled out: shorter beats alone. They cost rows per second on a calm site and do not tell an owner that is refused from a store that is slow.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -56,6 +56,10 @@
 	watching int       // calls of Watch in progress
 	// unconfirmed is how long the store had not confirmed the planner at contact.
 	unconfirmed time.Duration
+	// asked is when a planner of askedEpoch last asked this process to take over.
+	asked      time.Time
+	askedEpoch uint64
+	takeOver   chan struct{} // has room for one wake-up
 
 	life life // what is known of the life in info
 }
@@ -94,7 +98,7 @@
 func New(cfg Settings, w Worker, objs table.Objects, log zerolog.Logger) *Agent {
 	return &Agent{
 		cfg: cfg, worker: w, objs: objs, log: log, boot: rand.Uint64() | 1,
-		changed: make(chan struct{}), lease: make(chan struct{}),
+		changed: make(chan struct{}), lease: make(chan struct{}), takeOver: make(chan struct{}, 1),
 	}
 }
 
@@ -163,13 +167,37 @@
 	Silent time.Duration
 	// Unconfirmed is how long the store had not confirmed the planner at that call.
 	Unconfirmed time.Duration
+	// Asked reports whether the planner has asked this process to take over lately.
+	Asked bool
 }
 
+// askedFor is how long a request to take over holds.
+const askedFor = 2 * time.Second
+
+// TakeOver implements agentrpc.DRPCAgentServer.
+func (a *Agent) TakeOver(_ context.Context, in *agentrpc.TakeOverRequest) (*agentrpc.TakeOverReply, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if in.GetEpoch() < a.epoch {
+		return &agentrpc.TakeOverReply{}, nil
+	}
+	a.asked, a.askedEpoch = time.Now(), in.GetEpoch()
+	select {
+	case a.takeOver <- struct{}{}:
+	default:
+	}
+	return &agentrpc.TakeOverReply{}, nil
+}
+
+// Asked returns a channel on which requests to take over arrive.
+func (a *Agent) Asked() <-chan struct{} { return a.takeOver }
+
 // Contact returns the state of the contact with the planner.
 func (a *Agent) Contact() Contact {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	c := Contact{Epoch: a.epoch, Planner: a.planner, Unconfirmed: a.unconfirmed}
+	c.Asked = a.askedEpoch == a.epoch && !a.asked.IsZero() && time.Since(a.asked) < askedFor
 	if a.watching == 0 {
 		c.Silent = time.Since(a.contact)
 	}
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -22,8 +22,7 @@
 }
 
 // Policy has the choices between ways to decide. The zero value is the default.
-type Policy struct {
-}
+type Policy struct{}
 
 // Planner is the state of one shard. It is not safe for concurrent use.
 type Planner struct {
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -17,6 +17,11 @@
 	deps Deps
 	boot uint64
 
+	// Of the loop of Run: whether the last read of the owner's row failed, and when one
+	// was answered after a failure.
+	unread bool
+	back   time.Time
+
 	mu    sync.Mutex
 	owner *owner // nil while this process does not own the shard
 }
@@ -34,7 +39,13 @@
 		if f, ok := c.look(ctx); ok {
 			c.own(ctx, f)
 		}
-		sleep(ctx, lookPause/2+rand.N(lookPause))
+		wait := time.NewTimer(lookPause/2 + rand.N(lookPause))
+		select {
+		case <-ctx.Done():
+		case <-c.deps.Agent.Asked():
+		case <-wait.C:
+		}
+		wait.Stop()
 	}
 	if c.deps.Agent.Gone() {
 		c.withdraw(context.WithoutCancel(ctx))
@@ -75,15 +86,23 @@
 // replace.
 func (c *Candidate) look(ctx context.Context) (former, bool) {
 	contact := c.deps.Agent.Contact()
-	if contact.Epoch > 0 && contact.Silent < contactSilence && contact.Unconfirmed < unconfirmedLimit {
+	if !contact.Asked && contact.Epoch > 0 && contact.Silent < contactSilence && contact.Unconfirmed < unconfirmedLimit {
 		return former{}, false
 	}
 	sent := time.Now()
 	page, err := c.deps.Store.Read(ctx, ownerRange(c.cfg.Part))
 	if err != nil {
+		c.unread = true
 		return former{}, false
 	}
-	stale := beatStale + slowStoreFactor*time.Since(sent)
+	if c.unread {
+		c.unread, c.back = false, time.Now()
+	}
+	stale := beatStale
+	if contact.Asked {
+		stale = askedStale
+	}
+	stale += slowStoreFactor * time.Since(sent)
 	c.deps.Clock.Observe(page.Now)
 	if len(page.Rows) == 0 {
 		return former{ended: true}, true
@@ -103,7 +122,7 @@
 		why = "this process was the owner before it started again"
 	case c.deps.Agents.Refuses(ctx, row.Address):
 		why = "the owner refuses connections"
-	case row.age(page.Now) > stale:
+	case row.age(page.Now) > stale && time.Since(c.back) > backGrace:
 		f.ended = false
 		why = "the row is out of date"
 	default:
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -27,4 +27,9 @@
 	EventWithdrawn = 650
 	// EventTargetRetired occurs when a target has removed its row.
 	EventTargetRetired = 649
+	// EventTakeOverAsked occurs when the owner asks another process to take over,
+	// because the store does not take its transaction.
+	EventTakeOverAsked = 651
+	// EventTakeOverUnanswered occurs when that process did not answer.
+	EventTakeOverUnanswered = 652
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/planner"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
 )
@@ -33,6 +35,7 @@
 	plan      *planner.Planner
 	confirmed time.Time     // when the last confirmed transaction was sent
 	took      time.Duration // by that transaction
+	since     time.Time     // when the transaction under way was sent first; zero for none
 	progress  map[string][]job.Progress
 	watches   map[string]*watch
 	config    *configuration.Holder
@@ -71,6 +74,7 @@
 			o.follow(inner, TableTargets, targetsSink{o, inner, &wg})
 		}
 	})
+	wg.Go(func() { o.askOthers(inner) })
 	err := o.loop(inner)
 	if ctx.Err() != nil {
 		o.release(context.WithoutCancel(ctx))
@@ -217,6 +221,8 @@
 	tx.Part = o.cfg.Part
 	tx = tx.WithCondition(TableShard, OwnerKey, version)
 	tokens := make(map[string]struct{}) // of the tries whose outcome is unknown
+	o.setSince(time.Now())
+	defer o.setSince(time.Time{})
 	for {
 		row := last
 		row.Token = newToken()
@@ -254,6 +260,59 @@
 	}
 }
 
+func (o *owner) setSince(t time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.since = t
+}
+
+// askOthers asks other processes to take over while the store does not take a
+// transaction of this one: they may reach it.
+func (o *owner) askOthers(ctx context.Context) {
+	last := ""
+	for ctx.Err() == nil {
+		sleep(ctx, stuckCheck)
+		name, address, epoch := o.nextPeer(last)
+		if name == "" {
+			continue
+		}
+		last = name
+		o.deps.Log.Warn().Int("Event", EventTakeOverAsked).Str("Of", name).Msg("the store does not take a transaction; another process is asked to take over")
+		cctx, cancel := context.WithTimeout(ctx, askPause)
+		if _, err := o.deps.Agents.Agent(address).TakeOver(cctx, &agentrpc.TakeOverRequest{Epoch: epoch}); err != nil {
+			o.deps.Log.Info().Int("Event", EventTakeOverUnanswered).Str("Of", name).Err(err).Send()
+		}
+		cancel()
+		sleep(ctx, askPause)
+	}
+}
+
+// nextPeer returns the target after the last one to ask, or "" while there is no
+// reason to ask.
+func (o *owner) nextPeer(last string) (name, address string, epoch uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.since.IsZero() || time.Since(o.since) < stuckLimit+slowStoreFactor*o.took {
+		return "", "", 0
+	}
+	names := make([]string, 0, len(o.watches))
+	for n, w := range o.watches {
+		if n != o.cfg.Name && !w.retired && w.connected {
+			names = append(names, n)
+		}
+	}
+	if len(names) == 0 {
+		return "", "", 0
+	}
+	slices.Sort(names)
+	i, found := slices.BinarySearch(names, last)
+	if found {
+		i++
+	}
+	name = names[i%len(names)]
+	return name, o.watches[name].address, o.row.Epoch
+}
+
 func (o *owner) written(row OwnerRow, version uint64, sent time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/coordination/shard/rig_test.go
+++ b/coordination/shard/rig_test.go
@@ -48,6 +48,7 @@
 	starts  []string // "task run"
 	rev     uint64
 	changed chan struct{}
+	process *process // beside the worker; nil if none has been started
 }
 
 func newTarget(name string) *target {
@@ -101,6 +102,10 @@
 		return &agentrpc.WatchReply{Refused: true, Epoch: t.epoch}, nil
 	}
 	t.epoch, t.fence = in.GetEpoch(), max(t.fence, in.GetFence())
+	if t.process != nil {
+		// The agent beside the target notes the contact with the planner.
+		t.process.agent.RaiseEpoch(in.GetEpoch())
+	}
 	if in.GetLife().GetWorker() == t.life.GetWorker() {
 		t.cap = max(t.cap, in.GetLeaseCapMillis())
 		for len(t.ended) > 0 && t.ended[0].GetNumber() <= in.GetSeenEnd() {
@@ -167,6 +172,17 @@
 	return out, nil
 }
 
+// TakeOver implements agentrpc.DRPCAgentClient.
+func (t *target) TakeOver(ctx context.Context, in *agentrpc.TakeOverRequest) (*agentrpc.TakeOverReply, error) {
+	var p *process
+	t.get(func(t *target) { p = t.process })
+	if t.isCut() || p == nil {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	return p.agent.TakeOver(ctx, in)
+}
+
 // site is a store with targets and the candidates of processes.
 type site struct {
 	c       *qt.C
@@ -249,6 +265,7 @@
 		<-done
 	}
 	s.c.Cleanup(p.end)
+	s.targets[name].set(func(t *target) { t.process = p })
 	return p
 }
 
@@ -277,8 +294,21 @@
 // partial is the store as one process reaches it.
 type partial struct {
 	table.Store
-	mu  sync.Mutex
-	cut bool
+	mu      sync.Mutex
+	cut     bool
+	refuses bool // calls fail at once
+}
+
+func (p *partial) setRefuses(refuses bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refuses = refuses
+}
+
+func (p *partial) isRefusing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refuses
 }
 
 func (p *partial) set(cut bool) {
@@ -299,6 +329,9 @@
 var errStoreCut = errors.New("the store can't be reached")
 
 func (p *partial) fail(ctx context.Context) error {
+	if p.isRefusing() {
+		return &table.UnavailableError{Err: errStoreCut}
+	}
 	if !p.isCut() {
 		return nil
 	}
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -14,10 +14,22 @@
 )
 
 const (
-	// beatPeriod is the longest time between two writes of the owner's row.
-	beatPeriod = 500 * time.Millisecond
-	// beatStale is the age from which on the row is out of date: four periods.
-	beatStale = 2 * time.Second
+	// beatPeriod is the longest time between two writes of the owner's row: two
+	// passes.
+	beatPeriod = 2 * planPeriod
+	// beatStale is the age from which on the row is out of date: three periods.
+	// Together with contactSilence it bounds how long a shard is without a planner: a
+	// claim on a guarantee has 2.9 s in all.
+	beatStale = 3 * beatPeriod
+	// stuckLimit is how long a transaction of the owner may take, beyond a slow store's
+	// time, before it asks other processes to take over. They do so if they find the
+	// row to be askedStale old, half a period more than it gets otherwise.
+	stuckLimit = 300 * time.Millisecond
+	askedStale = 3 * beatPeriod / 2
+	// stuckCheck is how often the owner checks for that, and askPause is the pause
+	// before it asks the next process.
+	stuckCheck = 100 * time.Millisecond
+	askPause   = 200 * time.Millisecond
 	// slowStoreFactor times the duration of a read is added to beatStale. A store
 	// that is slow delays the owner's writes by more than a read: transactions of a
 	// part take their turn.
@@ -28,10 +40,13 @@
 	slowBeatFactor = 4
 	// contactSilence is how long the planner may not have called an agent before
 	// its process looks at the row.
-	contactSilence = 600 * time.Millisecond
+	contactSilence = 500 * time.Millisecond
 	// unconfirmedLimit is how long the store may not have confirmed the planner
 	// before other processes look at the row themselves.
-	unconfirmedLimit = 1200 * time.Millisecond
+	unconfirmedLimit = 800 * time.Millisecond
+	// backGrace is how long a process leaves the owner time to write after the store
+	// answers it again: after an outage the owner need not change.
+	backGrace = 300 * time.Millisecond
 	// lookPause is the pause between two looks at the row; a random part is added,
 	// so that candidates don't act in step.
 	lookPause = 250 * time.Millisecond
@@ -40,7 +55,7 @@
 	// retryPause is the pause before a transaction is repeated.
 	retryPause = 50 * time.Millisecond
 	// watchWait is how long an agent may wait for news before it answers.
-	watchWait = time.Second
+	watchWait = 400 * time.Millisecond
 	// watchTimeout is how much longer the answer may take.
 	watchTimeout = 600 * time.Millisecond
 	// pausedLimit is by how much a call may outlast its bound before it is taken that
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -86,7 +86,17 @@
 			mine.set(true)
 			s.setRefuses("a")
 		}, time.Second},
-		{"the owner is cut off from the store", func(_ *site, _ *process, mine *partial) { mine.set(true) }, 4 * time.Second},
+		{"the store refuses the owner", func(_ *site, _ *process, mine *partial) {
+			mine.setRefuses(true)
+		}, time.Second},
+		{"the owner is cut off from the store", func(_ *site, _ *process, mine *partial) { mine.set(true) }, time.Second},
+		{"the owner stands still", func(s *site, _ *process, mine *partial) {
+			// Neither its calls to the store nor those to targets arrive.
+			mine.set(true)
+			for _, x := range s.targets {
+				x.set(func(x *target) { x.process = nil })
+			}
+		}, 2 * time.Second},
 		{"the store is down for a while", func(s *site, _ *process, _ *partial) {
 			s.store.SetDown(true)
 			time.Sleep(10 * time.Second)
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -58,13 +58,15 @@
 	fence   int64
 	heard   time.Time // when the last answer arrived, or the shard was taken over
 	called  bool      // there has been an answer
-	lapsed  bool
-	retired bool // the target has removed its row
-	boot    uint64
-	life    *agentrpc.Life
-	seen    int64
-	cap     int64
-	rev     uint64
+	// connected reports whether the last call was answered.
+	connected bool
+	lapsed    bool
+	retired   bool // the target has removed its row
+	boot      uint64
+	life      *agentrpc.Life
+	seen      int64
+	cap       int64
+	rev       uint64
 }
 
 // lastHeard returns when a target answered last, as far as the former owner knew.
@@ -188,7 +190,7 @@
 		// Calls of the agent's or the worker's former life carry the old token.
 		w.fence++
 	}
-	w.heard, w.called, w.lapsed = now, true, false
+	w.heard, w.called, w.connected, w.lapsed = now, true, true, false
 	w.boot, w.rev = in.GetBoot(), in.GetRevision()
 	if wk := in.GetWorker(); wk != nil {
 		if !sameLife(w.life, wk.GetLife()) {
@@ -226,7 +228,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.plan.Connected(w.name, false)
-	w.rev = 0
+	w.connected, w.rev = false, 0
 	bound := o.cfg.HoldMax + leaseReach
 	if !w.called && !o.formerEnded {
 		// The former owner may go on to extend the lease for a while, although the
--- a/matrix/scenarios_test.go
+++ b/matrix/scenarios_test.go
@@ -106,6 +106,24 @@
 			s.hist.add((*history).faultEnds)
 		})
 	}},
+	{name: "planner-cut-off", prepare: func(s *Site) {
+		s.do(plan("held", 1, 1, 3*time.Second))
+		s.do(plan("held-gang", 3, 3, 3*time.Second))
+		time.Sleep(500 * time.Millisecond)
+	}, work: func(s *Site) {
+		// The planner cannot write what it is asked for, and asks others to take over.
+		p := s.planner()
+		s.hist.add((*history).faultBegins)
+		there, back := s.cut(p.host, platformHost), s.cut(platformHost, p.host)
+		s.do(order("order-1", time.Second))
+		s.do(plan("later", 1, 1, time.Second))
+		s.wg.Go(func() {
+			time.Sleep(faultTime)
+			there()
+			back()
+			s.hist.add((*history).faultEnds)
+		})
+	}},
 	{name: "all-die", prepare: func(s *Site) {
 		s.do(plan("held", 1, 1, 3*time.Second))
 		s.do(plan("held-gang", 3, 3, 4*time.Second))
