Bound the log, serve metrics, take changed settings while running

The logger wrote to standard output directly, no metric of ours existed, and SIGHUP was ignored.

Change: transport/stdout queues lines (1 MiB) and writes them in a goroutine of its own; 200 lines a second (LogLines) beside the ends of requests, and as many warnings; what was left out is counted in a line.

Ruled out: a write with a deadline instead of a queue. Pipes of a parent process do not support deadlines, and each line would cost a system call.

--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -121,8 +121,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ch := make(chan os.Signal, 2)
 	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
-	// Without a handler, a request to read the settings again ends the process.
-	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		<-ch
 		cancel()
--- a/cmd/medlargrade/process.go
+++ b/cmd/medlargrade/process.go
@@ -1,6 +1,13 @@
 package main
 
 import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
 	"github.com/medlargrade/medlargrade/process"
 )
 
@@ -12,13 +19,15 @@
 
 // Execute runs the process until SIGTERM or SIGINT.
 func (c *entryCommand) Execute([]string) error {
+	hup := hangUps()
 	set, err := c.settings()
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signals()
-	defer cancel()
-	return process.RunEntry(ctx, set, process.TCP(), process.NewLogger(set.LogLevel, set.Name))
+	read := func() (process.Settings, error) { return c.settings() }
+	return serve(c.Settings, set.Name, set, read, hup, func(ctx context.Context, log zerolog.Logger) error {
+		return process.RunEntry(ctx, set, process.TCP(), log)
+	})
 }
 
 // settings returns the checked settings of the file and the flags.
@@ -36,13 +45,15 @@
 
 // Execute runs the process until SIGTERM or SIGINT.
 func (c *targetCommand) Execute([]string) error {
+	hup := hangUps()
 	set, err := c.settings()
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signals()
-	defer cancel()
-	return process.RunTarget(ctx, set, process.TCP(), process.NewLogger(set.LogLevel, set.Name))
+	read := func() (process.Settings, error) { return c.settings() }
+	return serve(c.Settings, set.Name, set, read, hup, func(ctx context.Context, log zerolog.Logger) error {
+		return process.RunTarget(ctx, set, process.TCP(), log)
+	})
 }
 
 // settings returns the checked settings of the file and the flags.
@@ -52,6 +63,27 @@
 	return set, err
 }
 
+// hangUps returns a channel of requests to read the settings again. Without it, the
+// signal ends the process, so it is to be called first.
+func hangUps() <-chan os.Signal {
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	return ch
+}
+
+// serve runs a process with its log and takes changes of its settings.
+func serve(path, name string, set process.Settings, read func() (process.Settings, error), hup <-chan os.Signal,
+	run func(context.Context, zerolog.Logger) error,
+) error {
+	logs := process.NewLogs(os.Stdout, name, set.Logs())
+	defer logs.Close()
+	ctx, cancel := signals()
+	defer cancel()
+	r := &process.Reloader{Path: path, Read: read, Logs: logs, Signal: hup}
+	go r.Run(ctx, set)
+	return run(ctx, logs.Log)
+}
+
 // settings are the settings of a process.
 type settings interface {
 	Check() error
--- a/cmd/medlargrade/standin.go
+++ b/cmd/medlargrade/standin.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"os"
 
 	"golang.org/x/sync/errgroup"
 
@@ -22,6 +23,9 @@
 	LogLevel   string `long:"log-level" default:"info" description:"debug, info, warn or error"`
 }
 
+// standinLines bounds the log lines of the stand-ins a second.
+const standinLines = 200
+
 // Execute serves until SIGTERM or SIGINT.
 func (c *standinCommand) Execute([]string) error {
 	if err := process.CheckAddress("address", c.Address); err != nil {
@@ -30,7 +34,9 @@
 	if c.Workers < 0 || c.Rack < 1 {
 		return &ExitError{ExitProblems, fmt.Errorf("%d workers in racks of %d make no site", c.Workers, c.Rack)}
 	}
-	log := process.NewLogger(c.LogLevel, "standin")
+	logs := process.NewLogs(os.Stdout, "standin", process.LogSettings{Level: c.LogLevel, Lines: standinLines})
+	defer logs.Close()
+	log := logs.Log
 	ctx, cancel := signals()
 	defer cancel()
 	network := process.TCP()
--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
@@ -16,6 +17,7 @@
 type Settings struct {
 	Name    string        // of the target
 	HoldMax time.Duration // longest lease that the worker grants
+	Metrics *metrics.Set  // nil for none
 }
 
 // Info is what a worker says of itself.
@@ -96,6 +98,9 @@
 // New returns an agent that knows no worker yet. Large payloads and results are kept
 // as objects.
 func New(cfg Settings, w Worker, objs table.Objects, log zerolog.Logger) *Agent {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	return &Agent{
 		cfg: cfg, worker: w, objs: objs, log: log, boot: rand.Uint64() | 1,
 		changed: make(chan struct{}), lease: make(chan struct{}), takeOver: make(chan struct{}, 1),
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
@@ -105,6 +106,7 @@
 		return true
 	}
 	a.life.failing = err != nil
+	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
 		if a.left && !a.gone {
 			a.gone = true
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 	default:
 		res = &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: ReasonMalformed}
 	}
+	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_orders_total{outcome="` + strings.ToLower(res.GetOutcome().String()) + `"}`).Inc()
 	return res
 }
 
--- a/coordination/intake/doc.go
+++ b/coordination/intake/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	s := intake.New(store, clock, log)
+//	s := intake.New(store, "0", clock, set, log)
 //	switch r := s.Submit(ctx, j).(type) {
 //	case intake.Accepted:
 //	case intake.Refused:
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/state/job"
@@ -54,12 +55,13 @@
 	clock *table.Clock
 	gate  *gate
 	log   zerolog.Logger
+	set   *metrics.Set
 }
 
-// New returns a service that records jobs in a part of the store.
-func New(store table.Store, part string, clock *table.Clock, log zerolog.Logger) *Service {
+// New returns a service that records jobs in a part of the store. It measures in set.
+func New(store table.Store, part string, clock *table.Clock, set *metrics.Set, log zerolog.Logger) *Service {
 	g := newGate(store, table.Range{Table: job.TableJobs, Part: part, From: "0", To: "0", Limit: 1}, log)
-	return &Service{store: store, part: part, clock: clock, gate: g, log: log}
+	return &Service{store: store, part: part, clock: clock, gate: g, log: log, set: set}
 }
 
 // Close ends the probes of a store that does not answer.
@@ -75,6 +77,8 @@
 // job is refused before anything of it is sent. The write is repeated until its
 // outcome is known or ctx ends.
 func (s *Service) Submit(ctx context.Context, j job.Job) Result {
+	begin := time.Now()
+	defer func() { s.set.GetOrCreatePrometheusHistogram(`medlargrade_submission_seconds`).UpdateDuration(begin) }()
 	if s.gate.isDown() {
 		s.logSubmit(j, "refused", ErrStoreDown)
 		return Refused{Reason: ErrStoreDown.Error(), RetryAfter: retryAfter}
@@ -145,6 +149,7 @@
 func (s *Service) logSubmit(j job.Job, outcome string, err error) {
 	s.log.Info().Int("Event", EventSubmitted).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
 		Str("Outcome", outcome).Err(err).Send()
+	s.set.GetOrCreateCounter(`medlargrade_submissions_total{outcome="` + outcome + `"}`).Inc()
 }
 
 // sleep waits and reports whether ctx goes on.
@@ -255,7 +260,7 @@
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
-			s.log.Info().Int("Event", EventCancelled).Str("Job", id).Msg("the cancellation is recorded")
+			s.log.Info().Int("Event", EventCancelled).Str("Job", id).Str("RequestID", requestID).Msg("the cancellation is recorded")
 			return nil
 		case errors.As(err, &conflict):
 			return ErrNoJob
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -104,6 +105,7 @@
 	p.log.Info().Int("Event", EventClaim).Str("Job", u.step.occ.job.job.ID).Int("Step", u.step.index).
 		Int("Tasks", len(u.tasks)).Int("Victims", len(best.victims)).Float64("Loss", best.loss).Bool("Guaranteed", c.guaranteed).
 		Msg("capacity is reclaimed")
+	p.count(`medlargrade_claims_total{guaranteed="` + strconv.FormatBool(c.guaranteed) + `"}`)
 	for _, r := range best.victims {
 		p.stopGang(r, "reclaimed for "+u.step.occ.job.job.ID)
 	}
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -21,9 +21,12 @@
 // end takes the end of a run that a worker lists.
 func (p *Planner) end(t *target, e *agentrpc.RunEnd, now time.Time) {
 	r := p.find(t, e.GetTask(), int(e.GetRun()))
+	lost := p.lostWork(r, e.GetHow(), now)
+	p.measureLoss(lost)
+	p.count(`medlargrade_runs_ended_total{how="` + e.GetHow() + `"}`)
 	p.log.Info().Int("Event", EventRunEnded).Str("Task", e.GetTask()).Int64("Run", e.GetRun()).Str("Target", t.name).
 		Str("How", e.GetHow()).Int64("End", e.GetNumber()).Bool("Known", r != nil).
-		Float64("LostCoreSeconds", p.lostWork(r, e.GetHow(), now)).Str("Stop", r.stopReason()).Send()
+		Float64("LostCoreSeconds", lost).Str("Stop", r.stopReason()).Send()
 	if r == nil {
 		// The run was given up before, for example because its lease had lapsed.
 		return
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -120,6 +120,7 @@
 		}
 		p.log.Info().Int("Event", EventJobAdded).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
 			Int("Recorded", len(recorded)).Msg("a job is planned")
+		p.count(`medlargrade_jobs_planned_total`)
 	}
 	if cancelled && !js.cancelled {
 		p.cancel(js, now)
@@ -240,6 +241,7 @@
 	}
 	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.n).Str("State", string(state)).
 		Dur("Since", now.Sub(o.job.added)).Msg("an occurrence has ended")
+	p.measureEnd(o, now)
 	if state == job.Completed {
 		// The other members of a gang are about to end by themselves.
 		return
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -40,6 +40,7 @@
 		return
 	}
 	r.stop = why
+	p.count(`medlargrade_runs_stopped_total`)
 	p.log.Info().Int("Event", EventRunStopped).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
 		Str("Reason", why).Send()
 }
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -172,6 +172,10 @@
 		p.orderStart(r, now)
 		p.log.Info().Int("Event", EventRunPlanned).Str("Task", t.name).Int("Run", number).Str("Target", on[i].name).
 			Str("Worker", r.place.Worker).Dur("Waited", now.Sub(t.step.ready)).Str("Checkpoint", t.checkpoint).Send()
+		p.count(`medlargrade_runs_planned_total`)
+	}
+	if !o.begun {
+		p.measureStart(o, now)
 	}
 	o.state = job.Running
 	o.begun = true
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
@@ -19,6 +20,7 @@
 	Restore    time.Duration // time that a start from a checkpoint takes
 	Checkpoint time.Duration // work between two checkpoints
 	Policy     Policy
+	Metrics    *metrics.Set // nil for none
 }
 
 // Policy has the choices between ways to decide. The zero value is the default.
@@ -45,6 +47,9 @@
 
 // New returns a planner without jobs and targets.
 func New(cfg Settings, log zerolog.Logger) *Planner {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
 	return &Planner{
 		cfg: cfg, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
 		dirty: make(map[*occurrence]struct{}), orders: make(map[string][]Order), forgets: make(map[string]Seen),
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -182,8 +182,11 @@
 
 // lose takes that a run is over without an end that counts.
 func (p *Planner) lose(r *run, why string, now time.Time) {
+	lost := p.loss(r, now)
+	p.measureLoss(lost)
+	p.count(`medlargrade_runs_lost_total`)
 	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.place.Target).
-		Str("Reason", why).Float64("LostCoreSeconds", p.loss(r, now)).Msg("a run is over without an end")
+		Str("Reason", why).Float64("LostCoreSeconds", lost).Msg("a run is over without an end")
 	p.remove(r)
 	r.task.step.reopen()
 	p.mayHaveRun(r, now)
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/medlargrade/medlargrade/state/table"
 )
 
@@ -28,6 +30,10 @@
 
 // NewCandidate returns a candidate. Run starts it.
 func NewCandidate(cfg Settings, deps Deps) *Candidate {
+	if deps.Metrics == nil {
+		deps.Metrics = metrics.NewSet()
+	}
+	cfg.Planner.Metrics = deps.Metrics
 	return &Candidate{cfg: cfg, deps: deps, boot: rand.Uint64() | 1}
 }
 
@@ -140,6 +146,7 @@
 		c.deps.Log.Info().Int("Event", EventTakeOverFailed).Uint64("Epoch", f.row.Epoch+1).Err(err).Send()
 		return
 	}
+	c.deps.Metrics.GetOrCreateCounter(`medlargrade_planner_changes_total`).Inc()
 	c.setOwner(o)
 	err := o.run(ctx)
 	c.setOwner(nil)
--- a/coordination/shard/dump.go
+++ b/coordination/shard/dump.go
@@ -15,6 +15,13 @@
 	Plan        planner.State
 }
 
+// Owns reports whether this process owns the shard.
+func (c *Candidate) Owns() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owner != nil
+}
+
 // State returns the state of the shard if this process owns it, or nil.
 func (c *Candidate) State() *State {
 	c.mu.Lock()
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/coordination/agent"
@@ -114,4 +115,5 @@
 	// it until its context ends.
 	NewConfig func() (*configuration.Holder, func(ctx context.Context))
 	Log       zerolog.Logger
+	Metrics   *metrics.Set // nil for none
 }
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -239,6 +239,7 @@
 		w.lapsed = true
 		o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.heard)).Err(err).
 			Uint64("RefusedBy", in.GetEpoch()).Msg("what ran on a target is given up")
+		o.deps.Metrics.GetOrCreateCounter(`medlargrade_targets_lapsed_total`).Inc()
 		o.plan.Lapsed(w.name, "lease lapsed", now)
 		o.signal()
 	}
@@ -285,6 +286,7 @@
 	if err != nil || reply.GetRefused() || len(reply.GetResults()) != len(t.Orders) {
 		o.deps.Log.Info().Int("Event", EventOrdersUnanswered).Str("Target", t.Target).Int("Orders", len(t.Orders)).
 			Bool("Refused", reply.GetRefused()).Err(err).Send()
+		o.deps.Metrics.GetOrCreateCounter(`medlargrade_order_calls_unanswered_total`).Inc()
 		return
 	}
 	for i, ord := range t.Orders {
--- a/process/doc.go
+++ b/process/doc.go
@@ -17,5 +17,7 @@
 //	if err := set.Check(); err != nil {
 //		return err
 //	}
-//	return process.RunTarget(ctx, set, process.TCP(), process.NewLogger(set.LogLevel, set.Name))
+//	logs := process.NewLogs(os.Stdout, set.Name, set.Logs())
+//	defer logs.Close()
+//	return process.RunTarget(ctx, set, process.TCP(), logs.Log)
 package process
--- a/process/entry.go
+++ b/process/entry.go
@@ -59,13 +59,13 @@
 		metrics.NewSet,
 		func() *clients { return &clients{network: n} },
 		func(c *clients) *platform.Store { return platform.NewStore(c.add(), set.Platform) },
-		func(s *platform.Store) table.Store { return s },
+		func(s *platform.Store, m *metrics.Set) table.Store { return table.Measured(s, m) },
 		func(log zerolog.Logger) *configuration.Holder { return newHolder(set.Config, log) },
 		func(s table.Store, h *configuration.Holder, c *table.Clock, log zerolog.Logger) *follow.Follower {
 			return newFollower(set.Config, set.Bounds, s, h, c, log)
 		},
-		func(s table.Store, c *table.Clock, log zerolog.Logger) *intake.Service {
-			return intake.New(s, Part, c, log)
+		func(s table.Store, c *table.Clock, m *metrics.Set, log zerolog.Logger) *intake.Service {
+			return intake.New(s, Part, c, m, log)
 		},
 		func(i *intake.Service, h *configuration.Holder, s *platform.Store) *intake.Requests {
 			return intake.NewRequests(i, h, s)
@@ -93,6 +93,7 @@
 	if err != nil {
 		return err
 	}
+	e.measure()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	draining, drain := context.WithCancel(ctx)
@@ -104,7 +105,7 @@
 	servers := []*caller.Server{caller.NewServer(caller.Handler(caller.NewService(e.Requests), e.Log), e.Log)}
 	listeners := []net.Listener{lis[0]}
 	if lis[2] != nil {
-		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Config, e.Log), e.Log))
+		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Config, e.Metrics, e.Log), e.Log))
 		listeners = append(listeners, lis[2])
 	}
 	for i, srv := range servers {
@@ -137,6 +138,21 @@
 	return err
 }
 
+// measure adds the gauges of the configuration.
+func (e entry) measure() {
+	e.Metrics.NewGauge(`medlargrade_configuration_age_seconds`, func() float64 {
+		age, _ := e.Follower.Age()
+		return age.Seconds()
+	})
+	e.Metrics.NewGauge(`medlargrade_configuration_version`, func() float64 {
+		if s := e.Config.Snapshot(); s != nil {
+			return float64(s.Version)
+		}
+		return 0
+	})
+	e.Metrics.NewGauge(`medlargrade_store_silent_seconds`, func() float64 { return e.Intake.StoreSilent().Seconds() })
+}
+
 // ready returns why callers should go elsewhere, or nil.
 func (e entry) ready(leaving bool) error {
 	age, ok := e.Follower.Age()
--- a/process/events.go
+++ b/process/events.go
@@ -11,4 +11,9 @@
 	// EventDrainIncomplete occurs when the drain time of an entry ended before all
 	// requests.
 	EventDrainIncomplete = 663
+	// EventReloaded occurs when changed settings are taken.
+	EventReloaded = 664
+	// EventReloadRefused occurs when the settings can't be read or are invalid. The
+	// former ones stay.
+	EventReloadRefused = 665
 )
--- /dev/null
+++ b/process/reload_test.go
@@ -0,0 +1,130 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+)
+
+// output collects what a process writes.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
+
+// take returns the lines since the last call.
+func (o *output) take(t *testing.T) []map[string]any {
+	t.Helper()
+	synctest.Wait()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []map[string]any
+	for d := json.NewDecoder(&o.text); d.More(); {
+		var line map[string]any
+		qt.Assert(t, d.Decode(&line), qt.IsNil)
+		out = append(out, line)
+	}
+	return out
+}
+
+// Guards against a change of the settings that is missed, against one that ends or
+// breaks the process, and against a change that nobody is told takes a restart.
+func TestReload(t *testing.T) {
+	type step struct {
+		name    string
+		file    string // new content
+		signal  bool   // otherwise the change of the file is to be noticed
+		event   float64
+		cause   string
+		restart []any
+		level   zerolog.Level // afterwards
+	}
+	const first = `{"LogLevel": "info", "LogLines": 100, "DrainTime": "5s"}`
+	steps := []step{
+		{name: "signal without a change", file: first, signal: true, event: EventReloaded, cause: "signal", restart: []any{}, level: zerolog.InfoLevel},
+		{
+			name: "changed file", file: `{"LogLevel": "debug", "LogLines": 100, "DrainTime": "5s"}`,
+			event: EventReloaded, cause: "file", restart: []any{}, level: zerolog.DebugLevel,
+		},
+		{name: "no JSON", file: `{"LogLevel": "err`, event: EventReloadRefused, cause: "file", level: zerolog.DebugLevel},
+		{
+			name: "invalid value", file: `{"LogLevel": "loud"}`, signal: true,
+			event: EventReloadRefused, cause: "signal", level: zerolog.DebugLevel,
+		},
+		{
+			name: "needs a restart", file: `{"LogLevel": "warn", "LogLines": 100, "DrainTime": "9s", "Bounds": {"StopTime": "2s"}}`, signal: true,
+			event: EventReloaded, cause: "signal", restart: []any{"DrainTime", "Bounds"}, level: zerolog.WarnLevel,
+		},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		defer zerolog.SetGlobalLevel(zerolog.GlobalLevel())
+		path := filepath.Join(t.TempDir(), "settings.json")
+		write := func(body string, age time.Duration) {
+			qt.Assert(t, os.WriteFile(path, []byte(body), 0o600), qt.IsNil)
+			// The resolution of the file system's times must not hide a change.
+			at := time.Now().Add(age)
+			qt.Assert(t, os.Chtimes(path, at, at), qt.IsNil)
+		}
+		read := func() (Settings, error) {
+			set := DefaultEntrySettings()
+			set.Name, set.DataCentre, set.CallerAddress = "e1", "dc1", "127.0.0.1:1"
+			set.OperatorAddress, set.Platform = "127.0.0.1:2", "http://127.0.0.1:3"
+			if err := ReadSettings(path, &set); err != nil {
+				return nil, err
+			}
+			return set, set.Check()
+		}
+		write(first, 0)
+		set, err := read()
+		qt.Assert(t, err, qt.IsNil)
+		out := &output{}
+		logs := NewLogs(out, "e1", LogSettings{Level: "info", Lines: 100})
+		hup := make(chan os.Signal, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		r := &Reloader{Path: path, Read: read, Logs: logs, Signal: hup}
+		go func() {
+			defer close(done)
+			r.Run(ctx, set)
+		}()
+		synctest.Wait()
+		for i, s := range steps {
+			write(s.file, time.Duration(i)*time.Second)
+			if s.signal {
+				hup <- syscall.SIGHUP
+			} else {
+				time.Sleep(reloadCheck + time.Millisecond)
+			}
+			synctest.Wait()
+			qt.Check(t, zerolog.GlobalLevel(), qt.Equals, s.level, qt.Commentf("%s", s.name))
+			lines := out.take(t)
+			qt.Assert(t, lines, qt.HasLen, 1, qt.Commentf("%s", s.name))
+			qt.Check(t, lines[0]["Event"], qt.Equals, s.event, qt.Commentf("%s", s.name))
+			qt.Check(t, lines[0]["Cause"], qt.Equals, s.cause, qt.Commentf("%s", s.name))
+			if s.restart != nil {
+				qt.Check(t, lines[0]["NeedRestart"], qt.DeepEquals, s.restart, qt.Commentf("%s", s.name))
+			}
+			time.Sleep(reloadCheck)
+		}
+		qt.Check(t, changedFields(set, r.current), qt.DeepEquals, []string{"DrainTime", "Bounds"})
+		cancel()
+		<-done
+		logs.Close()
+	})
+}
--- a/process/settings.go
+++ b/process/settings.go
@@ -80,6 +80,7 @@
 	Config          string   `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
 	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress; 1m if missing"`
 	LogLevel        string   `long:"log-level" description:"debug, info, warn or error; info if missing"`
+	LogLines        int      `long:"log-lines" description:"log lines a second beside the ends of requests, and as many warnings; 200 if missing"`
 	Bounds          Bounds   `no-flag:"true"`
 }
 
@@ -94,17 +95,24 @@
 	Platform        string `long:"platform" description:"URL of the platform's store"`
 	Config          string `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
 	LogLevel        string `long:"log-level" description:"debug, info, warn or error; info if missing"`
+	LogLines        int    `long:"log-lines" description:"log lines a second beside the ends of requests, and as many warnings; 200 if missing"`
 	Bounds          Bounds `no-flag:"true"`
 }
 
+// defaultLogLines is the budget of log lines a second. A planner at the target size
+// decides on about 100 tasks a second in its busiest seconds.
+const defaultLogLines = 200
+
 // DefaultEntrySettings returns the settings that have defaults.
 func DefaultEntrySettings() EntrySettings {
-	return EntrySettings{Config: SourceApplied, DrainTime: Duration(time.Minute), LogLevel: "info", Bounds: DefaultBounds()}
+	return EntrySettings{
+		Config: SourceApplied, DrainTime: Duration(time.Minute), LogLevel: "info", LogLines: defaultLogLines, Bounds: DefaultBounds(),
+	}
 }
 
 // DefaultTargetSettings returns the settings that have defaults.
 func DefaultTargetSettings() TargetSettings {
-	return TargetSettings{Config: SourceApplied, LogLevel: "info", Bounds: DefaultBounds()}
+	return TargetSettings{Config: SourceApplied, LogLevel: "info", LogLines: defaultLogLines, Bounds: DefaultBounds()}
 }
 
 // ReadSettings fills v from a JSON file. Unknown fields are errors. An empty
@@ -139,6 +147,7 @@
 		checkSource(s.Config),
 		checkPositive("DrainTime", int64(s.DrainTime)),
 		checkLevel(s.LogLevel),
+		checkPositive("LogLines", int64(s.LogLines)),
 		s.Bounds.check(),
 	}
 	if s.RouteAddress != "" {
@@ -162,6 +171,7 @@
 		CheckURL("Platform", s.Platform),
 		checkSource(s.Config),
 		checkLevel(s.LogLevel),
+		checkPositive("LogLines", int64(s.LogLines)),
 		s.Bounds.check(),
 	)
 }
@@ -225,13 +235,3 @@
 	}
 	return nil
 }
-
-// NewLogger returns the process's logger, which writes JSON lines to standard
-// output.
-func NewLogger(level, process string) zerolog.Logger {
-	l, err := zerolog.ParseLevel(level)
-	if err != nil {
-		l = zerolog.InfoLevel
-	}
-	return zerolog.New(os.Stdout).Level(l).With().Timestamp().Str("Process", process).Logger()
-}
--- a/process/target.go
+++ b/process/target.go
@@ -42,18 +42,20 @@
 		metrics.NewSet,
 		func() *clients { return &clients{network: n} },
 		func(c *clients) *platform.Store { return platform.NewStore(c.add(), set.Platform) },
-		func(s *platform.Store) table.Store { return s },
+		func(s *platform.Store, m *metrics.Set) table.Store { return table.Measured(s, m) },
 		func() *agent.Agents { return agent.NewAgents(n.Dial) },
-		func(s *platform.Store, c *clients, log zerolog.Logger) *coordagent.Agent {
+		func(s *platform.Store, c *clients, m *metrics.Set, log zerolog.Logger) *coordagent.Agent {
 			w := platform.NewWorker(c.add(), set.Worker)
-			return coordagent.New(coordagent.Settings{Name: set.Name, HoldMax: time.Duration(set.Bounds.LeaseMax)}, w, s, log)
+			return coordagent.New(coordagent.Settings{
+				Name: set.Name, HoldMax: time.Duration(set.Bounds.LeaseMax), Metrics: m,
+			}, w, s, log)
 		},
-		func(s table.Store, c *table.Clock, as *agent.Agents, a *coordagent.Agent, log zerolog.Logger) *shard.Candidate {
+		func(s table.Store, c *table.Clock, as *agent.Agents, a *coordagent.Agent, m *metrics.Set, log zerolog.Logger) *shard.Candidate {
 			return shard.NewCandidate(shard.Settings{
 				Part: Part, Name: set.Name, Address: set.Address, HoldMax: time.Duration(set.Bounds.LeaseMax),
 				Planner: set.Bounds.planner(),
 			}, shard.Deps{
-				Store: s, Clock: c, Agents: as, Agent: a, Log: log,
+				Store: s, Clock: c, Agents: as, Agent: a, Log: log, Metrics: m,
 				NewConfig: func() (*configuration.Holder, func(context.Context)) {
 					h := newHolder(set.Config, log)
 					return h, newFollower(set.Config, set.Bounds, s, h, c, log).Run
@@ -80,6 +82,12 @@
 	if err != nil {
 		return errors.Join(err, t.Agents.Close())
 	}
+	t.Metrics.NewGauge(`medlargrade_planner`, func() float64 {
+		if t.Candidate.Owns() {
+			return 1
+		}
+		return 0
+	})
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
