Tell a job's story from the logs, and say why a task waits

Cause: of a late job the log showed when it was accepted and started, not why it waited in between, and following an ID through the logs of several processes took a search in each of them.

Ruled out: a line for each pass in which a task waits. A full site would log five lines a second for each waiting gang.

--- a/cmd/medlargrade/commands.go
+++ b/cmd/medlargrade/commands.go
@@ -41,6 +41,7 @@
 		{"list", "List the jobs of a workspace", "Lists the recorded jobs of a workspace in key order.", &listCommand{}},
 		{"status", "Show targets, guarantees and jobs", "Shows what the store says of the site, as a table or as JSON. It only reads.", &statusCommand{}},
 		{"dump", "Dump the state of a process", "Prints the whole state of an entry or target process as JSON.", &dumpCommand{}},
+		{"explain", "Tell what happened to a job", "Reads log lines of any number of processes and prints those that explain one job, in order of time, with the gaps.", &explainCommand{}},
 		{"standin", "Run a stand-in for the platform", "Serves the platform's store and any number of workers from memory, for tests and demonstrations.", &standinCommand{}},
 	}
 }
--- /dev/null
+++ b/cmd/medlargrade/explain.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/agent"
+	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/follow"
+	"github.com/medlargrade/medlargrade/coordination/intake"
+	"github.com/medlargrade/medlargrade/coordination/planner"
+	"github.com/medlargrade/medlargrade/coordination/shard"
+	"github.com/medlargrade/medlargrade/platform"
+	"github.com/medlargrade/medlargrade/process"
+	"github.com/medlargrade/medlargrade/transport/stdout"
+)
+
+const (
+	// gapLimit is the silence within a job's story that is named. A planner looks at
+	// what waits five times a second, and a worker reports at least once a second.
+	gapLimit = time.Second
+	// around is how long before a job's first line other events are shown: a change
+	// of the planner takes less.
+	around = 5 * time.Second
+	// maxLine bounds a line of a log. A line has a task's name and an error text.
+	maxLine = 1 << 20
+)
+
+// explainCommand tells what happened to one job.
+type explainCommand struct {
+	Logs []string `long:"log" description:"file with the log lines of one or more processes, in any order; may be given several times; standard input if missing"`
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"ID of the job"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute prints the job's story.
+func (c *explainCommand) Execute([]string) error {
+	var lines []logLine
+	for _, path := range c.Logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return &ExitError{ExitProblems, fmt.Errorf("log: %w", err)}
+		}
+		lines, err = readLog(lines, f)
+		_ = f.Close() // It was only read.
+		if err != nil {
+			return fmt.Errorf("log %s: %w", path, err)
+		}
+	}
+	if len(c.Logs) == 0 {
+		var err error
+		if lines, err = readLog(lines, os.Stdin); err != nil {
+			return fmt.Errorf("standard input: %w", err)
+		}
+	}
+	return explain(os.Stdout, lines, c.Args.ID)
+}
+
+// logLine is a line of a process's log.
+type logLine struct {
+	Time    time.Time `json:"time"`
+	Process string
+	Event   int
+	Job     string
+	Task    string
+	text    []byte
+}
+
+// readLog appends the lines of a log. What precedes the JSON object of a line, such
+// as a time of the collector, and lines without one are ignored.
+func readLog(lines []logLine, r io.Reader) ([]logLine, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		i := bytes.IndexByte(s.Bytes(), '{')
+		if i < 0 {
+			continue
+		}
+		l := logLine{text: bytes.Clone(s.Bytes()[i:])}
+		if json.Unmarshal(l.text, &l) != nil || l.Event == 0 || l.Time.IsZero() {
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines, s.Err()
+}
+
+// isOf reports whether a line is about a job.
+func (l logLine) isOf(id string) bool { return l.Job == id || strings.HasPrefix(l.Task, id+".") }
+
+// general are the events that concern all jobs.
+var general = []int{
+	shard.EventOwned, shard.EventOwnershipEnded, shard.EventTakeOverAsked, shard.EventTargetLapsed,
+	follow.EventStoreLost, follow.EventStoreRegained, intake.EventStoreSilent, intake.EventStoreBack,
+	process.EventStarted, process.EventStopping, process.EventStopped, configuration.EventInForce,
+	stdout.EventLinesLeftOut, agent.EventWorkerGone, planner.EventTargetLife,
+}
+
+// errNoLines reports a job that no line names.
+var errNoLines = errors.New("no line of the log names the job")
+
+// explain prints the lines about a job, and between them those that concern all
+// jobs, in order of time. Lines of different processes are as exact as their
+// clocks.
+func explain(out io.Writer, lines []logLine, id string) error {
+	slices.SortStableFunc(lines, func(x, y logLine) int { return x.Time.Compare(y.Time) })
+	first, last := -1, -1
+	for i, l := range lines {
+		if l.isOf(id) {
+			if first < 0 {
+				first = i
+			}
+			last = i
+		}
+	}
+	if first < 0 {
+		return fmt.Errorf("%w %s", errNoLines, id)
+	}
+	begin := lines[first].Time
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	var before time.Time
+	for i, l := range lines {
+		mine := l.isOf(id)
+		if !mine && (i > last || l.Time.Before(begin.Add(-around)) || !slices.Contains(general, l.Event)) {
+			continue
+		}
+		if mine {
+			if gap := l.Time.Sub(before); !before.IsZero() && gap > gapLimit {
+				_, _ = fmt.Fprintf(w, "\t\t\t(%.1f s without a line about the job)\n", gap.Seconds()) // Flush reports errors.
+			}
+			before = l.Time
+		}
+		_, _ = fmt.Fprintf(w, "%+.3f s\t%s\t%d\t%s\n", l.Time.Sub(begin).Seconds(), l.Process, l.Event, l.describe()) // Flush reports errors.
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	_, err := fmt.Fprintln(out, "\n"+conclude(lines, id))
+	return err
+}
+
+// fixed are the fields that describe does not repeat.
+var fixed = []string{"level", "time", "Process", "Event", "Job", "message"}
+
+// describe returns what happened, and the fields of the line.
+func (l logLine) describe() string {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(l.text, &fields) != nil {
+		return string(l.text) // readLog has decoded it, so this does not occur.
+	}
+	var parts []string
+	for _, name := range fieldsInOrder(l.text) {
+		if !slices.Contains(fixed, name) && string(fields[name]) != `""` {
+			parts = append(parts, name+"="+string(fields[name]))
+		}
+	}
+	what := meanings[l.Event]
+	if what == "" {
+		what = "event"
+	}
+	return strings.TrimSpace(what + "  " + strings.Join(parts, " "))
+}
+
+// fieldsInOrder returns the names of an object's fields as they stand in the text.
+func fieldsInOrder(text []byte) []string {
+	d := json.NewDecoder(bytes.NewReader(text))
+	var out []string
+	if _, err := d.Token(); err != nil {
+		return nil
+	}
+	for d.More() {
+		t, err := d.Token()
+		name, ok := t.(string)
+		var value json.RawMessage
+		if err != nil || !ok || d.Decode(&value) != nil {
+			return out
+		}
+		out = append(out, name)
+	}
+	return out
+}
+
+// meanings has the events that occur in stories.
+var meanings = map[int]string{
+	platform.EventCallRefused:  "call refused",
+	intake.EventSubmitted:      "submission answered",
+	intake.EventCancelled:      "cancellation recorded",
+	intake.EventStoreSilent:    "store silent for an entry",
+	intake.EventStoreBack:      "store back for an entry",
+	planner.EventJobAdded:      "taken into the plan",
+	planner.EventJobCancelled:  "cancelled",
+	planner.EventJobEnded:      "occurrence ended",
+	planner.EventRunPlanned:    "run planned",
+	planner.EventRunEnded:      "run ended",
+	planner.EventRunLost:       "run lost",
+	planner.EventRunStopped:    "run to be stopped",
+	planner.EventRunFailed:     "run failed",
+	planner.EventRunFollowed:   "run found again",
+	planner.EventStartRefused:  "start refused",
+	planner.EventClaim:         "capacity reclaimed",
+	planner.EventUnitWaits:     "waits",
+	planner.EventForeignRun:    "unknown run found",
+	planner.EventTargetLife:    "worker registered",
+	agent.EventStartOrder:      "start ordered at the worker",
+	agent.EventStopOrder:       "stop ordered at the worker",
+	agent.EventWorkerGone:      "worker gone",
+	shard.EventOwned:           "new planner",
+	shard.EventOwnershipEnded:  "planner ended",
+	shard.EventTakeOverAsked:   "planner asks for a successor",
+	shard.EventTargetLapsed:    "leases lapsed",
+	follow.EventStoreLost:      "store lost",
+	follow.EventStoreRegained:  "store regained",
+	process.EventStarted:       "process started",
+	process.EventStopping:      "process stopping",
+	process.EventStopped:       "process stopped",
+	configuration.EventInForce: "configuration in force",
+	stdout.EventLinesLeftOut:   "LOG LINES LEFT OUT",
+}
+
+// conclude sums up a job's story.
+func conclude(lines []logLine, id string) string {
+	var accepted, planned time.Time
+	var state, waits, refusal string
+	refused, ended := 0, 0
+	counts := make(map[int]int)
+	seen := make(map[string]struct{}) // names of runs
+	for _, l := range lines {
+		if !l.isOf(id) {
+			continue
+		}
+		counts[l.Event]++
+		var f struct {
+			Outcome, State, Reason, Error string
+			Run                           int
+		}
+		_ = json.Unmarshal(l.text, &f) // A field of another type leaves the others.
+		switch l.Event {
+		case intake.EventSubmitted:
+			switch {
+			case f.Outcome == "accepted" && accepted.IsZero():
+				accepted = l.Time
+			case f.Outcome == "refused":
+				refused++
+				refusal = f.Error
+			}
+		case platform.EventCallRefused:
+			refused++
+			refusal = f.Reason
+		case planner.EventRunPlanned:
+			if planned.IsZero() {
+				planned = l.Time
+			}
+			seen[fmt.Sprint(l.Task, "/", f.Run)] = struct{}{}
+		case planner.EventUnitWaits:
+			waits = f.Reason
+		case planner.EventJobEnded:
+			ended++
+			state = f.State
+		}
+	}
+	out := []string{fmt.Sprintf("job %s:", id)}
+	if refused > 0 {
+		out = append(out, fmt.Sprintf("%d calls refused, the last one because: %s;", refused, refusal))
+	}
+	switch {
+	case accepted.IsZero():
+		out = append(out, "no line says that it was accepted;")
+	case planned.IsZero():
+		out = append(out, "accepted, never placed;")
+	default:
+		out = append(out, fmt.Sprintf("first placed %.3f s after acceptance;", planned.Sub(accepted).Seconds()))
+	}
+	if waits != "" {
+		out = append(out, fmt.Sprintf("waited because: %s;", waits))
+	}
+	out = append(out, fmt.Sprintf("%d runs, %d lost, %d stopped, %d failed;", len(seen), counts[planner.EventRunLost],
+		counts[planner.EventRunStopped], counts[planner.EventRunFailed]))
+	switch ended {
+	case 0:
+		out = append(out, "no end recorded")
+	case 1:
+		out = append(out, state)
+	default:
+		out = append(out, fmt.Sprintf("%d occurrences ended, the last one %s", ended, state))
+	}
+	return strings.Join(out, " ")
+}
--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -7,6 +7,7 @@
 //	medlargrade config check|diff|apply|show     review and apply the configuration
 //	medlargrade submit|job|cancel|list           act as a caller
 //	medlargrade status|dump                      look into a running process
+//	medlargrade explain ID --log FILE            tell what happened to a job
 //	medlargrade standin-platform|standin-worker  stand-ins for tests and demonstrations
 //
 // Exit codes: 0 success, 1 failure, 2 invalid input or settings, 3 a conflict
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -92,15 +92,19 @@
 	return true
 }
 
-// reclaim stops other work so that a unit fits that is urgent or guaranteed.
-func (p *Planner) reclaim(u unit, rooms []*room, now time.Time) {
+// reclaim stops other work so that a unit fits that is urgent or guaranteed. It
+// returns why it does not, or "".
+func (p *Planner) reclaim(u unit, rooms []*room, now time.Time) string {
 	c := &claimant{unit: u, guaranteed: p.isGuaranteed(u), use: make(map[string]int)}
 	if !c.guaranteed && (!isUrgent(u.kind) || u.tier == tierOver) {
-		return
+		return "too little room, and the job is neither guaranteed nor urgent and still of use"
 	}
 	best := p.cheapestVictims(c, rooms, now)
-	if best == nil || !p.isWorth(c, best.loss) {
-		return
+	if best == nil {
+		return "too little room, and too little that may be stopped"
+	}
+	if !p.isWorth(c, best.loss) {
+		return "too little room, and what would be stopped is worth more"
 	}
 	p.log.Info().Int("Event", EventClaim).Str("Job", u.step.occ.job.job.ID).Int("Step", u.step.index).
 		Int("Tasks", len(u.tasks)).Int("Victims", len(best.victims)).Float64("Loss", best.loss).Bool("Guaranteed", c.guaranteed).
@@ -110,6 +114,7 @@
 		p.stopGang(r, "reclaimed for "+u.step.occ.job.job.ID)
 	}
 	p.claims = append(p.claims, &claim{unit: u, on: best.on, since: now})
+	return ""
 }
 
 // clearing is a choice of victims.
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -25,6 +25,9 @@
 	// EventRunFollowed occurs when a run is found in the next life of its worker,
 	// which has the ID of the former one.
 	EventRunFollowed = 562
+	// EventUnitWaits occurs when a task or gang finds no place, and again when the
+	// reason changes.
+	EventUnitWaits = 563
 	// EventStartRefused occurs when a start was refused.
 	EventStartRefused = 560
 	// EventClaim occurs when capacity is reclaimed for a job.
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -43,6 +43,7 @@
 	tasks    []*task
 	failures int       // runs of the gang that ended failed
 	ready    time.Time // when the tasks could first start; zero before
+	waits    string    // why a unit found no place last, as logged
 	// failedRun is the last run of the gang that was counted as failed.
 	failedRun int
 }
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -114,7 +114,9 @@
 	rooms := p.rooms(u, now)
 	on := p.choose(u, rooms, now)
 	if on == nil {
-		p.reclaim(u, rooms, now)
+		if why := p.reclaim(u, rooms, now); why != "" {
+			p.noteWait(u, rooms, why)
+		}
 		return
 	}
 	if fitsNow(u, on, rooms) {
@@ -124,6 +126,24 @@
 	p.claims = append(p.claims, &claim{unit: u, on: on, since: now})
 }
 
+// noteWait logs why a unit waits if that is news for its step.
+func (p *Planner) noteWait(u unit, rooms []*room, why string) {
+	if len(rooms) == 0 {
+		why = "no worker may run it"
+	}
+	if u.step.waits == why {
+		return
+	}
+	u.step.waits = why
+	free := 0
+	for _, r := range rooms {
+		free += r.free.accelerators
+	}
+	p.log.Info().Int("Event", EventUnitWaits).Str("Job", u.step.occ.job.job.ID).Int("Occurrence", u.step.occ.n).
+		Int("Step", u.step.index).Int("Tasks", len(u.tasks)).Int("Accelerators", len(u.tasks)*u.size.accelerators).
+		Int("FreeAccelerators", free).Int("Workers", len(rooms)).Int("Priority", u.kind.Priority()).Str("Reason", why).Send()
+}
+
 // fitsNow reports whether the places are free already.
 func fitsNow(u unit, on []*target, rooms []*room) bool {
 	need := make(map[*target]size)
