--- /dev/null
+++ b/coordination/planner/health_test.go
@@ -0,0 +1,68 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a worker that fails everything and gets all work because it is
+// always free, and against a sound worker that is blamed for a task that fails
+// everywhere.
+func TestHealth(t *testing.T) {
+	type event struct {
+		at   time.Duration
+		task string // that failed; empty for a success
+	}
+	tests := []struct {
+		name   string
+		events []event
+		until  time.Duration // end of the pause after the last event; 0 for none
+	}{
+		{name: "one failure", events: []event{{0, "a"}}},
+		{name: "one task twice", events: []event{{0, "a"}, {time.Second, "a"}}},
+		{name: "two tasks", events: []event{{0, "a"}, {time.Second, "b"}}, until: time.Second + firstPause},
+		{name: "three tasks", events: []event{{0, "a"}, {0, "b"}, {3 * time.Second, "c"}}, until: 3*time.Second + 2*firstPause},
+		{name: "success between", events: []event{{0, "a"}, {0, ""}, {0, "b"}}},
+		{name: "success ends the pause", events: []event{{0, "a"}, {0, "b"}, {time.Second, ""}}},
+		{
+			name:   "bounded pause",
+			events: []event{{0, "a"}, {0, "b"}, {0, "c"}, {0, "d"}, {0, "e"}, {0, "f"}, {0, "g"}, {0, "h"}}, until: maxPause,
+		},
+	}
+	start := time.Now()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var h health
+			last := time.Duration(0)
+			for _, e := range tt.events {
+				last = e.at
+				if e.task == "" {
+					h.succeeded()
+				} else {
+					h.failed(e.task, start.Add(e.at))
+				}
+			}
+			qt.Check(t, h.suspect(start.Add(last)), qt.Equals, tt.until > 0)
+			if tt.until > 0 {
+				qt.Check(t, h.suspect(start.Add(tt.until-time.Millisecond)), qt.IsTrue)
+			}
+			qt.Check(t, h.suspect(start.Add(tt.until)), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against learned run times that jump after one odd run, and against ratios
+// of tasks that declare no time.
+func TestEstimates(t *testing.T) {
+	e := make(estimates)
+	e.observe("k", 0, time.Second)
+	qt.Assert(t, e["k"], qt.IsNil)
+	for range 20 {
+		e.observe("k", time.Second, 2*time.Second)
+	}
+	qt.Check(t, e["k"].mean, qt.Equals, 2.0)
+	e.observe("k", time.Second, 22*time.Second)
+	qt.Check(t, e["k"].mean > 2 && e["k"].mean <= 4.01, qt.IsTrue, qt.Commentf("%v", e["k"].mean))
+}
