Log the ID of each call, and find a job by it

Cause: callers and the operators' tools name a request by the ID of its call (Request-Id), and no line had it.

Ruled out: no other header names a job; its own ID is part of the path.

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -39,7 +39,7 @@
 type explainCommand struct {
 	Logs []string `long:"log" description:"file with the log lines of one or more processes, in any order; may be given several times; standard input if missing"`
 	Args struct {
-		ID string `positional-arg-name:"ID" description:"ID of the job"`
+		ID string `positional-arg-name:"ID" description:"ID of the job, or of a call about it"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -73,7 +73,9 @@
 	Event   int
 	Job     string
 	Task    string
-	text    []byte
+	// RequestID is that of one call about the job.
+	RequestID string
+	text      []byte
 }
 
 // readLog appends the lines of a log. What precedes the JSON object of a line, such
@@ -114,6 +116,9 @@
 // clocks.
 func explain(out io.Writer, lines []logLine, id string) error {
 	slices.SortStableFunc(lines, func(x, y logLine) int { return x.Time.Compare(y.Time) })
+	if i := slices.IndexFunc(lines, func(l logLine) bool { return l.RequestID == id && l.Job != "" }); i >= 0 {
+		id = lines[i].Job
+	}
 	first, last := -1, -1
 	for i, l := range lines {
 		if l.isOf(id) {
--- a/cmd/medlargrade/explain_test.go
+++ b/cmd/medlargrade/explain_test.go
@@ -25,7 +25,7 @@
 const (
 	// entryLog has what collectors add before a line, and lines of other programs.
 	entryLog = `started by hand
-  19.1 e1 {"level":"info","time":"2026-01-01T10:00:00.000Z","Process":"e1","Event":610,"Job":"aa","Outcome":"refused","error":"the store does not answer"}
+  19.1 e1 {"level":"info","time":"2026-01-01T10:00:00.000Z","Process":"e1","Event":610,"Job":"aa","RequestID":"r7","Outcome":"refused","error":"the store does not answer"}
 {"level":"info","time":"2026-01-01T10:00:01.000Z","Process":"e1","Event":613,"Gap":700}
 {"level":"info","time":"2026-01-01T10:00:01.200Z","Process":"e1","Event":610,"Job":"aa","Outcome":"accepted"}
 {"level":"info","time":"2026-01-01T10:00:01.300Z","Process":"e1","Event":610,"Job":"aab","Outcome":"accepted"}
@@ -47,7 +47,7 @@
 func TestExplain(t *testing.T) {
 	got := storyOf(t, "aa", plannerLog, entryLog)
 	want := []string{
-		"+0.000 s  e1  610  submission answered  Outcome=\"refused\" error=\"the store does not answer\"",
+		"+0.000 s  e1  610  submission answered  RequestID=\"r7\" Outcome=\"refused\" error=\"the store does not answer\"",
 		"+1.000 s  e1  613  store back for an entry  Gap=700",
 		"(1.2 s without a line about the job)",
 		"+1.200 s  e1  610  submission answered  Outcome=\"accepted\"",
@@ -70,6 +70,11 @@
 	qt.Check(t, lines, qt.DeepEquals, want)
 }
 
+// Guards against a call that can't be found by its own ID.
+func TestExplainCall(t *testing.T) {
+	qt.Check(t, storyOf(t, "r7", plannerLog, entryLog), qt.Equals, storyOf(t, "aa", plannerLog, entryLog))
+}
+
 // Guards against an answer that looks like a story although nothing is known.
 func TestExplainUnknownJob(t *testing.T) {
 	lines, err := readLog(nil, strings.NewReader(entryLog))
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -147,8 +147,8 @@
 }
 
 func (s *Service) logSubmit(j job.Job, outcome string, err error) {
-	s.log.Info().Int("Event", EventSubmitted).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
-		Str("Outcome", outcome).Dur("StoreSilent", s.gate.downFor()).Err(err).Send()
+	s.log.Info().Int("Event", EventSubmitted).Str("Job", j.ID).Str("RequestID", j.RequestID).Str("Kind", j.Kind).
+		Str("Workspace", j.Workspace).Str("Outcome", outcome).Dur("StoreSilent", s.gate.downFor()).Err(err).Send()
 	s.set.GetOrCreateCounter(`medlargrade_submissions_total{outcome="` + outcome + `"}`).Inc()
 }
 
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -40,6 +40,8 @@
 	IntervalMillis int64 `json:",omitempty"`
 	// AcceptedMillis is the store's steady clock shortly before the acceptance.
 	AcceptedMillis int64
+	// RequestID is that of the call that recorded the job; empty if it had none.
+	RequestID string `json:",omitempty"`
 	// Token tells apart the writes of one ID by several submissions.
 	Token string
 	// Key is the idempotency key of a job that was submitted under one.
