Learn of new jobs soon after the store returns

Ruled out: a watchdog that drops watches when a commit succeeds. It needs the planner's loop to know its feeds, and entries do not commit.

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -39,7 +39,7 @@
 type explainCommand struct {
 	Logs []string `long:"log" description:"file with the log lines of one or more processes, in any order; may be given several times; standard input if missing"`
 	Args struct {
-		ID string `positional-arg-name:"ID" description:"ID of the job, or of a call about it"`
+		ID string `positional-arg-name:"ID" description:"ID of a job, of one of its tasks, or of a call"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -97,8 +97,10 @@
 	return lines, s.Err()
 }
 
-// isOf reports whether a line is about a job.
-func (l logLine) isOf(id string) bool { return l.Job == id || strings.HasPrefix(l.Task, id+".") }
+// isOf reports whether a line is about a job or task.
+func (l logLine) isOf(id string) bool {
+	return l.Job == id || l.Task == id || strings.HasPrefix(l.Task, id+".")
+}
 
 // general are the events that concern all jobs.
 var general = []int{
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -102,7 +102,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, version uint64) (uint64, error) {
-	c, err := f.store.Watch(ctx, f.cfg.Table, version, f.cfg.Wait)
+	c, err := f.store.Watch(ctx, f.cfg.Table, version, f.wait())
 	if err != nil {
 		return version, err
 	}
@@ -113,6 +113,18 @@
 	return c.Version, nil
 }
 
+// wait returns how long the store may wait before it answers. After a failed call it
+// must answer at once: a call that is sent shortly before the store returns may get
+// no answer, and then hangs for its time limit, which is longer by the wait.
+func (f *Follower) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return 0
+	}
+	return f.cfg.Wait
+}
+
 func (f *Follower) observe(now time.Duration) {
 	if f.cfg.Clock != nil {
 		f.cfg.Clock.Observe(now)
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -82,8 +82,10 @@
 	// silentRecorded is how long a target has not answered when the time of its last
 	// answer is recorded for the next owner.
 	silentRecorded = 2 * time.Second
-	// followWait is the wait of one watch of a table.
-	followWait = 5 * time.Second
+	// followWait is the wait of one watch of a table. A watch whose answer is lost in an
+	// outage hangs for this time and the time limit of a call, in which the planner
+	// does not learn of new jobs.
+	followWait = 600 * time.Millisecond
 	// fenceBits is the room for fencing tokens of one epoch.
 	fenceBits = 20
 )
