Try a task again where it failed if no other worker may run it

Cause: playing the README's tour with a job that fails. A task never returned to a worker on which it had failed; on a site of one worker, or with a label that one worker has, it waited for ever instead of being tried again or failing.

Change: the worker is left out only if another one may run the task, now or after a pause. TestRetryAfterFailure failed before.

Ruled out: leaving it out only while another worker is usable at the moment. A pause of the others would send the task back and use up its attempts.

--- /dev/null
+++ b/coordination/planner/bench_test.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// Tasks that run on each target in the benchmarks: 84,000 on 7,400 workers.
+const benchTasks = 11
+
+// benchPlanner returns a planner of n targets with work on each.
+func benchPlanner(b *testing.B, n int) (*Planner, time.Time) {
+	b.Helper()
+	now := time.Unix(1_800_000_000, 0)
+	p := New(Settings{StopTime: time.Second, GangWait: time.Second, FarFactor: 3, Policy: Policy{NoHeadroom: true}}, zerolog.Nop())
+	p.SetConfig(testConfig())
+	p.Loaded()
+	for i := range n {
+		name := fmt.Sprintf("t%05d", i)
+		p.Report(name, &agentrpc.WatchReply{Listed: true, Look: 1, Boot: 1, Worker: &agentrpc.Worker{
+			Life: &agentrpc.Life{Worker: name, Born: 1}, Pool: testPool, Cpu: 128_000, MemoryMb: 262_144, Accelerators: 16,
+			Rack: fmt.Sprintf("r%05d", i/3),
+		}}, now)
+	}
+	const perJob = 10
+	for i := range n * benchTasks / perJob {
+		p.AddJob(newJob(fmt.Sprintf("j%06d", i), "long", job.Step{Tasks: perJob, Accelerators: 1, EstimateMillis: 28_800_000}), false, nil, now)
+	}
+	for {
+		if p.Plan(now).Empty() {
+			return p, now
+		}
+	}
+}
+
+// BenchmarkPass measures a pass over a site at work: with nothing to do, with a
+// gang of 64 that finds no place, and one that places a gang of 64.
+func BenchmarkPass(b *testing.B) {
+	for _, n := range []int{11, 100, 460, 1000} {
+		b.Run(fmt.Sprintf("idle/%d", n), func(b *testing.B) {
+			p, now := benchPlanner(b, n)
+			for b.Loop() {
+				p.Plan(now)
+			}
+		})
+		b.Run(fmt.Sprintf("waiting/%d", n), func(b *testing.B) {
+			p, now := benchPlanner(b, n)
+			p.AddJob(newJob("gang", "long", job.Step{Tasks: 64, Accelerators: 16, Gang: true}), false, nil, now)
+			for b.Loop() {
+				p.Plan(now)
+			}
+		})
+		if n < 64 {
+			continue
+		}
+		b.Run(fmt.Sprintf("gang/%d", n), func(b *testing.B) {
+			p, now := benchPlanner(b, n)
+			i := 0
+			for b.Loop() {
+				i++
+				id := fmt.Sprintf("gang-%d", i)
+				p.AddJob(newJob(id, "long", job.Step{Tasks: 64, Accelerators: 1, Gang: true}), false, nil, now)
+				p.Plan(now)
+				b.StopTimer()
+				p.Cancel(id, now)
+				for _, o := range p.jobs[id].occurrences {
+					for _, t := range o.steps[0].tasks {
+						for len(t.runs) > 0 {
+							p.remove(t.runs[0])
+						}
+					}
+				}
+				p.Plan(now)
+				b.StartTimer()
+			}
+		})
+	}
+}
--- a/coordination/planner/health_test.go
+++ b/coordination/planner/health_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/state/job"
 )
 
 // Guards against a worker that fails everything and gets all work because it is
@@ -66,3 +68,37 @@
 	e.observe("k", time.Second, 22*time.Second)
 	qt.Check(t, e["k"].mean > 2 && e["k"].mean <= 4.01, qt.IsTrue, qt.Commentf("%v", e["k"].mean))
 }
+
+// Guards against a task that waits for ever because it has failed on the only worker
+// that may run it, and against one that returns to a worker on which it failed while
+// another may run it.
+func TestRetryAfterFailure(t *testing.T) {
+	tests := []struct {
+		name    string
+		workers int
+		want    []string // targets of the starts, in order
+	}{
+		{name: "only worker", workers: 1, want: []string{"t00", "t00"}},
+		{name: "another worker", workers: 2, want: []string{"t00", "t01"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t, tt.workers)
+			s.add(newJob("j", "long", job.Step{Tasks: 1, Accelerators: 1})) // may fail twice
+			for _, want := range tt.want {
+				for range 30 { // The worker may be paused after the failure.
+					if s.where("j.0.0.0") != "" {
+						break
+					}
+					s.step(200 * time.Millisecond)
+				}
+				qt.Assert(t, s.where("j.0.0.0"), qt.Equals, want)
+				s.step(200 * time.Millisecond)
+				s.workers[want].end("j.0.0.0", endFailed)
+				s.step(200 * time.Millisecond)
+			}
+			s.step(200 * time.Millisecond)
+			qt.Check(t, s.state("j"), qt.Equals, job.Failed)
+		})
+	}
+}
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -30,9 +30,23 @@
 		})
 	}
 	slices.SortFunc(out, func(x, y *room) int { return cmp.Compare(x.target.name, y.target.name) })
+	if len(u.tasks) == 1 && p.hasOther(u) {
+		return slices.DeleteFunc(out, func(r *room) bool { return u.avoids(r.target) })
+	}
 	return out
 }
 
+// hasOther reports whether a target on which the unit has not failed may run it, now
+// or after a pause.
+func (p *Planner) hasOther(u unit) bool {
+	for _, t := range p.targets {
+		if t.connected && t.listed && !t.worker.GetDraining() && p.suits(t, u) && t.capacity.holds(u.size) && !u.avoids(t) {
+			return true
+		}
+	}
+	return false
+}
+
 // silentLimit is how long a worker may not have answered its agent before it gets
 // no new work. Its agent asks at least once a second.
 const silentLimit = 2500 * time.Millisecond
@@ -45,16 +59,16 @@
 	if t.health.suspect(now) || t.silent > silentLimit {
 		return false
 	}
+	return p.suits(t, u)
+}
+
+// suits reports whether the configuration and the unit allow the target's worker.
+func (p *Planner) suits(t *target, u unit) bool {
 	if pool := p.pool(u); pool != "" && t.worker.GetPool() != pool {
 		return false
 	}
-	if l := u.step.spec.Label; l != "" && !slices.Contains(t.worker.GetLabels(), l) {
-		return false
-	}
-	if len(u.tasks) == 1 && u.avoids(t) {
-		return false
-	}
-	return true
+	l := u.step.spec.Label
+	return l == "" || slices.Contains(t.worker.GetLabels(), l)
 }
 
 // avoids reports whether a task of the unit has failed on the target before.
