--- a/experiment/table_test.go
+++ b/experiment/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -9,6 +10,9 @@
 	"github.com/medlargrade/medlargrade/experiment"
 )
 
+// overload is by how much more jobs come in the busy variant of a load.
+const overload = 1.6
+
 // withTroubles returns variants of a load in which workers are at fault.
 func withTroubles(l experiment.Load) map[string]experiment.Load {
 	variant := func(list ...experiment.Trouble) experiment.Load {
@@ -16,8 +20,13 @@
 		x.Troubles = list
 		return x
 	}
+	busy := l
+	busy.Kinds = slices.Clone(l.Kinds)
+	for i := range busy.Kinds {
+		busy.Kinds[i].PerSecond *= overload
+	}
 	return map[string]experiment.Load{
-		"calm": l,
+		"calm": l, "busy": busy,
 		"fail": variant(experiment.Trouble{What: experiment.TroubleFail, AtSeconds: 8, ForSeconds: 8, Workers: 1}),
 		"slow": variant(experiment.Trouble{What: experiment.TroubleSlow, AtSeconds: 8, ForSeconds: 8, Workers: 2, Factor: 6.5}),
 		"hang": variant(experiment.Trouble{What: experiment.TroubleHang, AtSeconds: 8, ForSeconds: 6, Workers: 1}),
