--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -41,7 +41,7 @@
 	return found
 }
 
-// Bounds of docs/design.md.
+// Bounds of docs/proofs.md.
 const (
 	reclaimBound = 5 * time.Second
 	// takeOverBound is how long after a fault the site may be without a planner.
--- a/matrix/doc.go
+++ b/matrix/doc.go
@@ -1,5 +1,5 @@
-// Package matrix proves the eight promises of docs/design.md under the faults of
-// its failure model. It holds tests only.
+// Package matrix proves the eight promises of docs/design.md under the faults that
+// docs/proofs.md lists. It holds tests only.
 //
 // A Site runs the real entry and target processes, the stand-ins of the platform
 // and of the workers, and callers in one testing/synctest bubble, over an
@@ -12,7 +12,7 @@
 //
 //	go test -race ./matrix
 //	MATRIX_SEEDS=2000 go test -race ./matrix -run TestSequences
-//	go test -race ./matrix -run 'TestSingleFaults/gang/Release-after/vanish-target$'
+//	go test -race ./matrix -run 'TestSingleFaults/gang/run-start-after/vanish-target$'
 //
 // MATRIX_LOG=1 prints the processes' logs of failed cells. Cells that
 // KNOWN-RED.txt lists are run, and print "known red" instead of failing.
