Remove the rows of jobs that ended long ago

Cause: rows of ended jobs stayed for ever, and with them the planner's memory and the time that a new planner reads.

Jobs of more than 77 occurrences stay.

Ruled out: removal in parts for long recurring jobs. A planner that dies in between would leave a job without the record of what has run.

Played by hand with a retention of 1 s: after 33 s the job is unknown, and its key runs a new one.

--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -109,6 +109,9 @@
 // AddJob adds a job with its recorded progress. Adding it again only takes a
 // cancellation.
 func (p *Planner) AddJob(j job.Job, cancelled bool, recorded []job.Progress, now time.Time) {
+	if r, ok := p.removed[j.ID]; ok && r.token == j.Token {
+		return
+	}
 	js := p.jobs[j.ID]
 	if js == nil {
 		js = &jobState{job: j, waiting: true, added: now}
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -45,6 +45,7 @@
 	if p.snap != nil {
 		p.recur(now)
 		p.expire(now)
+		p.removeOld(now)
 		p.serveClaims(now)
 		for _, u := range p.units(now) {
 			p.place(u, now)
@@ -213,6 +214,14 @@
 		b.Deletions = append(b.Deletions, table.Deletion{Table: job.TableWaiting, Key: p.begun[0]})
 		p.begun = p.begun[1:]
 	}
+	for len(p.old) > 0 {
+		d := p.old[0].deletions()
+		if len(b.Writes)+len(b.Deletions)+len(d) > maxBatchRows {
+			break
+		}
+		b.Deletions = append(b.Deletions, d...)
+		p.old = p.old[1:]
+	}
 	p.batchOrders(&b, held)
 	if len(held) > 0 {
 		// Rows that did not fit may hold the ends, so nothing is forgotten yet.
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -19,8 +19,10 @@
 	FarFactor  float64       // slow-down of work far from its data or its peers
 	Restore    time.Duration // time that a start from a checkpoint takes
 	Checkpoint time.Duration // work between two checkpoints
-	Policy     Policy
-	Metrics    *metrics.Set // nil for none
+	// Retention is how long the rows of jobs are kept after their end; 0 for ever.
+	Retention time.Duration
+	Policy    Policy
+	Metrics   *metrics.Set // nil for none
 }
 
 // Policy has the choices between ways to decide. The zero value is the default.
@@ -46,6 +48,8 @@
 	orders  map[string][]Order       // by target, of this batch
 	forgets map[string]Seen          // by target, ends that may be forgotten
 	book    estimates
+	old     []*jobState        // whose rows are to be removed
+	removed map[string]removal // by the IDs of jobs
 }
 
 // New returns a planner without jobs and targets.
@@ -56,7 +60,7 @@
 	return &Planner{
 		cfg: cfg, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
 		dirty: make(map[*occurrence]struct{}), orders: make(map[string][]Order), forgets: make(map[string]Seen),
-		book: make(estimates),
+		book: make(estimates), removed: make(map[string]removal),
 	}
 }
 
--- /dev/null
+++ b/coordination/planner/retention.go
@@ -0,0 +1,83 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
+)
+
+const (
+	// retentionMargin is added to the time for which ended jobs are kept: callers
+	// learn of the end later than the planner.
+	retentionMargin = 30 * time.Second
+	// removedTime is how long the ID of a removed job is remembered. A read of the
+	// table that was sent before the removal may be answered after it, within the
+	// time limit of a call.
+	removedTime = time.Minute
+	// maxJobRows bounds the rows of a job that is removed: all go in one transaction,
+	// because a job of which only a part is left would run again.
+	maxJobRows = maxBatchRows - 10
+)
+
+// removal is a job that has been removed.
+type removal struct {
+	token string
+	at    time.Time
+}
+
+// removeOld removes the jobs that ended long ago from the plan, and lets a batch
+// remove their rows.
+func (p *Planner) removeOld(now time.Time) {
+	if p.cfg.Retention <= 0 {
+		return
+	}
+	for id, r := range p.removed {
+		if now.Sub(r.at) > removedTime {
+			delete(p.removed, id)
+		}
+	}
+	var old []*jobState
+	for _, js := range p.jobs {
+		if len(js.occurrences)+3 <= maxJobRows && p.isOld(js, now) {
+			old = append(old, js)
+		}
+	}
+	slices.SortFunc(old, func(x, y *jobState) int { return cmp.Compare(x.job.ID, y.job.ID) })
+	for _, js := range old {
+		delete(p.jobs, js.job.ID)
+		p.removed[js.job.ID] = removal{js.job.Token, now}
+	}
+	p.old = append(p.old, old...)
+}
+
+// isOld reports whether a job has ended long ago and nothing of it is left to do.
+func (p *Planner) isOld(js *jobState, now time.Time) bool {
+	if len(js.occurrences) == 0 || !js.cancelled && len(js.occurrences) < js.job.Occurrences() {
+		return false
+	}
+	for _, o := range js.occurrences {
+		_, dirty := p.dirty[o]
+		if !o.state.Final() || dirty || !o.idle() || now.Sub(o.final) <= p.cfg.Retention+retentionMargin {
+			return false
+		}
+	}
+	return true
+}
+
+// deletions returns those of all rows of a job.
+func (js *jobState) deletions() []table.Deletion {
+	out := []table.Deletion{{Table: job.TableJobs, Key: js.job.ID}}
+	if js.cancelled {
+		out = append(out, table.Deletion{Table: job.TableJobs, Key: job.CancelKey(js.job.ID)})
+	}
+	if js.job.Key != "" {
+		out = append(out, table.Deletion{Table: job.TableKeys, Key: job.KeysKey(js.job.Workspace, js.job.Key)})
+	}
+	for _, o := range js.occurrences {
+		out = append(out, table.Deletion{Table: job.TableProgress, Key: o.key})
+	}
+	return out
+}
--- a/process/settings.go
+++ b/process/settings.go
@@ -50,6 +50,7 @@
 	Checkpoint    Duration // work between two checkpoints
 	Restore       Duration // time that a start from a checkpoint takes
 	FarFactor     float64  // slow-down of work far from its data or its peers
+	Retention     Duration // how long an ended job can be looked up
 }
 
 // DefaultBounds returns the bounds of a site whose settings name none.
@@ -57,7 +58,7 @@
 	return Bounds{
 		ConfigInForce: Duration(2 * time.Second), LeaseMax: Duration(10 * time.Second), StopTime: Duration(time.Second),
 		GangWait: Duration(3 * time.Second), Checkpoint: Duration(time.Second), Restore: Duration(250 * time.Millisecond),
-		FarFactor: 3,
+		FarFactor: 3, Retention: Duration(24 * time.Hour),
 	}
 }
 
@@ -65,6 +66,7 @@
 	return planner.Settings{
 		StopTime: time.Duration(b.StopTime), GangWait: time.Duration(b.GangWait), FarFactor: b.FarFactor,
 		Restore: time.Duration(b.Restore), Checkpoint: time.Duration(b.Checkpoint),
+		Retention: time.Duration(b.Retention),
 	}
 }
 
@@ -184,6 +186,7 @@
 		checkPositive("Bounds.GangWait", int64(b.GangWait)),
 		checkPositive("Bounds.Checkpoint", int64(b.Checkpoint)),
 		checkPositive("Bounds.Restore", int64(b.Restore)),
+		checkPositive("Bounds.Retention", int64(b.Retention)),
 	}
 	if b.FarFactor < 1 {
 		errs = append(errs, fmt.Errorf("%s: must be at least 1", "Bounds.FarFactor"))
