Wait with a submission while the store is overloaded

It turns transactions away (429) once more than a second of them waits in the part; entries took that for a refusal and sent callers away at once, of whom each has four tries within 3 s. Reads of 0.3 s closed the gate of the entry as well, which took the store for silent after 0.25 s.

Change: after a 429 the entry repeats the transaction, at random intervals of 0.1 to 0.3 s, while the caller waits; at its end the refusal is true as before, since nothing was written.

Ruled out: refusing with a longer Retry-After. Callers give up 3 s after their first try whatever it says. Parts of their own for accepted jobs would leave the planner's part to the planner; that needs rows of one job in two transactions and was not tried.

--- a/coordination/intake/gate.go
+++ b/coordination/intake/gate.go
@@ -12,8 +12,9 @@
 
 const (
 	// patience is how long a read may take before the store counts as silent. It
-	// usually answers within 10 ms.
-	patience = 250 * time.Millisecond
+	// usually answers within 10 ms, and within half a second while it is 60 to 90
+	// times slower.
+	patience = 500 * time.Millisecond
 	// patienceFactor times the usual duration of a read is the patience with a store
 	// that is slow.
 	patienceFactor = 4
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,10 @@
 	retryAfter = time.Second
 	// retryPause is the pause before a call to the store is repeated.
 	retryPause = 50 * time.Millisecond
+	// overloadPause is the mean pause before a transaction is repeated that the store
+	// has turned away for too many others. The store says so when more than a second
+	// of them waits. Half of the pause is random, so that entries do not keep step.
+	overloadPause = 200 * time.Millisecond
 	// waitingLimit bounds the rows that are counted for one queue.
 	waitingLimit = 500
 )
@@ -124,14 +129,23 @@
 			return s.repeated(j, conflict.Row(job.TableJobs, j.ID))
 		case errors.As(err, &gone):
 			lost = true
-		case !lost:
+		case !lost && !errors.Is(err, table.ErrOverloaded):
 			s.logSubmit(j, "refused", err)
 			return Refused{Reason: err.Error(), RetryAfter: retryAfter}
 		}
-		if !sleep(ctx, retryPause) {
+		pause := retryPause
+		if errors.Is(err, table.ErrOverloaded) {
+			pause = overloadPause/2 + rand.N(overloadPause)
+		}
+		if sleep(ctx, pause) {
+			continue
+		}
+		if lost {
 			s.logSubmit(j, "undecided", err)
 			return Undecided{Err: err}
 		}
+		s.logSubmit(j, "refused", err)
+		return Refused{Reason: err.Error(), RetryAfter: retryAfter}
 	}
 }
 
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -139,6 +139,10 @@
 // must read the whole table again.
 var ErrHistoryLost = errors.New("the store no longer has the changes since this version")
 
+// ErrOverloaded is the cause of an UnavailableError if too many other calls wait. A
+// later call may succeed.
+var ErrOverloaded = errors.New("too many calls wait")
+
 // ConflictError reports a transaction that changed nothing because a condition
 // failed.
 type ConflictError struct {
