Count the store's silence from the unanswered call on

A front that is cut off from everything withdraws its readiness once the store has been silent for 0.5 s, counted from the end of the patience, so that callers came to it for 0.25 s longer.

Change: the silence counts from the time at which the unanswered call was sent.

--- a/coordination/intake/gate.go
+++ b/coordination/intake/gate.go
@@ -41,7 +41,7 @@
 
 	mu      sync.Mutex
 	down    bool
-	since   time.Time // of down
+	since   time.Time // of down: when the read was sent that got no answer
 	latency time.Duration
 }
 
@@ -87,7 +87,7 @@
 		return p, nil
 	}
 	if ctx.Err() == nil {
-		g.failed(err)
+		g.failed(sent, err)
 	}
 	return table.Page{}, err
 }
@@ -102,13 +102,14 @@
 	}
 }
 
-func (g *gate) failed(err error) {
+// failed takes that a read which was sent at a time has got no answer.
+func (g *gate) failed(sent time.Time, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.down || g.ctx.Err() != nil {
 		return
 	}
-	g.down, g.since = true, time.Now()
+	g.down, g.since = true, sent
 	g.log.Warn().Int("Event", EventStoreSilent).Err(err).Msg("callers are refused until the store answers")
 	g.probing.Go(g.watch)
 }
