--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// gapLimit is the silence within a job's story that is named. A planner looks at
+	// gapLimit is the time without a line about the job that is named. A planner looks at
 	// what waits five times a second, and a worker reports at least once a second.
 	gapLimit = time.Second
 	// around is how long before a job's first line other events are shown: a change
@@ -43,7 +43,7 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute prints the job's story.
+// Execute prints the lines.
 func (c *explainCommand) Execute([]string) error {
 	var lines []logLine
 	for _, path := range c.Logs {
@@ -102,8 +102,8 @@
 	return l.Job == id || l.Task == id || strings.HasPrefix(l.Task, id+".")
 }
 
-// general are the events that concern all jobs.
-var general = []int{
+// siteEvents are the events that concern all jobs.
+var siteEvents = []int{
 	shard.EventOwned, shard.EventOwnershipEnded, shard.EventTakeOverAsked, shard.EventTargetLapsed,
 	follow.EventStoreLost, follow.EventStoreRegained, intake.EventStoreSilent, intake.EventStoreBack,
 	process.EventStarted, process.EventStopping, process.EventStopped, configuration.EventInForce,
@@ -138,7 +138,7 @@
 	var before time.Time
 	for i, l := range lines {
 		mine := l.isOf(id)
-		if !mine && (i > last || l.Time.Before(begin.Add(-around)) || !slices.Contains(general, l.Event)) {
+		if !mine && (i > last || l.Time.Before(begin.Add(-around)) || !slices.Contains(siteEvents, l.Event)) {
 			continue
 		}
 		if mine {
@@ -152,12 +152,12 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("explain: %w", err)
 	}
-	_, err := fmt.Fprintln(out, "\n"+conclude(lines, id))
+	_, err := fmt.Fprintf(out, "\njob %s: %s\n", id, summarize(lines, id))
 	return err
 }
 
-// fixed are the fields that describe does not repeat.
-var fixed = []string{"level", "time", "Process", "Event", "Job", "message"}
+// plainFields are the fields that describe does not repeat.
+var plainFields = []string{"level", "time", "Process", "Event", "Job", "message"}
 
 // describe returns what happened, and the fields of the line.
 func (l logLine) describe() string {
@@ -167,7 +167,7 @@
 	}
 	var parts []string
 	for _, name := range fieldsInOrder(l.text) {
-		if !slices.Contains(fixed, name) && string(fields[name]) != `""` {
+		if !slices.Contains(plainFields, name) && string(fields[name]) != `""` {
 			parts = append(parts, name+"="+string(fields[name]))
 		}
 	}
@@ -197,7 +197,7 @@
 	return out
 }
 
-// meanings has the events that occur in stories.
+// meanings says in a few words what an event is.
 var meanings = map[int]string{
 	platform.EventCallRefused:  "call refused",
 	intake.EventSubmitted:      "submission answered",
@@ -231,74 +231,88 @@
 	process.EventStopping:      "process stopping",
 	process.EventStopped:       "process stopped",
 	configuration.EventInForce: "configuration in force",
-	stdout.EventLinesLeftOut:   "LOG LINES LEFT OUT",
+	stdout.EventLinesLeftOut:   "log lines left out",
 }
 
-// conclude sums up a job's story.
-func conclude(lines []logLine, id string) string {
-	var accepted, planned time.Time
-	var state, waits, refusal string
-	refused, ended := 0, 0
-	counts := make(map[int]int)
-	seen := make(map[string]struct{}) // names of runs
+// summary is what the lines about a job come to.
+type summary struct {
+	accepted, planned time.Time
+	refused           int
+	refusal           string // why the last call was refused
+	waits             string // why the last task that found no place found none
+	runs              map[string]struct{}
+	counts            map[int]int // of lines by event
+	state             string      // of the occurrence that ended last
+}
+
+// summarize sums up the lines about a job.
+func summarize(lines []logLine, id string) *summary {
+	s := &summary{runs: make(map[string]struct{}), counts: make(map[int]int)}
 	for _, l := range lines {
-		if !l.isOf(id) {
-			continue
+		if l.isOf(id) {
+			s.add(l)
 		}
-		counts[l.Event]++
-		var f struct {
-			Outcome, State, Reason, Error string
-			Run                           int
+	}
+	return s
+}
+
+func (s *summary) add(l logLine) {
+	s.counts[l.Event]++
+	var f struct {
+		Outcome, State, Reason, Error string
+		Run                           int
+	}
+	_ = json.Unmarshal(l.text, &f) // A field of another type leaves the others.
+	switch l.Event {
+	case intake.EventSubmitted:
+		switch {
+		case f.Outcome == "accepted" && s.accepted.IsZero():
+			s.accepted = l.Time
+		case f.Outcome == "refused":
+			s.refused++
+			s.refusal = f.Error
 		}
-		_ = json.Unmarshal(l.text, &f) // A field of another type leaves the others.
-		switch l.Event {
-		case intake.EventSubmitted:
-			switch {
-			case f.Outcome == "accepted" && accepted.IsZero():
-				accepted = l.Time
-			case f.Outcome == "refused":
-				refused++
-				refusal = f.Error
-			}
-		case platform.EventCallRefused:
-			refused++
-			refusal = f.Reason
-		case planner.EventRunPlanned:
-			if planned.IsZero() {
-				planned = l.Time
-			}
-			seen[fmt.Sprint(l.Task, "/", f.Run)] = struct{}{}
-		case planner.EventUnitWaits:
-			waits = f.Reason
-		case planner.EventJobEnded:
-			ended++
-			state = f.State
+	case platform.EventCallRefused:
+		s.refused++
+		s.refusal = f.Reason
+	case planner.EventRunPlanned:
+		if s.planned.IsZero() {
+			s.planned = l.Time
 		}
+		s.runs[fmt.Sprint(l.Task, "/", f.Run)] = struct{}{}
+	case planner.EventUnitWaits:
+		s.waits = f.Reason
+	case planner.EventJobEnded:
+		s.state = f.State
 	}
-	out := []string{fmt.Sprintf("job %s:", id)}
-	if refused > 0 {
-		out = append(out, fmt.Sprintf("%d calls refused, the last one because: %s;", refused, refusal))
+}
+
+// String returns one line.
+func (s *summary) String() string {
+	var out []string
+	if s.refused > 0 {
+		out = append(out, fmt.Sprintf("%d calls refused, the last one because: %s;", s.refused, s.refusal))
 	}
 	switch {
-	case accepted.IsZero():
+	case s.accepted.IsZero():
 		out = append(out, "no line says that it was accepted;")
-	case planned.IsZero():
+	case s.planned.IsZero():
 		out = append(out, "accepted, never placed;")
 	default:
-		out = append(out, fmt.Sprintf("first placed %.3f s after acceptance;", planned.Sub(accepted).Seconds()))
+		out = append(out, fmt.Sprintf("first placed %.3f s after acceptance;", s.planned.Sub(s.accepted).Seconds()))
 	}
-	if waits != "" {
-		out = append(out, fmt.Sprintf("waited because: %s;", waits))
+	if s.waits != "" {
+		out = append(out, fmt.Sprintf("waited because: %s;", s.waits))
 	}
-	out = append(out, fmt.Sprintf("%d runs, %d lost, %d stopped, %d failed;", len(seen), counts[planner.EventRunLost],
-		counts[planner.EventRunStopped], counts[planner.EventRunFailed]))
-	switch ended {
+	out = append(out, fmt.Sprintf("%d runs, %d lost, %d stopped, %d failed;", len(s.runs), s.counts[planner.EventRunLost],
+		s.counts[planner.EventRunStopped], s.counts[planner.EventRunFailed]))
+	switch ended := s.counts[planner.EventJobEnded]; ended {
 	case 0:
 		out = append(out, "no end recorded")
 	case 1:
-		out = append(out, state)
+		out = append(out, s.state)
 	default:
-		out = append(out, fmt.Sprintf("%d occurrences ended, the last one %s", ended, state))
+		out = append(out, fmt.Sprintf("%d occurrences ended, the last one %s", ended, s.state))
 	}
 	return strings.Join(out, " ")
 }
