Add the grown sites' loads to the experiment

Cause: policies and the cost of a pass could only be played at 11 workers.

Gangs are limited by shares of the site's and a rack's room instead of a number of accelerators, as the loads need other numbers.

--- a/experiment/draw.go
+++ b/experiment/draw.go
@@ -118,9 +118,10 @@
 		}
 		mean := k.Work.draw(r) * tail
 		s.EstimateMillis = max(1, int64(mean*math.Exp(k.EstimateSpread*r.NormFloat64())))
-		if s.Tasks > 1 && s.Tasks*accelerators <= k.MaxAccelerators && r.Float64() < k.GangShare {
+		room := float64(l.Site.roomPerWorker(s))
+		if s.Tasks > 1 && float64(s.Tasks) <= gangRoom*room*float64(l.Site.Workers) && r.Float64() < k.GangShare {
 			s.Gang = true
-			s.SameRack = r.Float64() < k.SameRackShare
+			s.SameRack = float64(s.Tasks) <= rackRoom*room*float64(l.Site.PerRack) && r.Float64() < k.SameRackShare
 		}
 		if r.Float64() < k.ApartShare {
 			s.MaxPerWorker = 1 + r.IntN(2)
@@ -146,6 +147,13 @@
 	return l.Workspaces[len(l.Workspaces)-1].Name
 }
 
+// Largest gangs, and largest gangs that must be in one rack, as shares of what the
+// empty site or rack holds. Callers do not submit larger ones as gangs.
+const (
+	gangRoom = 1.0 / 6
+	rackRoom = 1.0 / 2
+)
+
 // Worth of a job: a fixed part, and one by its work against the mean of its kind.
 const (
 	fixedWorth   = 0.3
@@ -164,7 +172,7 @@
 			d.cores += w.Seconds() * cores(s)
 		}
 		waves := 1.0
-		if room := float64(l.Site.room(s)) / 4; float64(s.Tasks) > room && room > 0 {
+		if room := float64(l.Site.roomPerWorker(s)*l.Site.Workers) / 4; float64(s.Tasks) > room && room > 0 {
 			waves = math.Ceil(float64(s.Tasks) / room)
 		}
 		for _, a := range s.After {
@@ -190,8 +198,8 @@
 	return float64(s.CPU)/1000 + coresPerAccelerator*float64(s.Accelerators)
 }
 
-// room returns how many tasks of a step the empty site holds.
-func (s Site) room(st job.Step) int {
+// roomPerWorker returns how many tasks of a step an empty worker holds.
+func (s Site) roomPerWorker(st job.Step) int {
 	n := s.MemoryMB / max(st.MemoryMB, 1)
 	n = min(n, s.CPU/max(st.CPU, 1))
 	if st.Accelerators > 0 {
@@ -200,5 +208,5 @@
 	if st.MaxPerWorker > 0 {
 		n = min(n, st.MaxPerWorker)
 	}
-	return n * s.Workers
+	return n
 }
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -10,12 +10,15 @@
 	"github.com/medlargrade/medlargrade/experiment"
 )
 
-// loads are those of the example deployments.
-var loads = []string{"quillfold", "brno"}
+// loads are those of the example deployments, and grown those after they have grown.
+var (
+	loads = []string{"quillfold/load", "brno/load"}
+	grown = []string{"quillfold/load-grown", "brno/load-grown"}
+)
 
 func readLoad(t testing.TB, name string) experiment.Load {
 	t.Helper()
-	text, err := os.ReadFile("../examples/" + name + "/load.json")
+	text, err := os.ReadFile("../examples/" + name + ".json")
 	qt.Assert(t, err, qt.IsNil)
 	l, err := experiment.ParseLoad(text)
 	qt.Assert(t, err, qt.IsNil)
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -78,14 +78,13 @@
 	MemoryMB     int
 	Accelerators []int // drawn from, for each job
 
-	GangShare           float64 `json:",omitempty"` // of steps of several tasks with at most GangAccelerators
-	SameRackShare       float64 `json:",omitempty"` // of gangs
+	GangShare           float64 `json:",omitempty"` // of steps of several tasks that take at most gangRoom of the site
+	SameRackShare       float64 `json:",omitempty"` // of gangs that take at most rackRoom of a rack
 	CheckpointableShare float64 `json:",omitempty"` // of jobs
 	ApartShare          float64 `json:",omitempty"` // of steps with at most 1 or 2 tasks on a worker
 	FailureShare        float64 `json:",omitempty"` // of runs that fail by their own fault
 	HopelessShare       float64 `json:",omitempty"` // of jobs that always fail
 	CancelShare         float64 `json:",omitempty"` // of jobs that are cancelled early
-	MaxAccelerators     int     `json:",omitempty"` // of a gang in all
 }
 
 // Draw is a log-normal distribution, cut at Max.
--- a/experiment/table_test.go
+++ b/experiment/table_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Skip("EXPERIMENT_SEEDS is not set")
 	}
-	for _, name := range loads {
+	for _, name := range slices.Concat(loads, grown) {
 		for what, l := range withTroubles(readLoad(t, name)) {
 			t.Run(name+"/"+what, func(t *testing.T) {
 				t.Parallel()
