Evacuate workers that leave; count the leases of former owners exactly

The new owner counted the lease, its reach and the time for which a former owner may extend it from its own takeover, 21 s, although the former one had stopped 4 s before.

Change: the planner takes the time that a worker has left from its reports. What will not end in time is stopped, early without checkpoints, at the last moment with them. The owner's row says until when former owners may extend leases, counted from their last confirmed write; owners that have certainly ended are left out. An owner that was suspended notices so by the time of day and extends nothing.

Ruled out: taking a refused connection for the end of a worker, since a cut may refuse, too; a shorter time of grants, since work would end in shorter outages of the store; a record by the target process at its end, which is not needed for these cases.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -32,7 +32,7 @@
 	Labels       []string
 	Rack         string
 	Draining     bool
-	Remaining    time.Duration // time left while it drains
+	Remaining    time.Duration // least time left while it drains
 	Clock        Clock
 	Sequence     uint64 // increases with each report of a life
 }
@@ -49,10 +49,11 @@
 	changed chan struct{} // closed and replaced when the revision changes
 	lease   chan struct{} // closed and replaced when the hold loop has work
 
-	info     Info   // Life is nil while no worker is known
-	left     bool   // the worker has said that it ends
-	gone     bool   // and it no longer answers
-	epoch    uint64 // highest seen
+	info     Info      // Life is nil while no worker is known
+	infoAt   time.Time // when info was taken
+	left     bool      // the worker has said that it ends
+	gone     bool      // and it no longer answers
+	epoch    uint64    // highest seen
 	planner  string
 	contact  time.Time // last call of the planner of that epoch
 	watching int       // calls of Watch in progress
@@ -132,7 +133,7 @@
 		a.log.Info().Int("Event", EventWorkerDraining).Str("Worker", info.Life.GetWorker()).
 			Dur("Remaining", info.Remaining).Msg("the worker is leaving")
 	}
-	a.info = info
+	a.info, a.infoAt = info, time.Now()
 	a.info.Draining = info.Draining || agentrpc.SameLife(info.Life, old.Life) && old.Draining
 	if !agentrpc.SameLife(info.Life, old.Life) || a.info.Draining != old.Draining || a.info.Pool != old.Pool ||
 		a.info.CPU != old.CPU || a.info.MemoryMB != old.MemoryMB || a.info.Accelerators != old.Accelerators {
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -100,7 +100,7 @@
 	out.Worker = &agentrpc.Worker{
 		Life: i.Life, Pool: i.Pool, DataCentre: i.DataCentre, Machine: i.Machine, Cpu: i.CPU, MemoryMb: i.MemoryMB,
 		Accelerators: i.Accelerators, Labels: i.Labels, Rack: i.Rack, Draining: i.Draining,
-		RemainingMillis: i.Remaining.Milliseconds(), ClockMillis: int64(a.life.clock), Gone: a.gone,
+		RemainingMillis: max(i.Remaining-time.Since(a.infoAt), 0).Milliseconds(), ClockMillis: int64(a.life.clock), Gone: a.gone,
 	}
 	// What the worker listed under an older fencing token may still change through
 	// calls that carry that token.
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -84,7 +84,10 @@
 	confirmed time.Time // when it was first known to run; zero before
 	percent   int64
 	moved     time.Time // when percent changed last
-	load      int64
+	// firstPercent is what percent was when the run was listed first, at listed.
+	firstPercent int64
+	listed       time.Time
+	load         int64
 
 	stop     string // why it is being stopped; empty if it is not
 	stopSent time.Time
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -48,6 +48,7 @@
 		p.recur(now)
 		p.expire(now)
 		p.removeOld(now)
+		p.evacuate(now)
 		p.choices = make(map[requirement]*selection)
 		p.serveClaims(now)
 		for _, u := range p.units(now) {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -17,6 +17,7 @@
 	listed    bool // the lists of the present life are known
 	connected bool
 	silent    time.Duration // how long the worker had not answered its agent
+	leaves    time.Time     // when a draining worker may be gone; zero if unknown
 	look      int64         // of the last list
 	seen      int64         // highest end that has been taken
 	runs      map[*run]struct{}
@@ -108,6 +109,9 @@
 	t.worker = w
 	t.silent = time.Duration(in.GetSilentMillis()) * time.Millisecond
 	t.capacity = size{int(w.GetCpu()), int(w.GetMemoryMb()), int(w.GetAccelerators())}
+	if remaining := w.GetRemainingMillis(); w.GetDraining() && remaining > 0 {
+		t.leaves = now.Add(time.Duration(remaining) * time.Millisecond)
+	}
 	t.listed = in.GetListed() && !w.GetGone()
 	if w.GetGone() {
 		p.Lapsed(name, "the worker has left", now)
@@ -143,7 +147,7 @@
 	if t.worker != nil {
 		t.health = health{}
 	}
-	t.worker, t.seen = w, 0
+	t.worker, t.seen, t.leaves = w, 0, time.Time{}
 	t.forgetLooks()
 	clear(t.foreign)
 }
@@ -276,6 +280,9 @@
 	if r.confirmed.IsZero() {
 		r.confirmed, r.moved = now, now
 	}
+	if r.listed.IsZero() {
+		r.listed, r.firstPercent = now, s.GetPercent()
+	}
 	if s.GetPercent() != r.percent {
 		r.percent, r.moved = s.GetPercent(), now
 	}
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -111,7 +111,9 @@
 	row, err := DecodeOwner(page.Rows[0].Value)
 	if err != nil {
 		c.deps.Log.Error().Int("Event", EventRowMalformed).Err(err).Send()
-		return former{version: page.Rows[0].Version}, true
+		// Its owner is not known, and may be at work.
+		row = OwnerRow{Epoch: contact.Epoch, BeatMillis: page.Now.Milliseconds()}
+		return former{row: row, version: page.Rows[0].Version}, true
 	}
 	c.deps.Agent.RaiseEpoch(row.Epoch)
 	f := former{row: row, version: page.Rows[0].Version, ended: true}
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -22,13 +22,10 @@
 	cfg  Settings
 	deps Deps
 
-	taken time.Time // when the shard was taken over
-	// inherited is the former owner's row, and formerEnded whether that owner's
-	// process has certainly ended.
-	inherited   OwnerRow
-	formerEnded bool
-	wake        chan struct{}
-	orders      sync.WaitGroup
+	taken     time.Time // when the shard was taken over
+	inherited OwnerRow  // of the former owner
+	wake      chan struct{}
+	orders    sync.WaitGroup
 
 	mu        sync.Mutex
 	row       OwnerRow // as written last; changed only by the goroutine of run
@@ -43,9 +40,11 @@
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, f former) *owner {
-	row := OwnerRow{Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot}
+	row := OwnerRow{
+		Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot, GrantsMillis: f.row.grants(f.ended),
+	}
 	return &owner{
-		cfg: cfg, deps: deps, inherited: f.row, formerEnded: f.ended, row: row, version: f.version, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, inherited: f.row, row: row, version: f.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
 	}
 }
--- a/coordination/shard/rig_test.go
+++ b/coordination/shard/rig_test.go
@@ -37,6 +37,7 @@
 
 	mu      sync.Mutex
 	cut     bool
+	cutFor  map[string]bool // planners that do not reach it
 	silent  time.Duration
 	epoch   uint64
 	fence   int64
@@ -84,15 +85,15 @@
 // DRPCConn implements agentrpc.DRPCAgentClient.
 func (t *target) DRPCConn() drpc.Conn { return nil }
 
-func (t *target) isCut() bool {
+func (t *target) isCut(planner string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.cut
+	return t.cut || t.cutFor[planner]
 }
 
 // Watch implements agentrpc.DRPCAgentClient.
 func (t *target) Watch(ctx context.Context, in *agentrpc.WatchRequest) (*agentrpc.WatchReply, error) {
-	if t.isCut() {
+	if t.isCut(in.GetPlanner()) {
 		<-ctx.Done()
 		return nil, errCut
 	}
@@ -148,7 +149,7 @@
 
 // Order implements agentrpc.DRPCAgentClient.
 func (t *target) Order(ctx context.Context, in *agentrpc.OrderRequest) (*agentrpc.OrderReply, error) {
-	if t.isCut() {
+	if t.isCut("") {
 		<-ctx.Done()
 		return nil, errCut
 	}
@@ -176,7 +177,7 @@
 func (t *target) TakeOver(ctx context.Context, in *agentrpc.TakeOverRequest) (*agentrpc.TakeOverReply, error) {
 	var p *process
 	t.get(func(t *target) { p = t.process })
-	if t.isCut() || p == nil {
+	if t.isCut("") || p == nil {
 		<-ctx.Done()
 		return nil, errCut
 	}
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -29,12 +29,24 @@
 	// BeatMillis is the store's steady clock when the row was sent.
 	BeatMillis int64
 	Token      string // of the write
+	// GrantsMillis is the store's steady clock until which former owners, whose processes
+	// have not certainly ended, may extend leases.
+	GrantsMillis int64 `json:",omitempty"`
 	// Silent has, for each target that does not answer, the store's steady clock at
 	// its last answer, in milliseconds. Leases on it lapse counted from then,
 	// whoever owns the shard.
 	Silent map[string]int64 `json:",omitempty"`
 }
 
+// grants returns until when, on the store's steady clock, owners up to this one may
+// extend leases. The owner itself does not if its process has ended.
+func (r OwnerRow) grants(ended bool) int64 {
+	if ended {
+		return r.GrantsMillis
+	}
+	return max(r.GrantsMillis, r.BeatMillis+grantLimit.Milliseconds())
+}
+
 func (r OwnerRow) encode() []byte { return table.EncodeValue(r) }
 
 // DecodeOwner returns the owner of a row's value.
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -72,13 +72,34 @@
 // lastHeard returns when a target answered last, as far as the former owner knew.
 func (o *owner) lastHeard(name string) time.Time {
 	millis, ok := o.inherited.Silent[name]
-	now, known := o.deps.Clock.Now()
-	if !ok || !known {
+	if !ok {
 		return o.taken
 	}
+	return o.local(millis, o.taken)
+}
+
+// local returns a time on the store's steady clock, in milliseconds, as one of this
+// process, or another one if the store's clock is not known.
+func (o *owner) local(millis int64, unknown time.Time) time.Time {
+	now, known := o.deps.Clock.Now()
+	if !known {
+		return unknown
+	}
 	return time.Now().Add(time.Duration(millis)*time.Millisecond - now)
 }
 
+// lastGrantLocked returns the latest time at which any owner can have extended a lease
+// on a target that answered this one last at heard. Former owners may reach the target.
+func (o *owner) lastGrantLocked(heard time.Time) time.Time {
+	if o.row.GrantsMillis == 0 {
+		return heard
+	}
+	if former := o.local(o.row.GrantsMillis, o.taken.Add(grantLimit)); former.After(heard) {
+		return former
+	}
+	return heard
+}
+
 // silentLocked returns the targets that have not answered for a while.
 func (o *owner) silentLocked() map[string]int64 {
 	now, ok := o.deps.Clock.Now()
@@ -169,11 +190,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	unconfirmed := time.Since(o.confirmed)
+	// The runtime's clock stands still while the machine is suspended; the time of day
+	// does not.
+	awake := max(unconfirmed, time.Now().Round(0).Sub(o.confirmed.Round(0)))
 	r := &agentrpc.WatchRequest{
 		Epoch: o.row.Epoch, Planner: o.cfg.Name, Fence: w.fence, Life: w.life, SeenEnd: w.seen,
 		WaitMillis: watchWait.Milliseconds(), Boot: w.boot, Revision: w.rev, UnconfirmedMillis: unconfirmed.Milliseconds(),
 	}
-	if unconfirmed < grantLimit {
+	if awake < grantLimit {
 		r.LeaseCapMillis = w.cap
 	}
 	return r, w.address
@@ -225,13 +249,7 @@
 	defer o.mu.Unlock()
 	o.plan.Connected(w.name, false)
 	w.connected, w.rev = false, 0
-	bound := o.cfg.HoldMax + leaseReach
-	if !w.called && !o.formerEnded {
-		// The former owner may go on to extend the lease for a while, although the
-		// store no longer confirms it.
-		bound += grantLimit
-	}
-	if now.Sub(w.heard) > lapse(bound) && !w.lapsed && !paused {
+	if now.Sub(o.lastGrantLocked(w.heard)) > lapse(o.cfg.HoldMax+leaseReach) && !w.lapsed && !paused {
 		w.lapsed = true
 		o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.heard)).Err(err).
 			Uint64("RefusedBy", in.GetEpoch()).Msg("what ran on a target is given up")
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -211,7 +211,7 @@
 	case TroubleFail:
 		begin, end = func() { w.fails = true }, func() { w.fails = false }
 	case TroubleDrain:
-		begin, end = func() { w.drains = true }, w.crash
+		begin, end = func() { w.drains, w.leaves = true, p.now+seconds(t.ForSeconds) }, w.crash
 	case TroubleCrash:
 		w.crash()
 		p.after(seconds(t.ForSeconds), w.restart)
--- a/experiment/worker.go
+++ b/experiment/worker.go
@@ -28,7 +28,8 @@
 	born    int64
 	down    bool
 	drains  bool
-	slow    float64 // factor of the time that work takes
+	leaves  time.Duration // when it is gone, if it drains
+	slow    float64       // factor of the time that work takes
 	hangs   bool
 	fails   bool
 	runs    map[string]*run
@@ -322,7 +323,7 @@
 	in := &agentrpc.WatchReply{Listed: true, Look: w.look, Ended: w.ended, Boot: 1, Worker: &agentrpc.Worker{
 		Life: &agentrpc.Life{Worker: fmt.Sprintf("%s-%d", w.name, w.born), Born: w.born}, Pool: pool,
 		Cpu: int64(s.CPU), MemoryMb: int64(s.MemoryMB), Accelerators: int64(s.Accelerators),
-		Labels: []string{"a", w.rack}, Rack: w.rack, Draining: w.drains, RemainingMillis: drainNotice.Milliseconds(),
+		Labels: []string{"a", w.rack}, Rack: w.rack, Draining: w.drains, RemainingMillis: max(w.leaves-w.p.now, 0).Milliseconds(),
 	}}
 	for _, name := range sortedNames(w.runs) {
 		r := w.runs[name]
@@ -337,9 +338,6 @@
 	w.p.planner.Report(w.name, in, w.p.clock())
 }
 
-// drainNotice is the least time that a draining worker says it has left.
-const drainNotice = 2 * time.Second
-
 // forget drops the ends that are recorded.
 func (w *worker) forget(seen planner.Seen) {
 	if seen.Life.GetBorn() != w.born {
