Shorten the time for which former owners' leases are waited for

The planner's machine is gone for good while its worker runs tasks, and two more owners change without notice within 25 s.

Change: an owner extends leases for 4 s without confirmation. One whose process has ended has stopped by the time of the takeover, one that left has stopped before its last row. A new owner counts the silence of a target from the former owner's last possible contact instead of its own takeover.

Ruled out: no addition for an owner whose process has ended: it may have reached the target after its last row.

--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -65,8 +65,9 @@
 // former is the owner that a candidate takes over from.
 type former struct {
 	row     OwnerRow
-	version uint64 // of the row
-	ended   bool   // the process has certainly ended
+	version uint64        // of the row
+	ended   bool          // the process has certainly ended
+	now     time.Duration // the store's steady clock when the row was read
 }
 
 // announce writes the row by which planners find the agent of this process.
@@ -106,17 +107,17 @@
 	stale += slowStoreFactor * time.Since(sent)
 	c.deps.Clock.Observe(page.Now)
 	if len(page.Rows) == 0 {
-		return former{ended: true}, true
+		return former{now: page.Now}, true
 	}
 	row, err := DecodeOwner(page.Rows[0].Value)
 	if err != nil {
 		c.deps.Log.Error().Int("Event", EventRowMalformed).Err(err).Send()
 		// Its owner is not known, and may be at work.
-		row = OwnerRow{Epoch: contact.Epoch, BeatMillis: page.Now.Milliseconds()}
-		return former{row: row, version: page.Rows[0].Version}, true
+		row = OwnerRow{Epoch: contact.Epoch, Name: "unknown", BeatMillis: page.Now.Milliseconds()}
+		return former{row: row, version: page.Rows[0].Version, now: page.Now}, true
 	}
 	c.deps.Agent.RaiseEpoch(row.Epoch)
-	f := former{row: row, version: page.Rows[0].Version, ended: true}
+	f := former{row: row, version: page.Rows[0].Version, ended: true, now: page.Now}
 	why := ""
 	switch {
 	case row.Name == "":
--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -10,7 +10,7 @@
 // How long an owner that the store does not confirm goes on to extend leases, and when
 // what ran on a target that nobody reaches has lapsed after the last extension.
 const (
-	grantBound = 10 * time.Second
+	grantBound = 4 * time.Second
 	lastLapse  = grantBound + lapseBound
 )
 
@@ -40,6 +40,14 @@
 			time.Sleep(8 * time.Second)
 			s.start("b", s.store)
 		}},
+		{name: "the second owner's process has ended", within: 6*time.Second + lapseBound, change: func(s *site, from *target) {
+			from.set(func(x *target) { x.cut = true })
+			b := s.start("b", s.store)
+			time.Sleep(5 * time.Second)
+			s.setRefuses("b")
+			s.start("c", s.store)
+			b.end()
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -41,7 +41,7 @@
 
 func newOwner(cfg Settings, deps Deps, boot uint64, f former) *owner {
 	row := OwnerRow{
-		Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot, GrantsMillis: f.row.grants(f.ended),
+		Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot, GrantsMillis: f.row.grants(f.now, f.ended),
 	}
 	return &owner{
 		cfg: cfg, deps: deps, inherited: f.row, row: row, version: f.version, wake: make(chan struct{}, 1),
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -29,8 +29,8 @@
 	// BeatMillis is the store's steady clock when the row was sent.
 	BeatMillis int64
 	Token      string // of the write
-	// GrantsMillis is the store's steady clock until which former owners, whose processes
-	// have not certainly ended, may extend leases.
+	// GrantsMillis is the store's steady clock until which former owners may extend
+	// leases or may have done so without a record of it in Silent.
 	GrantsMillis int64 `json:",omitempty"`
 	// Silent has, for each target that does not answer, the store's steady clock at
 	// its last answer, in milliseconds. Leases on it lapse counted from then,
@@ -38,13 +38,18 @@
 	Silent map[string]int64 `json:",omitempty"`
 }
 
-// grants returns until when, on the store's steady clock, owners up to this one may
-// extend leases. The owner itself does not if its process has ended.
-func (r OwnerRow) grants(ended bool) int64 {
-	if ended {
+// grants returns GrantsMillis for the next owner, who takes over at a time. An owner
+// that leaves stops to extend leases before it writes its last row, and one whose
+// process has ended has stopped by now.
+func (r OwnerRow) grants(now time.Duration, ended bool) int64 {
+	if r.Epoch == 0 || r.Name == "" {
 		return r.GrantsMillis
 	}
-	return max(r.GrantsMillis, r.BeatMillis+grantLimit.Milliseconds())
+	until := r.BeatMillis + grantLimit.Milliseconds()
+	if ended {
+		until = min(until, now.Milliseconds())
+	}
+	return max(r.GrantsMillis, until)
 }
 
 func (r OwnerRow) encode() []byte { return table.EncodeValue(r) }
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -73,8 +73,9 @@
 	// lease itself: a change of the owner takes half of it.
 	leaseReach = 4 * time.Second
 	// grantLimit is how long an owner that the store does not confirm goes on to
-	// extend leases. Outages of the store of this length stop no run.
-	grantLimit = 10 * time.Second
+	// extend leases. With a lease and its reach, work outlasts an outage of the store of
+	// 14 s or more. A longer time would keep work of a lost worker waiting for as long.
+	grantLimit = 4 * time.Second
 	// clockError is by how much a worker's clock may be slow, and lapseMargin is
 	// added to every time after which a lease counts as lapsed.
 	clockError  = 0.02
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -69,13 +69,23 @@
 	rev       uint64
 }
 
-// lastHeard returns when a target answered last, as far as the former owner knew.
+// lastHeard returns when a target can have answered a former owner last, as far as
+// the last of them knew.
 func (o *owner) lastHeard(name string) time.Time {
-	millis, ok := o.inherited.Silent[name]
-	if !ok {
+	if millis, ok := o.inherited.Silent[name]; ok {
+		return o.local(millis, o.taken)
+	}
+	if o.inherited.Epoch == 0 {
 		return o.taken
 	}
-	return o.local(millis, o.taken)
+	until := o.inherited.BeatMillis
+	if o.inherited.Name != "" {
+		until += grantLimit.Milliseconds()
+	}
+	if heard := o.local(until, o.taken); heard.Before(o.taken) {
+		return heard
+	}
+	return o.taken
 }
 
 // local returns a time on the store's steady clock, in milliseconds, as one of this
