Let work of a lost worker start again 11 s after its last contact

Change: the cap lies 10 s beyond the last contact on every site, whatever the worker would grant. An owner whose own agent has taken the epoch of another owner extends no leases, and the new owner counts it as stopped from the first answer of that agent.

Ruled out: 8 s: a change of the owner takes 7 s in a store that is 90 times slower than usual, and all work would lapse in one that is slower still.

--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -28,6 +28,7 @@
 	orders    sync.WaitGroup
 
 	mu        sync.Mutex
+	grants    int64    // OwnerRow.GrantsMillis
 	row       OwnerRow // as written last; changed only by the goroutine of run
 	version   uint64   // of the row
 	plan      *planner.Planner
@@ -40,11 +41,9 @@
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, f former) *owner {
-	row := OwnerRow{
-		Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot, GrantsMillis: f.row.grants(f.now, f.ended),
-	}
+	row := OwnerRow{Epoch: f.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot}
 	return &owner{
-		cfg: cfg, deps: deps, inherited: f.row, row: row, version: f.version, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, inherited: f.row, grants: f.row.grants(f.now, f.ended), row: row, version: f.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
 	}
 }
@@ -227,7 +226,7 @@
 		row := last
 		row.Token = newToken()
 		o.mu.Lock()
-		row.Silent = o.silentLocked()
+		row.Silent, row.GrantsMillis = o.silentLocked(), o.grants
 		o.mu.Unlock()
 		if now, ok := o.deps.Clock.Now(); ok {
 			row.BeatMillis = now.Milliseconds()
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -68,13 +68,14 @@
 	maxWatchPause = 500 * time.Millisecond
 	// orderTimeout bounds a call that carries orders: two tries at the worker.
 	orderTimeout = 1600 * time.Millisecond
-	// leaseReach is how far beyond a full lease the cap of an agent's leases lies.
-	// It is the time that a worker's runs survive without a planner, beyond the
-	// lease itself: a change of the owner takes half of it.
-	leaseReach = 4 * time.Second
+	// leaseSpan is how far beyond the worker's clock in the agent's last answer the cap
+	// of its leases lies, whatever the worker would grant: the time that runs survive
+	// without a planner. In a store that is 90 times slower than usual, a change of the
+	// owner takes 7 s.
+	leaseSpan = 10 * time.Second
 	// grantLimit is how long an owner that the store does not confirm goes on to
-	// extend leases. With a lease and its reach, work outlasts an outage of the store of
-	// 14 s or more. A longer time would keep work of a lost worker waiting for as long.
+	// extend leases. With leaseSpan, work outlasts an outage of the store of 14 s. A
+	// longer time would keep work of a lost worker waiting for as long.
 	grantLimit = 4 * time.Second
 	// clockError is by how much a worker's clock may be slow, and lapseMargin is
 	// added to every time after which a lease counts as lapsed.
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -98,13 +98,21 @@
 	return time.Now().Add(time.Duration(millis)*time.Millisecond - now)
 }
 
+// formerStoppedLocked takes that the former owner has stopped to extend leases: the
+// agent in its process has taken the epoch of this one.
+func (o *owner) formerStoppedLocked() {
+	if now, ok := o.deps.Clock.Now(); ok {
+		o.grants = min(o.grants, max(o.inherited.GrantsMillis, now.Milliseconds()))
+	}
+}
+
 // lastGrantLocked returns the latest time at which any owner can have extended a lease
 // on a target that answered this one last at heard. Former owners may reach the target.
 func (o *owner) lastGrantLocked(heard time.Time) time.Time {
-	if o.row.GrantsMillis == 0 {
+	if o.grants == 0 {
 		return heard
 	}
-	if former := o.local(o.row.GrantsMillis, o.taken.Add(grantLimit)); former.After(heard) {
+	if former := o.local(o.grants, o.taken.Add(grantLimit)); former.After(heard) {
 		return former
 	}
 	return heard
@@ -207,7 +215,9 @@
 		Epoch: o.row.Epoch, Planner: o.cfg.Name, Fence: w.fence, Life: w.life, SeenEnd: w.seen,
 		WaitMillis: watchWait.Milliseconds(), Boot: w.boot, Revision: w.rev, UnconfirmedMillis: unconfirmed.Milliseconds(),
 	}
-	if awake < grantLimit {
+	// An agent that has taken the epoch of another owner has told it that this one extends
+	// no more leases.
+	if awake < grantLimit && o.deps.Agent.Contact().Epoch <= o.row.Epoch {
 		r.LeaseCapMillis = w.cap
 	}
 	return r, w.address
@@ -224,6 +234,9 @@
 		// Calls of the agent's or the worker's former life carry the old token.
 		w.fence++
 	}
+	if w.name == o.inherited.Name {
+		o.formerStoppedLocked()
+	}
 	w.heard, w.called, w.connected, w.lapsed = now, true, true, false
 	w.boot, w.rev = in.GetBoot(), in.GetRevision()
 	if wk := in.GetWorker(); wk != nil {
@@ -231,14 +244,14 @@
 			w.life, w.seen, w.cap = wk.GetLife(), 0, 0
 		}
 		if clock := wk.GetClockMillis(); clock > 0 {
-			w.cap = max(w.cap, clock+(o.cfg.HoldMax+leaseReach).Milliseconds())
+			w.cap = max(w.cap, clock+leaseSpan.Milliseconds())
 		}
 	}
 	if restarted {
 		in.Listed = false
 	}
 	o.plan.Report(w.name, in, now)
-	if since := min(in.GetSilentMillis(), in.GetUngrantedMillis()); time.Duration(since)*time.Millisecond > lapse(o.cfg.HoldMax) {
+	if since := min(in.GetSilentMillis(), in.GetUngrantedMillis()); time.Duration(since)*time.Millisecond > lapse(min(o.cfg.HoldMax, leaseSpan)) {
 		o.plan.Lapsed(w.name, "the worker does not answer", now)
 	}
 	o.signal()
@@ -259,7 +272,7 @@
 	defer o.mu.Unlock()
 	o.plan.Connected(w.name, false)
 	w.connected, w.rev = false, 0
-	if now.Sub(o.lastGrantLocked(w.heard)) > lapse(o.cfg.HoldMax+leaseReach) && !w.lapsed && !paused {
+	if now.Sub(o.lastGrantLocked(w.heard)) > lapse(leaseSpan) && !w.lapsed && !paused {
 		w.lapsed = true
 		o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.heard)).Err(err).
 			Uint64("RefusedBy", in.GetEpoch()).Msg("what ran on a target is given up")
