Add a fault soak of the programs as separate processes

Cause: the fault matrix runs all processes in one bubble with one clock, so that pauses, signals, ports, real connections and memory are not shown.

Change: package soak and command soak. A run is drawn from a seed: series of faults that overlap (22 kinds: signals, loopback proxies on every connection, store, workers, orders, configurations), callers over the platform's protocol, and checks of what callers and workers saw. The verdicts on runs and gangs move from the matrix to standin/worker, which both use. The stand-in for callers and the operator is standin/caller; a worker's stand-in can have a slow clock and ends the members of a gang at one time. Targets get the setting ReachedAt, the address that planners use if something stands in front of them.

Ruled out: a fault of the programs for "ended by itself: exit status 1" (seeds 7, 144, 900 and a planted one): their logs say that the port was in use. The soak had taken ports of the range that the system gives to connections; it takes lower ones now.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 GOLANGCI_VERSION := v2.15.0
 GOLANGCI := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build test race lint fmt demo bench matrix tools generate
+.PHONY: build test race lint fmt demo bench matrix soak tools generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -34,6 +34,13 @@
 matrix:
 	MATRIX_SEEDS=$(SEEDS) go test ./matrix -count=1 -v -timeout 60m
 
+# Random faults against the programs as separate processes. Without SEED, the seeds
+# are fresh.
+SOAKS ?= 50
+SEED ?= $(shell date +%s)
+soak: build
+	bin/soak --seed $(SEED) --seeds $(SOAKS) --parallel 4
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlargrade/medlargrade/protocol/callerapi"
 	"github.com/medlargrade/medlargrade/standin/worker"
+	"github.com/medlargrade/medlargrade/state/job"
 )
 
 // checker judges a history and returns what breaks its promise.
@@ -78,35 +79,15 @@
 // works on once another has ended, and that no member is left alone without a
 // fault.
 func checkGang(h *history) []string {
-	var bad []string
-	for id, members := range h.gangs() {
-		size := h.requests[members[0].label].parts
-		var began, ended time.Time
-		for _, x := range members {
-			if !x.Began.IsZero() && (began.IsZero() || x.Began.Before(began)) {
-				began = x.Began
-			}
-			if !x.End.IsZero() && (ended.IsZero() || x.End.Before(ended)) {
-				ended = x.End
-			}
-			if x.Ended == worker.EndAlone && !h.anyFaultBy(x.End) {
-				bad = append(bad, fmt.Sprintf("%s of gang %s was left alone", x.ID, id))
-			}
-		}
-		if began.IsZero() {
-			continue
-		}
-		there := 0
-		for _, x := range members {
-			if !x.Start.After(began) {
-				there++
-			}
-			if !ended.IsZero() && !x.Began.IsZero() && h.endOf(x).After(ended) {
-				bad = append(bad, fmt.Sprintf("%s of gang %s worked %v after another had ended", x.ID, id, h.endOf(x).Sub(ended)))
-			}
-		}
-		if there < size {
-			bad = append(bad, fmt.Sprintf("gang %s began with %d of %d members", id, there, size))
+	parts := make(map[string]int)
+	for _, x := range h.ran {
+		id, _, _ := strings.Cut(x.ID, ".")
+		parts[id] = h.requests[x.label].parts
+	}
+	bad := worker.CheckGangs(h.records(), func(n job.TaskName) int { return parts[n.Job] }, h.ended)
+	for _, x := range h.ran {
+		if h.requests[x.label].parts > 1 && x.Ended == worker.EndAlone && !h.anyFaultBy(x.End) {
+			bad = append(bad, fmt.Sprintf("%s run %d was left alone", x.ID, x.Run))
 		}
 	}
 	return bad
@@ -210,51 +191,22 @@
 	})
 }
 
-// isVoid reports whether the end of a run no longer bound the planner at a time: its
-// worker's lease had lapsed, or its life had ended, while the worker still listed the
-// end. That of one member of a gang counts for all, since each has a result.
-func (h *history) isVoid(x execution, at time.Time) bool {
-	job, _, _ := strings.Cut(x.ID, ".")
-	for _, y := range h.ran {
-		other, _, _ := strings.Cut(y.ID, ".")
-		if other == job && y.Run == x.Run && !y.Void.IsZero() && !y.Void.After(at) {
-			return true
-		}
-	}
-	return false
-}
-
 // checkOnce demands that a non-idempotent request ran at most once, that no two runs
 // of a task overlap, and that none begins after one has done the task, unless that
 // end was void before.
 func checkOnce(h *history) []string {
 	runs := make(map[string][]string)
-	byTask := make(map[string][]execution)
 	for _, x := range h.ran {
 		if h.requests[x.label].nonIdempotent {
 			runs[x.label] = append(runs[x.label], x.ID+" on "+x.worker)
 		}
-		byTask[x.ID] = append(byTask[x.ID], x)
 	}
-	var bad []string
+	bad := worker.CheckOnce(h.records(), h.ended)
 	for label, list := range runs {
 		if len(list) > 1 {
 			bad = append(bad, label+" ran as "+strings.Join(list, " and "))
 		}
 	}
-	for id, list := range byTask {
-		slices.SortFunc(list, func(a, b execution) int { return a.Start.Compare(b.Start) })
-		for i, x := range list {
-			for _, y := range list[i+1:] {
-				if y.Start.Before(h.endOf(x)) {
-					bad = append(bad, fmt.Sprintf("run %d of %s on %s began while run %d ran on %s", y.Run, id, y.worker, x.Run, x.worker))
-				}
-				if x.Ended == worker.EndDone && !h.isVoid(x, y.Start) {
-					bad = append(bad, fmt.Sprintf("run %d of %s began on %s after run %d was done on %s", y.Run, id, y.worker, x.Run, x.worker))
-				}
-			}
-		}
-	}
 	return bad
 }
 
--- a/matrix/lookups_test.go
+++ b/matrix/lookups_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/medlargrade/medlargrade/standin/worker"
 )
 
 // lastSubmission returns the last response to a submission under a label.
@@ -49,20 +51,15 @@
 	return x.End
 }
 
-// gangs groups the executions of gangs by job and run, in order of their starts.
-func (h *history) gangs() map[string][]execution {
-	groups := make(map[string][]execution)
-	for _, x := range h.ran {
-		if h.requests[x.label].parts > 1 {
-			job, _, _ := strings.Cut(x.ID, ".")
-			id := fmt.Sprintf("%s run %d", job, x.Run)
-			groups[id] = append(groups[id], x)
+// records returns the executions as the workers' records.
+func (h *history) records() []worker.Record {
+	out := make([]worker.Record, len(h.ran))
+	for i, x := range h.ran {
+		out[i] = worker.Record{
+			Task: x.ID, Run: x.Run, Worker: x.Life, Arrived: x.Start, Began: x.Began, Ended: x.End, How: x.Ended, Void: x.Void,
 		}
 	}
-	for _, g := range groups {
-		slices.SortFunc(g, func(a, b execution) int { return a.Start.Compare(b.Start) })
-	}
-	return groups
+	return out
 }
 
 // trace lists what callers were told and what ran.
--- a/process/settings.go
+++ b/process/settings.go
@@ -89,6 +89,7 @@
 	Name            string `long:"name" description:"name of the target, unique over all processes"`
 	DataCentre      string `long:"data-centre" description:"data centre of the target's VM"`
 	Address         string `long:"address" description:"IP:port to serve planners"`
+	ReachedAt       string `long:"reached-at" description:"IP:port at which planners reach the target, if it is not its address"`
 	ReportAddress   string `long:"report-address" description:"IP:port at which the worker reports"`
 	OperatorAddress string `long:"operator-address" description:"IP:port to serve operators"`
 	Worker          string `long:"worker" description:"URL of the worker's interface"`
@@ -161,7 +162,12 @@
 
 // Check returns all that is wrong with the settings.
 func (s TargetSettings) Check() error {
+	var reachedAt error
+	if s.ReachedAt != "" {
+		reachedAt = CheckAddress("ReachedAt", s.ReachedAt)
+	}
 	return errors.Join(
+		reachedAt,
 		checkName("Name", s.Name),
 		checkName("DataCentre", s.DataCentre),
 		CheckAddress("Address", s.Address),
--- a/process/target.go
+++ b/process/target.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -52,7 +53,7 @@
 		},
 		func(s table.Store, c *table.Clock, as *agent.Agents, a *coordagent.Agent, m *metrics.Set, log zerolog.Logger) *shard.Candidate {
 			return shard.NewCandidate(shard.Settings{
-				Part: Part, Name: set.Name, Address: set.Address, HoldMax: time.Duration(set.Bounds.LeaseMax),
+				Part: Part, Name: set.Name, Address: cmp.Or(set.ReachedAt, set.Address), HoldMax: time.Duration(set.Bounds.LeaseMax),
 				Planner: set.Bounds.planner(),
 			}, shard.Deps{
 				Store: s, Clock: c, Agents: as, Agent: a, Log: log, Metrics: m,
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,256 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/medlargrade/medlargrade/standin/worker"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// Bounds of the promises, from the users' pages. slack is added to each: all processes
+// share one machine, whose scheduler may delay any of them.
+const (
+	slack        = 2 * time.Second
+	leaveBound   = 2 * time.Second // a worker that leaves starts nothing later
+	cancelBound  = 3*time.Second + stopTime
+	reclaimBound = 2900 * time.Millisecond
+	// rollbackBound is how long after a version took effect an older one may still be
+	// seen.
+	rollbackBound = 250 * time.Millisecond
+	// memoryBound is the memory of the smallest machine, in MB.
+	memoryBound = 152
+)
+
+// check judges a run.
+func (h *history) check(records []worker.Record, versions []version, now time.Time) []string {
+	h.mu.Lock()
+	found := slices.Clone(h.violations)
+	jobs := h.jobs
+	h.mu.Unlock()
+	add := func(promise string, list []string) {
+		for _, x := range list {
+			found = append(found, promise+": "+x)
+		}
+	}
+	add("twice", worker.CheckOnce(records, now))
+	add("gang", worker.CheckGangs(records, func(n job.TaskName) int { return gangSize(jobs, n) }, now))
+	add("unasked", checkAsked(jobs, records))
+	add("order", checkOrder(jobs, records))
+	add("cancelled", h.checkCancelled(records, now))
+	add("drain", h.checkLeaving(records))
+	add("mixed", checkShown(jobs, records))
+	add("reclaim", h.checkClaims(records))
+	add("configuration", h.checkProbes(versions))
+	return found
+}
+
+func gangSize(jobs map[string]*jobRecord, n job.TaskName) int {
+	r := jobs[n.Job]
+	if r == nil || n.Step >= len(r.job.Steps) || !r.job.Steps[n.Step].Gang {
+		return 1
+	}
+	return r.job.Steps[n.Step].Tasks
+}
+
+// checkAsked demands that everything that was started had been submitted as it is, and
+// that its caller was not only told that it was not accepted.
+func checkAsked(jobs map[string]*jobRecord, records []worker.Record) []string {
+	var bad []string
+	for _, x := range records {
+		n, err := job.ParseTaskName(x.Task)
+		r := jobs[n.Job]
+		switch {
+		case err != nil || r == nil || n.Step >= len(r.job.Steps) || n.Index >= r.job.Steps[n.Step].Tasks:
+			bad = append(bad, fmt.Sprintf("%s was started, and nobody has submitted it", x.Task))
+		case x.Payload != r.job.Payload:
+			bad = append(bad, fmt.Sprintf("%s was started with another payload", x.Task))
+		case r.accepted.IsZero() && !r.undecided && r.refused > 0:
+			bad = append(bad, fmt.Sprintf("%s was started, and its caller was told that it was not accepted", x.Task))
+		}
+	}
+	return bad
+}
+
+// doneAt returns when the tasks of a step had all been done, or zero. One end counts
+// for a whole gang.
+func doneAt(r *jobRecord, step int, records []worker.Record) time.Time {
+	done := make(map[int]time.Time)
+	for _, x := range records {
+		n, err := job.ParseTaskName(x.Task)
+		if err == nil && n.Job == r.job.ID && n.Step == step && x.How == worker.EndDone {
+			if t, ok := done[n.Index]; !ok || x.Ended.Before(t) {
+				done[n.Index] = x.Ended
+			}
+		}
+	}
+	need := r.job.Steps[step].Tasks
+	if r.job.Steps[step].Gang {
+		need = 1
+	}
+	if len(done) < need {
+		return time.Time{}
+	}
+	var last time.Time
+	for _, t := range done {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+// checkOrder demands that a step begins after those that it waits for.
+func checkOrder(jobs map[string]*jobRecord, records []worker.Record) []string {
+	var bad []string
+	for _, x := range records {
+		n, err := job.ParseTaskName(x.Task)
+		r := jobs[n.Job]
+		if err != nil || r == nil || n.Step >= len(r.job.Steps) {
+			continue
+		}
+		for _, a := range r.job.Steps[n.Step].After {
+			if t := doneAt(r, a, records); t.IsZero() || x.Arrived.Before(t) {
+				bad = append(bad, fmt.Sprintf("%s began before step %d was done", x.Task, a))
+			}
+		}
+	}
+	return bad
+}
+
+// checkCancelled demands that nothing of a cancelled job runs for longer than the
+// bound after its acknowledgement in a calm time.
+func (h *history) checkCancelled(records []worker.Record, now time.Time) []string {
+	var bad []string
+	for id, r := range h.jobs {
+		limit := r.cancelAck.Add(cancelBound + slack)
+		if r.cancelAck.IsZero() || !h.isCalm(r.cancelAck, limit) {
+			continue
+		}
+		for _, x := range records {
+			if !strings.HasPrefix(x.Task, id+".") {
+				continue
+			}
+			if x.Arrived.After(limit) || x.Arrived.Before(limit) && (x.Ended.IsZero() && now.After(limit) || x.Ended.After(limit)) {
+				bad = append(bad, fmt.Sprintf("%s worked %v after its job was cancelled", x.Task, limit.Sub(r.cancelAck)))
+			}
+		}
+	}
+	return bad
+}
+
+// checkLeaving demands that a worker that leaves starts nothing after the bound.
+func (h *history) checkLeaving(records []worker.Record) []string {
+	var bad []string
+	for _, l := range h.left {
+		for _, x := range records {
+			if x.Worker == l.worker && x.Born == l.born && x.Arrived.After(l.at.Add(leaveBound+heartbeat)) && h.isCalmBut(l.at, x.Arrived, faultWorkerLeaves) {
+				bad = append(bad, fmt.Sprintf("%s began on %s %v after it began to leave", x.Task, x.Life(), x.Arrived.Sub(l.at)))
+			}
+		}
+	}
+	return bad
+}
+
+// checkShown demands that a job that was shown as completed was done by then.
+func checkShown(jobs map[string]*jobRecord, records []worker.Record) []string {
+	var bad []string
+	for id, r := range jobs {
+		if r.state == "failed" && r.cancelled.IsZero() {
+			if !slices.ContainsFunc(records, func(x worker.Record) bool {
+				return strings.HasPrefix(x.Task, id+".") && x.How == worker.EndFailed
+			}) {
+				bad = append(bad, id+" was shown as failed, and nothing of it has failed")
+			}
+		}
+		if r.state == "cancelled" && r.cancelled.IsZero() {
+			bad = append(bad, id+" was shown as cancelled, and nobody has cancelled it")
+		}
+		if r.state != "completed" {
+			continue
+		}
+		for i := range r.job.Steps {
+			if t := doneAt(r, i, records); t.IsZero() || t.After(r.shown) {
+				bad = append(bad, fmt.Sprintf("%s was shown as completed before its step %d was done", id, i))
+			}
+		}
+	}
+	return bad
+}
+
+// checkClaims demands that a claim on a guarantee runs in time, if all is calm. Claims
+// come one after another, so that each fits into the guarantee.
+func (h *history) checkClaims(records []worker.Record) []string {
+	var bad []string
+	for id, r := range h.jobs {
+		limit := r.accepted.Add(reclaimBound + slack)
+		if !r.claim || r.accepted.IsZero() || !h.isCalm(r.accepted, limit) {
+			continue
+		}
+		for i := range r.job.Steps[0].Tasks {
+			name := job.TaskName{Job: id, Index: i}.String()
+			if !slices.ContainsFunc(records, func(x worker.Record) bool { return x.Task == name && !x.Arrived.After(limit) }) {
+				bad = append(bad, fmt.Sprintf("claim %s had not begun %v after its acceptance", name, limit.Sub(r.accepted)))
+			}
+		}
+	}
+	return bad
+}
+
+// expected returns what a version makes of a probe.
+func (v version) expected(key string) int {
+	switch {
+	case !v.extra:
+		return http.StatusNotFound
+	case v.key != key:
+		return http.StatusUnauthorized
+	}
+	return http.StatusOK
+}
+
+// checkProbes demands that an entry uses a version in time if all is calm, and that it
+// never goes back to an older one.
+func (h *history) checkProbes(versions []version) []string {
+	var bad []string
+	type boot struct {
+		entry string
+		n     int
+	}
+	oldest := make(map[boot]uint64)   // version that is in force at least
+	since := make(map[boot]time.Time) // when that was seen
+	for _, p := range h.probes {
+		if p.status == http.StatusServiceUnavailable || p.status == http.StatusGatewayTimeout {
+			continue
+		}
+		b := boot{p.entry, p.boot}
+		var first, last uint64 // versions that explain the answer
+		acked := uint64(0)
+		for _, v := range versions {
+			if v.expected(p.key) == p.status {
+				if first == 0 {
+					first = v.n
+				}
+				last = v.n
+			}
+			if v.ack.Add(configInForce+slack).Before(p.sent) && h.isCalm(v.ack, p.sent) {
+				acked = v.n
+			}
+		}
+		switch {
+		case last == 0:
+			bad = append(bad, fmt.Sprintf("%s answered %d for key %s, as no version demands", p.entry, p.status, p.key))
+			continue
+		case last < acked:
+			bad = append(bad, fmt.Sprintf("%s answered as version %d at most, and %d had been in force", p.entry, last, acked))
+		case last < oldest[b] && p.sent.After(since[b].Add(rollbackBound)):
+			bad = append(bad, fmt.Sprintf("%s went back from version %d to %d", p.entry, oldest[b], last))
+		}
+		if first > oldest[b] {
+			oldest[b], since[b] = first, p.sent
+		}
+	}
+	return bad
+}
--- /dev/null
+++ b/soak/link_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// linkWait is long enough for data on loopback, and short enough for tests.
+const linkWait = 300 * time.Millisecond
+
+// echo serves lines that it sends back.
+func echo(t *testing.T) string {
+	t.Helper()
+	var lc net.ListenConfig
+	lis, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+// ask sends a line and returns whether it came back in time, and the error if not.
+func ask(c net.Conn) error {
+	if err := c.SetDeadline(time.Now().Add(linkWait)); err != nil {
+		return err
+	}
+	if _, err := c.Write([]byte("x\n")); err != nil {
+		return err
+	}
+	_, err := bufio.NewReader(c).ReadString('\n')
+	return err
+}
+
+// Guards against a proxy that lets data through while it should not, or loses it when
+// its fault is over.
+func TestLinkStates(t *testing.T) {
+	isTimeout := func(err error) bool {
+		var n net.Error
+		return errors.As(err, &n) && n.Timeout()
+	}
+	tests := []struct {
+		name       string
+		strike     func(l *Link)
+		open       func(err error) bool // of a question on a connection from before
+		new        func(err error) bool // of one on a new connection
+		comesLater bool                 // the answer arrives when the fault is over
+	}{
+		{"open", func(*Link) {}, nil, nil, false},
+		{"silent", func(l *Link) { l.Set(linkSilent) }, isTimeout, isTimeout, true},
+		{"one way", func(l *Link) { l.Set(linkOneWay) }, isTimeout, isTimeout, true},
+		{"reset", func(l *Link) { l.Set(linkReset) }, isReset, isReset, false},
+		{"slow", func(l *Link) { l.Set(linkSlow) }, nil, nil, false},
+		{"stale", func(l *Link) { l.Forget() }, isTimeout, nil, false},
+		{"reset once", func(l *Link) { l.ResetAll() }, isReset, nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := NewLink(t.Context(), echo(t), linkWait/10)
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(l.Close)
+			dial := func() net.Conn {
+				var d net.Dialer
+				c, err := d.DialContext(t.Context(), "tcp", l.Address())
+				qt.Assert(t, err, qt.IsNil)
+				t.Cleanup(func() { _ = c.Close() })
+				return c
+			}
+			c := dial()
+			qt.Assert(t, ask(c), qt.IsNil)
+			tt.strike(l)
+			check := func(err error, want func(error) bool) {
+				if want == nil {
+					qt.Assert(t, err, qt.IsNil)
+					return
+				}
+				qt.Assert(t, want(err), qt.IsTrue, qt.Commentf("%v", err))
+			}
+			check(ask(c), tt.open)
+			check(ask(dial()), tt.new)
+			l.Set(linkOpen)
+			if tt.comesLater {
+				qt.Assert(t, c.SetDeadline(time.Now().Add(linkWait)), qt.IsNil)
+				_, err := bufio.NewReader(c).ReadString('\n')
+				qt.Assert(t, err, qt.IsNil)
+			}
+			qt.Assert(t, ask(dial()), qt.IsNil)
+		})
+	}
+}
+
+// isReset reports whether a connection has ended.
+func isReset(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.As(err, &op) && !op.Timeout()
+}
--- /dev/null
+++ b/soak/site.go
@@ -0,0 +1,340 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	adapter "github.com/medlargrade/medlargrade/platform"
+	"github.com/medlargrade/medlargrade/process"
+	"github.com/medlargrade/medlargrade/standin/caller"
+	"github.com/medlargrade/medlargrade/standin/platform"
+	"github.com/medlargrade/medlargrade/standin/worker"
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// Bounds of the workers and of the programs' settings. They are shorter than those of
+// the users' sites, so that what a run shows fits into less time.
+const (
+	leaseMax      = 5 * time.Second
+	stopTime      = 400 * time.Millisecond
+	gangWait      = 3 * time.Second
+	configInForce = 2 * time.Second
+	drainTime     = 6 * time.Second
+	heartbeat     = 500 * time.Millisecond
+)
+
+const (
+	perRack      = 3
+	accelerators = 8
+	pool         = "workers"
+	// linkDelay is the delay of each piece of data on a slow link.
+	linkDelay = 150 * time.Millisecond
+	// clockRate is the rate of every second worker's clock, which may be 2 % slow.
+	clockRate = 0.98
+)
+
+// machine is a program with the links of its connections.
+type machine struct {
+	program *program
+	address string // at which callers or planners reach it
+	store   *Link
+	caller  *Link // of an entry
+	agent   *Link // of a target
+	worker  *Link
+	report  *Link
+}
+
+func (m *machine) links() []*Link {
+	var out []*Link
+	for _, l := range []*Link{m.store, m.caller, m.agent, m.worker, m.report} {
+		if l != nil {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// site is everything that a run starts.
+type site struct {
+	cfg      Config
+	platform *platform.Server
+	store    string // address of the store
+	workSite *worker.Site
+	workers  []*worker.Worker
+	entries  []*machine
+	targets  []*machine
+	hist     *history
+
+	wg    sync.WaitGroup
+	stops []func()
+
+	mu       sync.Mutex // guards the configuration
+	versions []version
+}
+
+func newSite(ctx context.Context, cfg Config, h *history) (*site, error) {
+	s := &site{cfg: cfg, hist: h, platform: platform.New(platform.Settings{}, zerolog.Nop())}
+	s.workSite = worker.NewSite(func(id string) (job.Job, bool) { return s.platform.Job(process.Part, id) })
+	address, err := s.serve(ctx, "127.0.0.1:0", s.platform)
+	if err != nil {
+		return nil, err
+	}
+	s.store = address
+	s.change()
+	for i := range cfg.Targets {
+		if err := s.addTarget(ctx, i); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	for i := range cfg.Entries {
+		if err := s.addEntry(ctx, i); err != nil {
+			s.close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+// serve serves a stand-in and returns its address.
+func (s *site) serve(ctx context.Context, address string, h http.Handler) (string, error) {
+	var lc net.ListenConfig
+	lis, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return "", fmt.Errorf("listen on %s: %w", address, err)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	s.wg.Go(func() { _ = srv.Serve(lis) })
+	s.stops = append(s.stops, func() { _ = srv.Close() })
+	return lis.Addr().String(), nil
+}
+
+// Ports of the programs. They lie below those that the system gives to connections,
+// which could take one while its program is away.
+const (
+	firstPort = 12_000
+	portCount = 18_000
+)
+
+// nextPort counts the ports that have been given out. Several soaks on one machine
+// begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 61) }
+
+// freeAddress returns an address on loopback that nothing listens on.
+func freeAddress(ctx context.Context) (string, error) {
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		var lc net.ListenConfig
+		if lis, err := lc.Listen(ctx, "tcp", address); err == nil {
+			return address, lis.Close()
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+// link returns a link to an address.
+func (s *site) link(ctx context.Context, to string) (*Link, error) {
+	l, err := NewLink(ctx, to, linkDelay)
+	if err != nil {
+		return nil, fmt.Errorf("link to %s: %w", to, err)
+	}
+	s.stops = append(s.stops, l.Close)
+	return l, nil
+}
+
+// bounds returns those of the settings.
+func bounds() process.Bounds {
+	b := process.DefaultBounds()
+	b.LeaseMax, b.StopTime, b.GangWait = process.Duration(leaseMax), process.Duration(stopTime), process.Duration(gangWait)
+	b.ConfigInForce = process.Duration(configInForce)
+	return b
+}
+
+// addTarget starts a worker and the target process beside it.
+func (s *site) addTarget(ctx context.Context, i int) error {
+	var free [3]string // reports, planners, operators
+	for k := range free {
+		a, err := freeAddress(ctx)
+		if err != nil {
+			return err
+		}
+		free[k] = a
+	}
+	m := &machine{}
+	var err error
+	if m.report, err = s.link(ctx, free[0]); err != nil {
+		return err
+	}
+	rack := i / perRack
+	set := worker.Settings{
+		Name: fmt.Sprintf("w%d", i+1), Pool: pool, DataCentre: fmt.Sprintf("dc%d", rack+1), Rack: fmt.Sprintf("r%d", rack+1),
+		Accelerators: accelerators, Address: "127.0.0.1:1", Report: m.report.Address(), Heartbeat: heartbeat, LeaseMax: leaseMax,
+		StopTime: stopTime, GangWait: gangWait,
+	}
+	if i%2 == 0 {
+		set.ClockRate = clockRate
+	}
+	w := worker.New(s.workSite, set, &http.Client{}, zerolog.Nop())
+	s.workers = append(s.workers, w)
+	address, err := s.serve(ctx, "127.0.0.1:0", w)
+	if err != nil {
+		return err
+	}
+	wctx, cancel := context.WithCancel(ctx)
+	s.stops = append(s.stops, cancel)
+	s.wg.Go(func() { w.Run(wctx) })
+	links := []struct {
+		link **Link
+		to   string
+	}{{&m.worker, address}, {&m.agent, free[1]}, {&m.store, s.store}}
+	for _, l := range links {
+		if *l.link, err = s.link(ctx, l.to); err != nil {
+			return err
+		}
+	}
+	ts := process.DefaultTargetSettings()
+	ts.Name, ts.DataCentre = fmt.Sprintf("t%d", i+1), set.DataCentre
+	ts.ReportAddress, ts.Address, ts.OperatorAddress = free[0], free[1], free[2]
+	ts.ReachedAt = m.agent.Address()
+	ts.Worker, ts.Platform = "http://"+m.worker.Address(), "http://"+m.store.Address()
+	ts.Config, ts.Bounds = process.SourcePlatform, bounds()
+	m.address = m.agent.Address()
+	return s.startProgram(ctx, m, "target", ts.Name, ts, &s.targets)
+}
+
+func (s *site) addEntry(ctx context.Context, i int) error {
+	var free [3]string // callers' API, routes, operators
+	for k := range free {
+		a, err := freeAddress(ctx)
+		if err != nil {
+			return err
+		}
+		free[k] = a
+	}
+	m := &machine{}
+	var err error
+	if m.caller, err = s.link(ctx, free[1]); err != nil {
+		return err
+	}
+	if m.store, err = s.link(ctx, s.store); err != nil {
+		return err
+	}
+	es := process.DefaultEntrySettings()
+	es.Name, es.DataCentre = fmt.Sprintf("e%d", i+1), "dc1"
+	es.CallerAddress, es.RouteAddress, es.OperatorAddress = free[0], free[1], free[2]
+	es.Platform, es.Config, es.Bounds = "http://"+m.store.Address(), process.SourcePlatform, bounds()
+	es.DrainTime = process.Duration(drainTime)
+	m.address = m.caller.Address()
+	return s.startProgram(ctx, m, "entry", es.Name, es, &s.entries)
+}
+
+func (s *site) startProgram(ctx context.Context, m *machine, role, name string, settings any, list *[]*machine) error {
+	p, err := newProgram(s.cfg.Dir, s.cfg.Binary, role, name, settings)
+	if err != nil {
+		return err
+	}
+	m.program = p
+	*list = append(*list, m)
+	pctx, cancel := context.WithCancel(ctx)
+	s.stops = append(s.stops, cancel, p.end)
+	s.wg.Go(func() { p.run(pctx) })
+	return nil
+}
+
+// close ends everything that the site has started.
+func (s *site) close() {
+	for i := len(s.stops) - 1; i >= 0; i-- {
+		s.stops[i]()
+	}
+	s.wg.Wait()
+}
+
+// heal ends all faults.
+func (s *site) heal() {
+	s.platform.SetFaults(platform.Faults{})
+	for _, w := range s.workers {
+		w.SetFaults(worker.Faults{})
+	}
+	for _, list := range [][]*machine{s.entries, s.targets} {
+		for _, m := range list {
+			m.program.hold(false)
+			m.program.signal(sigCont)
+			for _, l := range m.links() {
+				l.Set(linkOpen)
+			}
+		}
+	}
+}
+
+// leaves lets a worker leave after a notice.
+func (s *site) leaves(w *worker.Worker, notice time.Duration) {
+	id, born := w.Life()
+	s.hist.leaves(leaving{worker: id, born: born, at: time.Now()})
+	w.Drain(notice)
+}
+
+// version is a version of the configuration.
+type version struct {
+	n       uint64
+	at, ack time.Time // when it was written and when the store had acknowledged it
+	extra   bool      // the extra queue exists
+	key     string    // of the workspace whose keys change
+}
+
+// queues of every configuration, and the extra one that comes and goes.
+var (
+	queueShort = caller.ConfigQueue{Name: "short", Host: "soak.example", Prefix: "/short/", Priority: 0, Attempts: 4, Stretch: 1.5, Objective: 300 * time.Millisecond}
+	queueLong  = caller.ConfigQueue{Name: "long", Host: "soak.example", Prefix: "/long/", Priority: 1, Attempts: 4, Stretch: 3, Objective: time.Second}
+	queueFill  = caller.ConfigQueue{Name: "fill", Host: "soak.example", Prefix: "/fill/", Priority: 2, Attempts: 4, Stretch: 3, Objective: 3 * time.Second}
+	queueExtra = caller.ConfigQueue{Name: "extra", Host: "soak.example", Prefix: "/extra/", Priority: 2, Attempts: 4, Stretch: 3}
+)
+
+// Workspaces: one claims its guarantee, one has only what is idle, and the keys of the
+// third change.
+const (
+	claimKey = "key-claims"
+	otherKey = "key-other"
+)
+
+// change writes the next version of the configuration.
+func (s *site) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := uint64(len(s.versions)) + 1
+	v := version{n: n, extra: n%2 == 0, key: fmt.Sprintf("key-%d", n/2)}
+	cfg := caller.Config{Version: 3*n + n%2, Pool: pool, Queues: []caller.ConfigQueue{queueShort, queueLong, queueFill}, Workspaces: []caller.ConfigWorkspace{
+		{Name: "claims", Keys: []string{claimKey}, Guaranteed: claimAccelerators},
+		{Name: "other", Keys: []string{otherKey}},
+		{Name: "changing", Keys: []string{v.key}},
+	}}
+	if v.extra {
+		cfg.Queues = append(cfg.Queues, queueExtra)
+	}
+	b, err := cfg.Encode()
+	if err != nil {
+		s.hist.violate("configuration", err.Error())
+		return
+	}
+	v.at = time.Now()
+	s.platform.Put(adapter.OperatorTable, adapter.ConfigKey, b)
+	v.ack = time.Now()
+	s.versions = append(s.versions, v)
+}
+
+// known returns the versions that have been written.
+func (s *site) known() []version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]version(nil), s.versions...)
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,78 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Length of the run in CI, and how long its accepted jobs may take.
+const (
+	shortLength = 12 * time.Second
+	shortSeed   = 7
+)
+
+// regressions are the seeds of runs that have failed once, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+func drawSeed(seed uint64) []fault {
+	return drawFaults(rand.New(rand.NewPCG(seed, 0)), DefaultLength) //nolint:gosec // reproducible draws
+}
+
+// build builds the programs.
+func build(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "medlargrade")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+	defer cancel()
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "../cmd/medlargrade").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return path
+}
+
+func play(t *testing.T, binary string, seed uint64, length time.Duration) {
+	t.Helper()
+	r, err := Run(t.Context(), Config{
+		Binary: binary, Dir: t.TempDir(), Seed: seed, Length: length, Finish: DefaultFinish,
+		Entries: DefaultEntries, Targets: DefaultTargets, Callers: DefaultCallers,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Log(r)
+	qt.Check(t, r.Violations, qt.HasLen, 0, qt.Commentf("faults: %v", r.Faults))
+	qt.Check(t, r.Accepted > 0 && r.Runs > 0, qt.IsTrue)
+}
+
+// Guards against a promise that the programs break as separate processes, although
+// they keep it in the bubble of the fault matrix.
+func TestShortRun(t *testing.T) {
+	play(t, build(t), shortSeed, shortLength)
+}
+
+// Guards against faults that a run has found once. SOAK_REGRESSIONS is set to play all
+// of them; the newest is played always.
+func TestRegressions(t *testing.T) {
+	list := regressions
+	if all, _ := strconv.ParseBool(os.Getenv("SOAK_REGRESSIONS")); !all && len(list) > 1 {
+		list = list[len(list)-1:]
+	}
+	if len(list) == 0 {
+		return
+	}
+	binary := build(t)
+	for _, x := range list {
+		t.Run(strconv.FormatUint(x.seed, 10), func(t *testing.T) {
+			t.Log(x.cause)
+			play(t, binary, x.seed, DefaultLength)
+		})
+	}
+}
--- /dev/null
+++ b/standin/caller/config.go
@@ -0,0 +1,57 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Config is the configuration that the platform's operator writes.
+type Config struct {
+	Version    uint64
+	Pool       string // whose workers run all tasks
+	Queues     []ConfigQueue
+	Workspaces []ConfigWorkspace
+}
+
+// ConfigQueue is a queue in a configuration.
+type ConfigQueue struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Priority  int
+	Attempts  int
+	Stretch   float64
+	Objective time.Duration
+}
+
+// ConfigWorkspace is a workspace in a configuration.
+type ConfigWorkspace struct {
+	Name       string
+	Keys       []string
+	Guaranteed int // accelerators
+}
+
+// Encode returns the value of the configuration's row.
+func (c Config) Encode() ([]byte, error) {
+	var routes, tenants []map[string]any
+	for _, q := range c.Queues {
+		routes = append(routes, map[string]any{
+			"Name": q.Name, "Host": q.Host, "PathPrefix": q.Prefix, "Backend": c.Pool, "Priority": q.Priority,
+			"Attempts": q.Attempts, "Stretch": q.Stretch, "SloMs": q.Objective.Milliseconds(),
+		})
+	}
+	for _, w := range c.Workspaces {
+		tenants = append(tenants, map[string]any{
+			"Name": w.Name, "ApiKeys": w.Keys, "Guaranteed": map[string]int{"Gpu": w.Guaranteed},
+		})
+	}
+	b, err := json.Marshal(map[string]any{
+		"Version": c.Version, "Routes": routes, "Tenants": tenants,
+		"Services": []map[string]any{{"Name": c.Pool, "AdmissionCheck": true}},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	return b, nil
+}
--- a/standin/worker/handlers.go
+++ b/standin/worker/handlers.go
@@ -205,7 +205,7 @@
 	if l.lapse != nil {
 		l.lapse.Stop()
 	}
-	l.lapse = time.AfterFunc(time.Duration(until-l.clockLocked())*time.Millisecond, func() {
+	l.lapse = time.AfterFunc(time.Duration(float64(until-l.clockLocked())/l.rate*float64(time.Millisecond)), func() {
 		w.site.mu.Lock()
 		defer w.site.mu.Unlock()
 		if w.life != l || l.until > until || w.down {
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -167,7 +167,7 @@
 		w.wakeLocked()
 	}
 	if r.gang != nil {
-		r.gang.memberEndedLocked(how)
+		r.gang.memberEndedLocked(how, r.record.Ended)
 	}
 }
 
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -106,7 +106,7 @@
 
 // memberEndedLocked ends the other members of a gang: with the first that is done
 // all are done, and with the first that ends otherwise the others are broken.
-func (g *gang) memberEndedLocked(how string) {
+func (g *gang) memberEndedLocked(how string, at time.Time) {
 	if g.ended {
 		return
 	}
@@ -118,6 +118,7 @@
 	for _, m := range g.members {
 		if !m.over {
 			m.worker.endLocked(m, others)
+			m.record.Ended = at
 		}
 	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -46,6 +46,7 @@
 	GangWait     time.Duration
 	Checkpoint   time.Duration
 	Restore      time.Duration
+	ClockRate    float64 // of the worker's clock against the time; 1 if 0
 }
 
 func (s Settings) withDefaults() Settings {
@@ -77,6 +78,9 @@
 	if s.Kind == "" {
 		s.Kind = "a"
 	}
+	if s.ClockRate == 0 {
+		s.ClockRate = 1
+	}
 	return s
 }
 
@@ -102,6 +106,7 @@
 	id      string
 	born    int64
 	start   time.Time
+	rate    float64 // of the clock
 	seq     uint64
 	fence   int64
 	until   int64 // end of the lease on the worker's clock
@@ -159,7 +164,7 @@
 		w.lives++
 	}
 	w.life = &life{
-		id: fmt.Sprintf("%s-%d", w.cfg.Name, w.lives), born: w.site.nextBornLocked(), start: time.Now(),
+		id: fmt.Sprintf("%s-%d", w.cfg.Name, w.lives), born: w.site.nextBornLocked(), start: time.Now(), rate: w.cfg.ClockRate,
 		runs: make(map[string]*run), last: make(map[string]int64), changed: make(chan struct{}),
 	}
 	w.down = false
@@ -243,7 +248,9 @@
 }
 
 // clockLocked returns the worker's clock in milliseconds.
-func (l *life) clockLocked() int64 { return time.Since(l.start).Milliseconds() + 1 }
+func (l *life) clockLocked() int64 {
+	return int64(l.rate*float64(time.Since(l.start).Milliseconds())) + 1
+}
 
 // Run reports to the target process until ctx ends.
 func (w *Worker) Run(ctx context.Context) {
