Let urgent work wait for what ends within the time of a stop

Change: for a claim beyond a guarantee, a run or gang whose progress says that it ends within that time counts as room without a loss and is not stopped. Claims on a guarantee stop it as before, as their bound must not depend on a prediction. What jobs are worth in the experiment is counted against the mean work of the run's own jobs.

--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -108,6 +108,9 @@
 		Msg("capacity is reclaimed")
 	p.count(`medlargrade_claims_total{guaranteed="` + strconv.FormatBool(c.guaranteed) + `"}`)
 	for _, v := range best.victims {
+		if v.ending {
+			continue
+		}
 		for _, r := range v.runs {
 			p.stopRun(r, "reclaimed for "+u.step.occ.job.job.ID)
 		}
--- a/coordination/planner/progress.go
+++ b/coordination/planner/progress.go
@@ -21,6 +21,12 @@
 	return longest
 }
 
+// endsBeforeStop reports whether a run will end before a stop would certainly have
+// taken effect, as far as its progress shows.
+func (p *Planner) endsBeforeStop(r *run, now time.Time) bool {
+	return !r.task.step.spec.LongRunning && r.percent-r.firstPercent >= minProgress && p.remaining(r, now) <= p.cfg.StopTime
+}
+
 func (p *Planner) remainingAlone(r *run, now time.Time) time.Duration {
 	if done := r.percent - r.firstPercent; done >= minProgress {
 		each := r.moved.Sub(r.listed) / time.Duration(done)
--- a/coordination/planner/victims.go
+++ b/coordination/planner/victims.go
@@ -18,6 +18,7 @@
 	runs   []*run
 	loss   float64 // core-seconds of work
 	chosen bool
+	ending bool // it is about to end and need not be stopped
 }
 
 // cheapestVictims chooses the runs to stop whose loss is least.
@@ -125,7 +126,9 @@
 	return s, true
 }
 
-// victim returns what would end with a run, or nil if it may not be stopped.
+// victim returns what would end with a run, or nil if it may not be stopped. Work that
+// ends as soon as a stop would take effect is not lost: a unit waits for it, unless its
+// guarantee has a bound in time that a wrong prediction could break.
 func (p *Planner) victim(u *claimant, r *run, gangs map[*step]*victim, now time.Time) *victim {
 	if r.stop != "" {
 		return nil
@@ -135,7 +138,9 @@
 		return v
 	}
 	var v *victim
-	if ok, straddles := p.mayStop(u, r); ok {
+	if !u.guaranteed && p.endsBeforeStop(r, now) {
+		v = &victim{runs: []*run{r}, ending: true}
+	} else if ok, straddles := p.mayStop(u, r); ok {
 		v = &victim{runs: []*run{r}, loss: p.gangLoss(r, now)}
 		if straddles {
 			v.loss += straddleLoss
--- a/coordination/planner/victims_test.go
+++ b/coordination/planner/victims_test.go
@@ -88,3 +88,43 @@
 	qt.Assert(t, s.where("u.0.0.0"), qt.Not(qt.Equals), "")
 	qt.Assert(t, s.workers[s.where("u.0.0.0")].worker.GetRack(), qt.Equals, "r0")
 }
+
+// Guards against urgent work that stops others which are about to end: a stop takes as
+// long, and their work is lost.
+func TestClaimWaitsForEnds(t *testing.T) {
+	tests := []struct {
+		name    string
+		percent int64 // of the run after 10 s
+		claims  string
+		stops   bool
+	}{
+		{name: "about to end", percent: 98, claims: "w3"},
+		{name: "long to go", percent: 50, claims: "w3", stops: true},
+		// A claim on a guarantee has a bound in time.
+		{name: "guaranteed", percent: 98, claims: "w1", stops: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(t, 1)
+			other := newJob("j", "fill", job.Step{Tasks: 1, Accelerators: 8, EstimateMillis: 10_000})
+			other.Workspace = "w2"
+			s.add(other)
+			s.step(0)
+			s.workers["t00"].running["j.0.0.0"].Percent = tt.percent
+			s.step(10 * time.Second)
+			u := newJob("u", "urgent", job.Step{Tasks: 1, Accelerators: 8, EstimateMillis: 60_000})
+			u.Workspace = tt.claims
+			s.add(u)
+			how := ""
+			for _, e := range s.workers["t00"].ended {
+				how = e.GetHow()
+			}
+			qt.Assert(t, how == endStopped, qt.Equals, tt.stops)
+			if !tt.stops {
+				s.finish("j.0.0.0")
+			}
+			s.step(stopTime)
+			qt.Assert(t, s.where("u.0.0.0"), qt.Equals, "t00")
+		})
+	}
+}
--- a/experiment/draw.go
+++ b/experiment/draw.go
@@ -76,6 +76,7 @@
 		}
 	}
 	slices.SortStableFunc(out, func(x, y *drawn) int { return cmp.Compare(x.at, y.at) })
+	owe(out)
 	return out
 }
 
@@ -133,7 +134,7 @@
 		d.job.Steps = append(d.job.Steps, s)
 		d.work = append(d.work, work)
 	}
-	l.owe(d)
+	l.measure(d)
 	return d
 }
 
@@ -161,9 +162,9 @@
 	maxWorthTime = 4
 )
 
-// owe computes what is owed for a job, and its longest chain of work. Tasks of a
-// step that is wider than a quarter of the site run in waves.
-func (l Load) owe(d *drawn) {
+// measure computes the work of a job and its longest chain of work. Tasks of a step
+// that is wider than a quarter of the site run in waves.
+func (l Load) measure(d *drawn) {
 	ends := make([]time.Duration, len(d.job.Steps))
 	for i, s := range d.job.Steps {
 		longest := time.Duration(0)
@@ -181,13 +182,18 @@
 		ends[i] += time.Duration(float64(longest) * waves)
 		d.chain = max(d.chain, ends[i])
 	}
-	k := d.kind
-	accelerators := 0.0
-	for _, a := range k.Accelerators {
-		accelerators += float64(a) / float64(len(k.Accelerators))
+}
+
+// owe computes what is owed for the jobs of a run, from the mean work of their kinds.
+func owe(jobs []*drawn) {
+	cores, n := make(map[*Kind]float64), make(map[*Kind]float64)
+	for _, d := range jobs {
+		cores[d.kind] += d.cores
+		n[d.kind]++
+	}
+	for _, d := range jobs {
+		d.worth = d.kind.Worth * min(fixedWorth+worthByWork*d.cores*n[d.kind]/cores[d.kind], maxWorthTime)
 	}
-	mean := k.Steps.Mean * k.Tasks.Mean * k.Work.Mean / 1000 * (float64(k.CPU)/1000 + coresPerAccelerator*accelerators)
-	d.worth = k.Worth * min(fixedWorth+worthByWork*d.cores/mean, maxWorthTime)
 }
 
 // coresPerAccelerator weighs accelerators in cores when work is counted.
