Count the objective of a recurring job's occurrence from when it is due

Cause: the objective of every occurrence was counted from the acceptance of the job, so that later ones were late from the start and were served last.

Change: an occurrence counts from its due time, for its urgency, its log lines and its metrics.

--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -104,7 +104,7 @@
 func (o *occurrence) dump(now time.Time) JobState {
 	js := JobState{
 		Job: o.job.job.ID, Occurrence: o.n, Kind: o.job.job.Kind, Workspace: o.job.job.Workspace,
-		State: string(o.state), Age: now.Sub(o.job.added).String(),
+		State: string(o.state), Age: now.Sub(o.since()).String(),
 	}
 	for _, s := range o.steps {
 		for _, t := range s.tasks {
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -94,6 +94,15 @@
 	stopLook int64 // look at the worker that is certain to show the stop; 0 if unknown
 }
 
+// since returns when the occurrence could first start: when its job was accepted, or
+// when it was due.
+func (o *occurrence) since() time.Time {
+	if due, timed := o.job.job.Due(o.n); timed && due.After(o.job.added) {
+		return due
+	}
+	return o.job.added
+}
+
 func (o *occurrence) idle() bool {
 	for _, s := range o.steps {
 		for _, t := range s.tasks {
@@ -249,7 +258,7 @@
 		p.begun = append(p.begun, o.job.job.WaitingKey())
 	}
 	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.n).Str("State", string(state)).
-		Dur("Since", now.Sub(o.job.added)).Msg("an occurrence has ended")
+		Dur("Since", now.Sub(o.since())).Msg("an occurrence has ended")
 	p.measureEnd(o, now)
 	if state == job.Completed {
 		// The other members of a gang are about to end by themselves.
--- a/coordination/planner/metrics.go
+++ b/coordination/planner/metrics.go
@@ -18,7 +18,7 @@
 
 // measureStart takes the first start of an occurrence.
 func (p *Planner) measureStart(o *occurrence, now time.Time) {
-	p.observeSeconds(`medlargrade_occurrence_start_wait_seconds`, now.Sub(o.job.added))
+	p.observeSeconds(`medlargrade_occurrence_start_wait_seconds`, now.Sub(o.since()))
 }
 
 // measureEnd takes the final state of an occurrence.
@@ -27,7 +27,7 @@
 	if o.state != job.Completed {
 		return
 	}
-	took := now.Sub(o.job.added)
+	took := now.Sub(o.since())
 	p.observeSeconds(`medlargrade_occurrence_duration_seconds`, took)
 	if took > p.objective(o.job, p.kind(o.job)) {
 		p.count(`medlargrade_occurrences_late_total`)
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -150,7 +150,7 @@
 // urgency returns when the job should end and whether that is still possible.
 func (p *Planner) urgency(s *step, k *operator.Kind, now time.Time) (time.Time, int) {
 	js := s.occ.job
-	start := js.added
+	start := s.occ.since()
 	objective := p.objective(js, k)
 	deadline := start.Add(objective)
 	end := now.Add(p.runTime(js.job.Kind, s.spec))
