Move work that stands still, and start nothing beside it

Cause: a worker on which work stands still kept it until the caller cancelled the job, and got new work as long as it had room.

Change: looks at a worker show whether the progress of a run grows. Beside a run that stands still nothing new starts. Workers that list no progress show nothing. An agent's repeated list is not a new look.

--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -143,10 +143,7 @@
 // often as its kind allows; long-running tasks may fail always.
 func (p *Planner) failed(t *target, r *run, now time.Time) {
 	s := r.task.step
-	if r.task.avoid == nil {
-		r.task.avoid = make(map[string]struct{})
-	}
-	r.task.avoid[t.name] = struct{}{}
+	r.task.avoidTarget(t.name)
 	n := 0
 	if s.spec.Gang {
 		if s.failedRun != r.number {
@@ -168,6 +165,14 @@
 	}
 }
 
+// avoidTarget keeps a task away from a target, if others may run it.
+func (t *task) avoidTarget(name string) {
+	if t.avoid == nil {
+		t.avoid = make(map[string]struct{})
+	}
+	t.avoid[name] = struct{}{}
+}
+
 // observe learns from an end.
 func (p *Planner) observe(t *target, r *run, how string, now time.Time) {
 	switch how {
--- a/coordination/planner/evacuate_test.go
+++ b/coordination/planner/evacuate_test.go
@@ -43,6 +43,9 @@
 				if tt.moved == 0 && after > notice/2 {
 					s.finish("j1.0.0.0")
 				}
+				if r := w.running["j1.0.0.0"]; r != nil && tt.moved == 0 {
+					r.Percent += 2
+				}
 				w.worker.RemainingMillis = (notice - after).Milliseconds()
 				s.step(passPeriod / 2)
 				if where := s.where("j1.0.0.0"); where != "" && where != at {
--- a/coordination/planner/health.go
+++ b/coordination/planner/health.go
@@ -33,5 +33,12 @@
 	}
 }
 
+// stands takes that work on the worker stands still now.
+func (h *health) stands(now time.Time) {
+	if end := now.Add(firstPause); end.After(h.until) {
+		h.until = end
+	}
+}
+
 // suspect reports whether the worker should get no work now.
 func (h *health) suspect(now time.Time) bool { return now.Before(h.until) }
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -87,6 +87,7 @@
 	// firstPercent is what percent was when the run was listed first, at listed.
 	firstPercent int64
 	listed       time.Time
+	looked       time.Time // of the last look at the worker that listed the run
 	load         int64
 
 	stop     string // why it is being stopped; empty if it is not
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -49,6 +49,7 @@
 		p.expire(now)
 		p.removeOld(now)
 		p.evacuate(now)
+		p.watchStanding(now)
 		p.choices = make(map[requirement]*selection)
 		p.serveClaims(now)
 		for _, u := range p.units(now) {
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -45,6 +45,9 @@
 	// covered is the covered use by workspace; nil if it must be computed anew.
 	covered map[string]int
 
+	// progressListed reports whether a worker has listed progress of a run.
+	progressListed bool
+
 	news    bool                       // something has changed that may let work start
 	passed  time.Time                  // when the last whole pass was made
 	choices map[requirement]*selection // of the pass under way
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -120,6 +120,7 @@
 	if !t.listed {
 		return
 	}
+	fresh := in.GetLook() != t.look
 	t.look = in.GetLook()
 	for _, e := range in.GetEnded() {
 		if e.GetNumber() > t.seen {
@@ -128,7 +129,7 @@
 		}
 	}
 	p.forgets[name] = Seen{Life: w.GetLife(), End: t.seen}
-	p.compare(t, in.GetRunning(), now)
+	p.compare(t, in.GetRunning(), fresh, now)
 }
 
 // forgetLooks sends stops again whose effect is not known: a new agent counts its
@@ -236,8 +237,8 @@
 	p.dirty[t.step.occ] = struct{}{}
 }
 
-// compare takes the list of what runs on a target.
-func (p *Planner) compare(t *target, list []*agentrpc.RunStatus, now time.Time) {
+// compare takes the list of what runs on a target, which may be from an earlier look.
+func (p *Planner) compare(t *target, list []*agentrpc.RunStatus, fresh bool, now time.Time) {
 	here := t.place()
 	known := make(map[foreignRun]*run, len(t.runs))
 	for r := range t.runs {
@@ -259,6 +260,9 @@
 			continue
 		}
 		p.progress(r, s, now)
+		if fresh {
+			r.looked = now
+		}
 	}
 	for key := range t.foreign {
 		if _, ok := listed[key]; !ok {
@@ -285,6 +289,7 @@
 	}
 	if s.GetPercent() != r.percent {
 		r.percent, r.moved = s.GetPercent(), now
+		p.progressListed = true
 	}
 	r.load = s.GetLoad()
 	if c := s.GetCheckpoint(); c != "" {
