--- a/cmd/medlargrade/config.go
+++ b/cmd/medlargrade/config.go
@@ -218,8 +218,8 @@
 		return nil
 	case errors.As(err, &conflict):
 		found := fmt.Sprint("found generation ", conflict.Found)
-		if conflict.Found == 0 && conflict.Expected > 0 {
-			found = "found a newer one that could not be read"
+		if conflict.Found == 0 {
+			found = "but none has been applied"
 		}
 		return &ExitError{Code: ExitConflict, Err: fmt.Errorf("expected generation %d, %s: nothing applied; run diff again", conflict.Expected, found)}
 	case errors.As(err, &unknown):
--- a/cmd/medlargrade/config_test.go
+++ b/cmd/medlargrade/config_test.go
@@ -63,6 +63,7 @@
 		{"no argument", "config check", "", 2, "", "required argument"},
 		{"no platform", "config show", "", 2, "", "required flag"},
 		{"show nothing", "config show --platform http://platform", "", 1, "", "no configuration has been applied"},
+		{"expected version of nothing", "config apply --expect 5 --platform http://platform -", testConfig(1), 3, "", "expected generation 5, but none has been applied: nothing applied"},
 		{"first apply", "config apply --platform http://platform -", testConfig(1), 0, "generation 1 accepted\n", ""},
 		{"diff", "config diff --platform http://platform -", testConfig(2), 0, "~ Workspaces[web].QueueLimit: 1 -> 2\n1 changes from generation 1\n", ""},
 		{"diff exit code", "config diff --exit-code --platform http://platform -", testConfig(2), 6, "~ Workspaces[web]", ""},
--- a/coordination/planner/bench_test.go
+++ b/coordination/planner/bench_test.go
@@ -40,15 +40,15 @@
 	}
 }
 
-// BenchmarkPass measures Plan on a busy site. The clock is fixed, so Plan makes a pass only
-// after a change. idle measures calls without a pass. waiting does so too, except for the
-// first call, which finds that a gang of 64 does not fit. gang measures passes that each
-// place a gang of 64.
+// BenchmarkPass measures passes on a busy site. idle measures passes with nothing to do,
+// waiting those with a gang of 64 that does not fit, and gang those that each place a gang of
+// 64.
 func BenchmarkPass(b *testing.B) {
 	for _, n := range []int{11, 100, 460, 1000} {
 		b.Run(fmt.Sprintf("idle/%d", n), func(b *testing.B) {
 			p, now := benchPlanner(b, n)
 			for b.Loop() {
+				now = now.Add(maxPassInterval)
 				p.Plan(now)
 			}
 		})
@@ -56,6 +56,7 @@
 			p, now := benchPlanner(b, n)
 			p.AddJob(newJob("gang", "long", job.Step{Tasks: 64, Accelerators: 16, Gang: true}), nil, now)
 			for b.Loop() {
+				now = now.Add(maxPassInterval)
 				p.Plan(now)
 			}
 		})
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -44,3 +44,10 @@
 		})
 	}
 }
+
+// Guards against a load without periodic checkpoints that the experiment can't play.
+func TestNoPeriodicCheckpoints(t *testing.T) {
+	l := readLoad(t, loads[0])
+	l.Site.CheckpointMillis = 0
+	qt.Check(t, len(experiment.Run(l, experiment.Options{Seed: 1}).Jobs) > 0, qt.IsTrue)
+}
--- a/operator/check.go
+++ b/operator/check.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+	"time"
 )
 
 // Limits on names and numbers. The limits on numbers keep sums within an int and
@@ -30,6 +32,8 @@
 	k.site(c.site)
 	k.workspaces(c.workspaces)
 	k.kinds(c)
+	k.pools(c.pools)
+	k.limits(c.limits)
 	if k.sizesValid {
 		k.capacity(c)
 	}
@@ -129,7 +133,7 @@
 }
 
 func (k *checker) workspaces(workspaces []Workspace) {
-	seen := make(map[string]string)
+	seen, keys := make(map[string]string), make(map[string]string)
 	for i, w := range workspaces {
 		path := fmt.Sprintf("Workspaces[%d]", i)
 		k.name(path, w.name)
@@ -137,6 +141,19 @@
 		if w.queueLimit <= 0 {
 			k.add(path+".QueueLimit", "%d must be positive", w.queueLimit)
 		}
+		if w.guaranteed < 0 {
+			k.add(path+".ExtraGuaranteedAccelerators", "%d must not be negative", w.guaranteed)
+		}
+		for j, key := range w.keys {
+			path := fmt.Sprintf("%s.Keys[%d]", path, j)
+			if key == "" {
+				k.add(path, "must not be empty")
+			} else if firstPath, ok := keys[key]; ok {
+				k.add(path, "is the same as %s", firstPath)
+			} else {
+				keys[key] = path
+			}
+		}
 		for j, s := range w.guarantees {
 			path := fmt.Sprintf("%s.Guarantees[%d]", path, j)
 			k.sizesValid = k.inRange(path+".Workers", s.workers, MaxShapeWorkers) && k.sizesValid
@@ -169,12 +186,61 @@
 		default:
 			k.add(path+".Class", "%q must be short, long or fill", x.class)
 		}
-		if x.limit < 0 {
-			k.add(path+".Limit", "%s must not be negative", x.limit)
+		k.notNegative(path+".Limit", x.limit)
+		k.kindPolicy(path, c, x)
+	}
+}
+
+// kindPolicy checks what a kind says of its scheduling and its route.
+func (k *checker) kindPolicy(path string, c Config, x Kind) {
+	if x.pool != "" && !slices.ContainsFunc(c.pools, func(p Pool) bool { return p.name == x.pool }) {
+		k.add(path+".Pool", "unknown pool %q", x.pool)
+	}
+	if x.priority < 0 {
+		k.add(path+".Priority", "%d must not be negative", x.priority)
+	}
+	if x.attempts < 0 {
+		k.add(path+".Attempts", "%d must not be negative", x.attempts)
+	}
+	if x.stretch < 0 || math.IsNaN(x.stretch) || math.IsInf(x.stretch, 0) {
+		k.add(path+".Stretch", "%v must be finite and not negative", x.stretch)
+	}
+	k.notNegative(path+".Objective", x.objective)
+	k.notNegative(path+".Route.Timeout", x.route.Timeout)
+	k.notNegative(path+".Advice.CallTime", x.advice.CallTime)
+	k.notNegative(path+".Advice.TimePerWorker", x.advice.TimePerWorker)
+	k.notNegative(path+".Advice.TicketLifetime", x.advice.TicketLifetime)
+}
+
+func (k *checker) notNegative(path string, d time.Duration) {
+	if d < 0 {
+		k.add(path, "%s must not be negative", d)
+	}
+}
+
+func (k *checker) pools(pools []Pool) {
+	seen := make(map[string]string)
+	for i, p := range pools {
+		path := fmt.Sprintf("Pools[%d]", i)
+		k.name(path, p.name)
+		k.unique(seen, path, p.name)
+		if p.connections < 0 {
+			k.add(path+".Connections", "%d must not be negative", p.connections)
 		}
 	}
 }
 
+func (k *checker) limits(l Limits) {
+	if l.HeaderBytes < 0 {
+		k.add("Limits.HeaderBytes", "%d must not be negative", l.HeaderBytes)
+	}
+	if l.BodyBytes < 0 {
+		k.add("Limits.BodyBytes", "%d must not be negative", l.BodyBytes)
+	}
+	k.notNegative("Limits.HeaderTimeout", l.HeaderTimeout)
+	k.notNegative("Limits.IdleTimeout", l.IdleTimeout)
+}
+
 // capacity checks that all guaranteed shapes can be placed on the site at the
 // same time.
 func (k *checker) capacity(c Config) {
@@ -194,6 +260,7 @@
 			shapes = append(shapes, s)
 			slots += s.Slots()
 		}
+		slots += max(w.guaranteed, 0)
 	}
 	switch {
 	case slots > c.site.Slots():
--- a/operator/delta.go
+++ b/operator/delta.go
@@ -28,6 +28,8 @@
 		DataCentres *dataCentreDelta `json:",omitempty"`
 		Workspaces  *workspaceDelta  `json:",omitempty"`
 		Kinds       *kindDelta       `json:",omitempty"`
+		Pools       *poolDelta       `json:",omitempty"`
+		Limits      *limitsJSON      `json:",omitempty"`
 	}
 	// listDelta turns one list of unique keys into another: it removes the parts
 	// of Removed, then replaces those of Set in place or appends them. Order holds
@@ -54,6 +56,10 @@
 		listDelta
 		Parts []kindJSON `json:",omitempty"`
 	}
+	poolDelta struct {
+		listDelta
+		Parts []poolJSON `json:",omitempty"`
+	}
 )
 
 // NewDelta returns the delta that turns old into updated.
@@ -88,6 +94,19 @@
 			b.Kinds.Parts = append(b.Kinds.Parts, newJSON.Kinds[index[key]])
 		}
 	}
+	l = newListDelta(poolKeys(old.pools), poolKeys(updated.pools), func(i, j int) bool {
+		return old.pools[i] == updated.pools[j]
+	})
+	if !l.empty() {
+		b.Pools = &poolDelta{listDelta: l}
+		index := indexKeys(poolKeys(updated.pools))
+		for _, key := range l.Set {
+			b.Pools.Parts = append(b.Pools.Parts, newJSON.Pools[index[key]])
+		}
+	}
+	if old.limits != updated.limits {
+		b.Limits = toLimitsJSON(updated.limits)
+	}
 	return Delta{body: b}
 }
 
@@ -170,6 +189,16 @@
 			return Config{}, err
 		}
 	}
+	if b.Pools != nil {
+		if c.pools, err = b.Pools.apply(old.pools); err != nil {
+			return Config{}, err
+		}
+	}
+	if b.Limits != nil {
+		if c.limits, err = fromLimitsJSON(*b.Limits); err != nil {
+			return Config{}, err
+		}
+	}
 	if got := c.digest(); got != b.Result {
 		return Config{}, fmt.Errorf("delta leads to configuration %.12s instead of %.12s", got, b.Result)
 	}
@@ -263,6 +292,24 @@
 	return list, nil
 }
 
+func (d *poolDelta) apply(old []Pool) ([]Pool, error) {
+	if len(d.Parts) != len(d.Set) {
+		return nil, errPartCount("Pools")
+	}
+	oldIndex, setIndex := indexKeys(poolKeys(old)), indexKeys(d.Set)
+	var list []Pool
+	for _, key := range d.updatedKeys(poolKeys(old)) {
+		if j, ok := setIndex[key]; ok {
+			list = append(list, fromPoolJSON(d.Parts[j]))
+		} else if i, ok := oldIndex[key]; ok {
+			list = append(list, old[i])
+		} else {
+			return nil, errNoPart("Pools", key)
+		}
+	}
+	return list, nil
+}
+
 func errPartCount(list string) error { return fmt.Errorf("delta: %s has parts without keys", list) }
 
 func errNoPart(list, key string) error { return fmt.Errorf("delta: %s has no part %q", list, key) }
@@ -364,6 +411,14 @@
 	return uniqueKeys(keys)
 }
 
+func poolKeys(list []Pool) []string {
+	keys := make([]string, 0, len(list))
+	for _, p := range list {
+		keys = append(keys, p.name)
+	}
+	return uniqueKeys(keys)
+}
+
 // digest returns the SHA-256 hash of the JSON form of c in hexadecimal.
 func (c Config) digest() string {
 	sum := sha256.Sum256(c.JSON())
--- a/operator/diff.go
+++ b/operator/diff.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"slices"
 	"strconv"
@@ -43,8 +45,9 @@
 }
 
 // Diff returns the differences between two configurations: the site, then the
-// workspaces, then the kinds; in each, parts that were removed or changed, then
-// added, then reordered. Equal configurations have no differences.
+// workspaces, the kinds, the pools and the limits; in each, parts that were removed or
+// changed, then added, then reordered. Equal configurations have no differences. API keys
+// are shown by digests.
 func Diff(old, updated Config) []Change {
 	var d differ
 	d.field("Site.Name", strconv.Quote(old.site.name), strconv.Quote(updated.site.name))
@@ -52,6 +55,8 @@
 	d.dataCentres(old.site.dataCentres, updated.site.dataCentres)
 	d.workspaces(old.workspaces, updated.workspaces)
 	d.kinds(old.kinds, updated.kinds)
+	d.pools(old.pools, updated.pools)
+	d.field("Limits", describeLimits(old.limits), describeLimits(updated.limits))
 	return d.changes
 }
 
@@ -146,6 +151,8 @@
 		d.field(path+".Name", old[i].name, updated[j].name)
 		d.field(path+".QueueLimit", strconv.Itoa(old[i].queueLimit), strconv.Itoa(updated[j].queueLimit))
 		d.guarantees(path+".Guarantees", old[i].guarantees, updated[j].guarantees)
+		d.field(path+".ExtraGuaranteedAccelerators", strconv.Itoa(old[i].guaranteed), strconv.Itoa(updated[j].guaranteed))
+		d.field(path+".Keys", joinOrNone(keyDigests(old[i].keys)), joinOrNone(keyDigests(updated[j].keys)))
 	}
 	for j, key := range newKeys {
 		if !slices.Contains(oldKeys, key) {
@@ -195,6 +202,13 @@
 		d.field(path+".Class", string(old[i].class), string(updated[j].class))
 		d.field(path+".Idempotent", strconv.FormatBool(old[i].idempotent), strconv.FormatBool(updated[j].idempotent))
 		d.field(path+".Limit", old[i].limit.String(), updated[j].limit.String())
+		d.field(path+".Pool", strconv.Quote(old[i].pool), strconv.Quote(updated[j].pool))
+		d.field(path+".Priority", strconv.Itoa(old[i].priority), strconv.Itoa(updated[j].priority))
+		d.field(path+".Attempts", strconv.Itoa(old[i].attempts), strconv.Itoa(updated[j].attempts))
+		d.field(path+".Stretch", formatFloat(old[i].stretch), formatFloat(updated[j].stretch))
+		d.field(path+".Objective", old[i].objective.String(), updated[j].objective.String())
+		d.field(path+".Route", describeRoute(old[i].route), describeRoute(updated[j].route))
+		d.field(path+".Advice", describeAdvice(old[i].advice), describeAdvice(updated[j].advice))
 	}
 	for j, key := range newKeys {
 		if !slices.Contains(oldKeys, key) {
@@ -204,6 +218,29 @@
 	d.order("Kinds", oldKeys, newKeys)
 }
 
+func (d *differ) pools(old, updated []Pool) {
+	oldKeys, newKeys := poolKeys(old), poolKeys(updated)
+	for i, key := range oldKeys {
+		path := fmt.Sprintf("Pools[%s]", key)
+		j := slices.Index(newKeys, key)
+		if j < 0 {
+			d.removed(path, describePool(old[i]))
+			continue
+		}
+		d.field(path+".Name", old[i].name, updated[j].name)
+		d.field(path+".HealthPath", strconv.Quote(old[i].healthPath), strconv.Quote(updated[j].healthPath))
+		d.field(path+".Connections", strconv.Itoa(old[i].connections), strconv.Itoa(updated[j].connections))
+		d.field(path+".AdmissionCheck", strconv.FormatBool(old[i].admissionCheck), strconv.FormatBool(updated[j].admissionCheck))
+		d.field(path+".Spare", strconv.FormatBool(old[i].spare), strconv.FormatBool(updated[j].spare))
+	}
+	for j, key := range newKeys {
+		if !slices.Contains(oldKeys, key) {
+			d.added(fmt.Sprintf("Pools[%s]", key), describePool(updated[j]))
+		}
+	}
+	d.order("Pools", oldKeys, newKeys)
+}
+
 func describeDataCentre(d DataCentre) string {
 	racks := make([]string, 0, len(d.racks))
 	for _, r := range d.racks {
@@ -215,11 +252,66 @@
 func describeRack(r Rack) string { return fmt.Sprintf("%d workers", r.workers) }
 
 func describeWorkspace(w Workspace) string {
-	return fmt.Sprintf("queue limit %d, guarantees %s", w.queueLimit, joinOrNone(shapeStrings(w.guarantees)))
+	s := fmt.Sprintf("queue limit %d, guarantees %s", w.queueLimit, joinOrNone(shapeStrings(w.guarantees)))
+	if w.guaranteed != 0 {
+		s += fmt.Sprintf(", %d extra guaranteed accelerators", w.guaranteed)
+	}
+	if len(w.keys) > 0 {
+		s += ", keys " + joinOrNone(keyDigests(w.keys))
+	}
+	return s
 }
 
 func describeKind(k Kind) string {
-	return fmt.Sprintf("class %s, idempotent %t, limit %s", k.class, k.idempotent, k.limit)
+	s := fmt.Sprintf("class %s, idempotent %t, limit %s", k.class, k.idempotent, k.limit)
+	if k.pool != "" {
+		s += fmt.Sprintf(", pool %s", k.pool)
+	}
+	if k.priority != k.class.priority() {
+		s += fmt.Sprintf(", priority %d", k.priority)
+	}
+	if k.attempts != 0 {
+		s += fmt.Sprintf(", %d attempts", k.attempts)
+	}
+	if k.stretch != 0 || k.objective != 0 {
+		s += fmt.Sprintf(", objective %s times the run time and %s", formatFloat(k.stretch), k.objective)
+	}
+	if k.route != (Route{}) {
+		s += ", route " + describeRoute(k.route)
+	}
+	if k.advice != (Advice{}) {
+		s += ", advice " + describeAdvice(k.advice)
+	}
+	return s
+}
+
+func describePool(p Pool) string {
+	return fmt.Sprintf("health path %q, %d connections, admission check %t, spare %t", p.healthPath, p.connections, p.admissionCheck, p.spare)
+}
+
+func describeRoute(r Route) string {
+	return fmt.Sprintf("%s%s, public %t, timeout %s", r.Host, r.Prefix, r.Public, r.Timeout)
+}
+
+func describeAdvice(a Advice) string {
+	return fmt.Sprintf("call %s, worker %s, lifetime %s", a.CallTime, a.TimePerWorker, a.TicketLifetime)
+}
+
+func describeLimits(l Limits) string {
+	return fmt.Sprintf("header %d bytes in %s, body %d bytes, idle %s", l.HeaderBytes, l.HeaderTimeout, l.BodyBytes, l.IdleTimeout)
+}
+
+func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+
+// keyDigests returns the first bytes of the digests of API keys, which are secret.
+func keyDigests(keys []string) []string {
+	const digestBytes = 4
+	out := make([]string, 0, len(keys))
+	for _, k := range keys {
+		sum := sha256.Sum256([]byte(k))
+		out = append(out, hex.EncodeToString(sum[:digestBytes]))
+	}
+	return out
 }
 
 func shapeStrings(shapes []Shape) []string {
--- a/operator/parse.go
+++ b/operator/parse.go
@@ -13,8 +13,8 @@
 	"unicode/utf8"
 )
 
-// Parse decodes the JSON form that Config.JSON returns. It requires each field
-// exactly once, with names in the exact case and values in the format of
+// Parse decodes the JSON form that Config.JSON returns. It requires each field that
+// Config.JSON always writes, and each field at most once, with names in the exact case and values in the format of
 // Config.JSON, and no data after the end; only white space and the order of the
 // fields of an object may differ. A syntax error or a duplicate field ends the
 // parsing; otherwise the error joins all errors, each with its path. Parse doesn't
@@ -125,6 +125,11 @@
 // object returns the fields of an object and adds an error for each of the named
 // fields that is missing and for each other field.
 func (p *parser) object(n node, names ...string) map[string]node {
+	return p.objectWith(n, names, nil)
+}
+
+// objectWith is like object, but allows that the optional fields are missing.
+func (p *parser) objectWith(n node, names, optional []string) map[string]node {
 	fields, ok := n.value.(map[string]node)
 	if !ok {
 		p.fail(n, "must be an object")
@@ -137,7 +142,7 @@
 	}
 	unknown := make([]string, 0)
 	for name := range fields {
-		if !slices.Contains(names, name) {
+		if !slices.Contains(names, name) && !slices.Contains(optional, name) {
 			unknown = append(unknown, name)
 		}
 	}
@@ -188,6 +193,18 @@
 	return i
 }
 
+func (p *parser) float(n node) float64 {
+	if n.absent() {
+		return 0
+	}
+	num, _ := n.value.(json.Number)
+	f, err := num.Float64()
+	if err != nil {
+		p.fail(n, "must be a number")
+	}
+	return f
+}
+
 func (p *parser) duration(n node) time.Duration {
 	s := p.string(n)
 	if _, ok := n.value.(string); !ok {
@@ -204,7 +221,7 @@
 }
 
 func (p *parser) config(n node) Config {
-	f := p.object(n, "Site", "Workspaces", "Kinds")
+	f := p.objectWith(n, []string{"Site", "Workspaces", "Kinds"}, []string{"Pools", "Limits"})
 	var c Config
 	if site, ok := f["Site"]; ok {
 		c.site = p.site(site)
@@ -215,6 +232,16 @@
 	for _, n := range p.list(f["Kinds"]) {
 		c.kinds = append(c.kinds, p.kind(n))
 	}
+	for _, n := range p.list(f["Pools"]) {
+		f := p.object(n, "Name", "HealthPath", "Connections", "AdmissionCheck", "Spare")
+		c.pools = append(c.pools, Pool{
+			p.string(f["Name"]), p.string(f["HealthPath"]), p.int(f["Connections"]), p.bool(f["AdmissionCheck"]), p.bool(f["Spare"]),
+		})
+	}
+	if limits, ok := f["Limits"]; ok {
+		f := p.object(limits, "HeaderBytes", "BodyBytes", "HeaderTimeout", "IdleTimeout")
+		c.limits = Limits{p.int(f["HeaderBytes"]), p.int(f["BodyBytes"]), p.duration(f["HeaderTimeout"]), p.duration(f["IdleTimeout"])}
+	}
 	return c
 }
 
@@ -234,8 +261,11 @@
 }
 
 func (p *parser) workspace(n node) Workspace {
-	f := p.object(n, "Name", "QueueLimit", "Guarantees")
-	w := Workspace{name: p.string(f["Name"]), queueLimit: p.int(f["QueueLimit"])}
+	f := p.objectWith(n, []string{"Name", "QueueLimit", "Guarantees"}, []string{"ExtraGuaranteedAccelerators", "Keys"})
+	w := Workspace{name: p.string(f["Name"]), queueLimit: p.int(f["QueueLimit"]), guaranteed: p.int(f["ExtraGuaranteedAccelerators"])}
+	for _, n := range p.list(f["Keys"]) {
+		w.keys = append(w.keys, p.string(n))
+	}
 	for _, n := range p.list(f["Guarantees"]) {
 		f := p.object(n, "Workers", "Accelerators", "Adjacent")
 		w.guarantees = append(w.guarantees, Shape{
@@ -248,8 +278,22 @@
 }
 
 func (p *parser) kind(n node) Kind {
-	f := p.object(n, "Workspace", "Name", "Class", "Idempotent", "Limit")
-	return NewKind(p.string(f["Workspace"]), p.string(f["Name"]), Class(p.string(f["Class"]))).
-		WithIdempotent(p.bool(f["Idempotent"])).
-		WithLimit(p.duration(f["Limit"]))
+	f := p.objectWith(n, []string{"Workspace", "Name", "Class", "Idempotent", "Limit"},
+		[]string{"Pool", "Priority", "Attempts", "Stretch", "Objective", "Route", "Advice"})
+	k := NewKind(p.string(f["Workspace"]), p.string(f["Name"]), Class(p.string(f["Class"]))).
+		WithIdempotent(p.bool(f["Idempotent"])).WithLimit(p.duration(f["Limit"])).
+		WithPool(p.string(f["Pool"])).WithAttempts(p.int(f["Attempts"])).
+		WithObjective(p.float(f["Stretch"]), p.duration(f["Objective"]))
+	if n, ok := f["Priority"]; ok {
+		k = k.WithPriority(p.int(n))
+	}
+	if n, ok := f["Route"]; ok {
+		f := p.object(n, "Host", "Prefix", "Public", "Timeout")
+		k = k.WithRoute(Route{p.string(f["Host"]), p.string(f["Prefix"]), p.bool(f["Public"]), p.duration(f["Timeout"])})
+	}
+	if n, ok := f["Advice"]; ok {
+		f := p.object(n, "CallTime", "TimePerWorker", "TicketLifetime")
+		k = k.WithAdvice(Advice{p.duration(f["CallTime"]), p.duration(f["TimePerWorker"]), p.duration(f["TicketLifetime"])})
+	}
+	return k
 }
--- a/process/config.go
+++ b/process/config.go
@@ -39,8 +39,12 @@
 	if source == SourcePlatform {
 		tableName = platform.OperatorTable
 	}
-	wait := time.Duration(float64(b.ConfigInForce) * configWatchFraction)
-	return follow.New(s, follow.Settings{Table: tableName, Wait: wait, Clock: c}, h, log)
+	return follow.New(s, follow.Settings{Table: tableName, Wait: configWatchWait(b), Clock: c}, h, log)
+}
+
+// configWatchWait returns how long one watch of the configuration may wait.
+func configWatchWait(b Bounds) time.Duration {
+	return time.Duration(float64(b.ConfigInForce) * configWatchFraction)
 }
 
 // assemble builds the arguments of run from the providers and calls it.
--- a/process/entry.go
+++ b/process/entry.go
@@ -23,12 +23,11 @@
 )
 
 const (
-	// maxConfigAge is the age of the configuration above which an entry is not
-	// ready. The configuration ages while the store is unavailable, and may then be
-	// out of date. The limit does not follow Bounds.ConfigInForce: while the store is
-	// available, the age reaches twice the wait of a watch, which is 1.2 s at the
-	// default bound of 2 s, but 3 s at a bound of 5 s.
-	maxConfigAge = 3 * time.Second
+	// maxConfigDelay is how much older than twice the wait of a watch, which it reaches
+	// while the store is available, the configuration may be before an entry is not
+	// ready. The configuration ages while the store is unavailable, and may then be out
+	// of date.
+	maxConfigDelay = 1800 * time.Millisecond
 	// maxStoreDowntime is how long the store may be unavailable before an entry is
 	// not ready, so that callers use entries that may still reach it.
 	maxStoreDowntime = 500 * time.Millisecond
@@ -169,7 +168,7 @@
 		return errors.New("the entry is leaving")
 	case !ok || e.Config.Snapshot() == nil:
 		return errors.New("the configuration is not known yet")
-	case age > maxConfigAge, e.Intake.StoreDowntime() > maxStoreDowntime:
+	case age > 2*configWatchWait(e.Settings.Bounds)+maxConfigDelay, e.Intake.StoreDowntime() > maxStoreDowntime:
 		return errors.New("the store does not answer")
 	}
 	return nil
--- a/process/reload.go
+++ b/process/reload.go
@@ -18,21 +18,22 @@
 }
 
 // Reloader reloads the settings while a process runs. Changed settings of the log
-// take effect immediately. Other changes need a restart; the log lists their fields,
-// but only those that have changed since the previous reload.
+// take effect immediately. Other changes need a restart; at each reload, the log lists the
+// fields that differ from the settings with which the process was started.
 type Reloader struct {
 	Path   string // of the settings file; empty for none
 	Read   func() (Settings, error)
 	Logger *Logger
 	Signal <-chan os.Signal
 
-	current Settings
+	started Settings  // with which the process was started
 	modTime time.Time // modification time of the file when it was last read
 }
 
-// Run reloads the settings on a signal or a change of the file until ctx ends.
-func (r *Reloader) Run(ctx context.Context, current Settings) {
-	r.current, r.modTime = current, r.fileModTime()
+// Run reloads the settings on a signal or a change of the file until ctx ends. The process
+// was started with the settings started.
+func (r *Reloader) Run(ctx context.Context, started Settings) {
+	r.started, r.modTime = started, r.fileModTime()
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
@@ -72,11 +73,10 @@
 			Msg("reload failed; the previous settings stay in effect")
 		return
 	}
-	needRestart := changedFields(r.current, next)
+	needRestart := changedFields(r.started, next)
 	log.Info().Int("Event", EventReloaded).Str("Cause", cause).Str("LogLevel", next.LogSettings().Level).Int("LogLines", next.LogSettings().Lines).
 		Strs("NeedRestart", needRestart).Msg("settings reloaded")
 	r.Logger.Apply(next.LogSettings())
-	r.current = next
 }
 
 // changedFields returns the names of the fields that differ and need a restart to
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -138,3 +138,37 @@
 		}
 	}
 }
+
+// Guards against a change of a final state that the soak does not notice.
+func TestObserveNoticesChangedEnd(t *testing.T) {
+	ok := func(state string) caller.Response { return caller.Response{Status: http.StatusOK, State: state} }
+	gone := caller.Response{Status: http.StatusGone}
+	unavailable := caller.Response{Status: http.StatusServiceUnavailable}
+	tests := []struct {
+		name      string
+		responses []caller.Response
+		ended     bool
+		violation string // prefix of the last one
+	}{
+		{"running", []caller.Response{ok("queued"), ok("running")}, false, ""},
+		{"completed", []caller.Response{ok("running"), ok("completed")}, true, ""},
+		{"completed twice", []caller.Response{ok("completed"), ok("completed")}, true, ""},
+		{"unavailable after the end", []caller.Response{ok("completed"), unavailable}, false, ""},
+		{"other end", []caller.Response{ok("completed"), ok("failed")}, true, "mixed: j changed"},
+		{"runs again", []caller.Response{ok("completed"), ok("running")}, true, "mixed: j changed"},
+		{"gone", []caller.Response{ok("running"), gone}, true, "lost: j"},
+		{"gone after the end", []caller.Response{ok("completed"), gone}, true, "lost: j"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := &jobRecord{job: caller.Job{ID: "j"}, acceptedAt: at(0)}
+			var ended bool
+			var violation string
+			for i, resp := range tt.responses {
+				ended, violation = r.observe(resp, at(float64(i)))
+			}
+			qt.Check(t, ended, qt.Equals, tt.ended)
+			qt.Check(t, violation, qt.Satisfies, func(v string) bool { return strings.HasPrefix(v, tt.violation) && (v == "") == (tt.violation == "") })
+		})
+	}
+}
--- a/soak/load.go
+++ b/soak/load.go
@@ -27,6 +27,8 @@
 	thinkTimeMax = 1200 * time.Millisecond
 	// pollInterval is the pause between two lookups of a job.
 	pollInterval = 300 * time.Millisecond
+	// maxSecondLook is the longest pause before a job that has ended is looked up again.
+	maxSecondLook = 2 * time.Second
 )
 
 // client is one caller with its own connections. It is not safe for concurrent use.
@@ -133,7 +135,8 @@
 	return false
 }
 
-// follow polls a job until it or ctx has ended. It first cancels a share of the jobs.
+// follow polls a job until it or ctx has ended. It first cancels a share of the jobs. Some
+// time after the end it looks the job up once more, from an entry that may be another one.
 func (c *client) follow(ctx context.Context, rec *jobRecord, q caller.Queue) {
 	if !c.usesGuarantee && c.random.Float64() < cancelShare {
 		c.cancel(ctx, rec, q)
@@ -144,6 +147,11 @@
 		case <-time.After(pollInterval):
 		}
 	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(randDuration(c.random, pollInterval, maxSecondLook)):
+		c.poll(ctx, rec, q)
+	}
 }
 
 // poll looks a job up once and reports whether it has ended or been lost.
@@ -157,23 +165,34 @@
 	ended := false
 	c.site.history.update(rec, func(r *jobRecord) {
 		// update holds the lock that addViolation takes, so violations are appended directly.
-		switch {
-		case resp.Status == http.StatusGone && !r.acceptedAt.IsZero():
-			c.site.history.violations = append(c.site.history.violations, "lost: "+rec.job.ID+" was accepted but is unknown now")
-			ended = true
-		case !resp.OK():
-		case isFinal(r.state) && resp.State != r.state:
-			c.site.history.violations = append(c.site.history.violations, fmt.Sprintf("mixed: %s changed its final state from %s to %s", rec.job.ID, r.state, resp.State))
-		default:
-			r.state, r.stateSeenAt = resp.State, time.Now()
-			if ended = isFinal(r.state); ended {
-				r.finalSeenAt = r.stateSeenAt
-			}
+		var violation string
+		if ended, violation = r.observe(resp, time.Now()); violation != "" {
+			c.site.history.violations = append(c.site.history.violations, violation)
 		}
 	})
 	return ended
 }
 
+// observe records the response to a lookup. It reports whether the job has ended or been
+// lost, and returns the violation that the response shows, or "".
+func (r *jobRecord) observe(resp caller.Response, now time.Time) (ended bool, violation string) {
+	switch {
+	case resp.Status == http.StatusGone && !r.acceptedAt.IsZero():
+		return true, "lost: " + r.job.ID + " was accepted but is unknown now"
+	case !resp.OK():
+		return false, ""
+	case isFinal(r.state) && resp.State != r.state:
+		return true, fmt.Sprintf("mixed: %s changed its final state from %s to %s", r.job.ID, r.state, resp.State)
+	case isFinal(r.state):
+		return true, ""
+	}
+	r.state, r.stateSeenAt = resp.State, now
+	if isFinal(r.state) {
+		r.finalSeenAt = now
+	}
+	return isFinal(r.state), ""
+}
+
 func isFinal(state string) bool {
 	return state == "completed" || state == "failed" || state == "cancelled"
 }
