Let a restarted site plan at once, and don't take a list without ends for proof of a stop

All 295 machines lose power at 34.2 s and start again at 35.0 s. Each of the 240 target processes writes its row, which a part carries out one after the other at 5 ms: the part is busy until 37.2 s. The first attempt to take over is at 35.77 s, since a candidate wrote its row before it looked at the owner's, the owner's transaction is confirmed at 36.48 s, and the next planning passes wait for the same queue.

Change: a target process reads its row and writes it only if it is missing or names another address, beside the checks of the owner. It checks again while no planner calls it, because the deletion of the row by a former process may take effect late.

Trace: a run was done while the object store was silent, so that its end was not listed; the new owner repeated the start, the agent could not read the payload and since refused the order instead of leaving it undecided; the planner stopped the run, took the list without the end for proof that it had never started, and started it again. Both halves are mended: a list that lacks ends doesn't count as a poll that shows a stop (that half is older, and could be met by any stop while a result can't be stored), and a repetition that was not sent says nothing of the run.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -88,7 +88,7 @@
 	resultPending      bool                // the last hold returned ends that are not listed yet, because a result could not be stored
 	revision           uint64
 	holdSeq            int64 // number of the last hold sent; the planner gets hold numbers as WatchReply.look and OrderResult.look
-	listHoldSeq        int64 // number of the hold that returned running and ended
+	listHoldSeq        int64 // number of the last hold that returned running and all of ended
 	notifyAtHoldSeq    int64 // watchers are notified when listHoldSeq reaches it, even if the lists are unchanged
 	// unknownStarts holds the starts whose outcome is unknown.
 	unknownStarts map[runKey]struct{}
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -449,3 +449,33 @@
 		})
 	}
 }
+
+// Guards against a run that is taken for one that was stopped before it started, and started
+// again, because its end is not listed while its result can't be stored: a list that lacks ends
+// must not count as one that shows the effect of a stop.
+func TestListWithoutEndsShowsNoStop(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		time.Sleep(maxCallTime)
+		r.store.SetDown(true)
+		r.worker.withLock(func(w *fakeWorker) {
+			w.ended = []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done", Result: make([]byte, 4096)}}
+		})
+		time.Sleep(maxCallTime)
+		out, err := r.agent.Order(r.c.Context(), &agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: r.incarnation, Orders: []*agentrpc.Order{
+			{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: "j.0.0.0", Run: 1}}},
+		}})
+		r.c.Assert(err, qt.IsNil)
+		stopped := out.GetResults()[0].GetLook()
+		r.c.Assert(stopped > 0, qt.IsTrue)
+		time.Sleep(maxCallTime)
+		reply := r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		r.c.Check(reply.GetEnded(), qt.HasLen, 0)
+		r.c.Check(reply.GetLook() < stopped, qt.IsTrue, qt.Commentf("list of poll %d, stop shown by poll %d", reply.GetLook(), stopped))
+		r.store.SetDown(false)
+		time.Sleep(maxCallTime)
+		reply = r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		r.c.Check(reply.GetEnded(), qt.HasLen, 1)
+		r.c.Check(reply.GetLook() >= stopped, qt.IsTrue)
+	})
+}
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -130,11 +130,12 @@
 	a.state.ackedEnd = max(a.state.ackedEnd, r.RecordedEnd)
 	changed := !a.state.runsKnown || !sameRuns(a.state.running, reply.Running) || !sameEnds(a.state.ended, reply.Ended)
 	a.state.runsKnown = true
-	if a.state.notifyAtHoldSeq > a.state.listHoldSeq && a.state.notifyAtHoldSeq <= seq {
-		changed = true
-	}
-	a.state.listHoldSeq = seq
 	a.state.resultPending = len(reply.Ended) < listedEnds
+	if !a.state.resultPending {
+		// A list without some of the ends does not show whether a run has ended.
+		changed = changed || a.state.notifyAtHoldSeq > a.state.listHoldSeq && a.state.notifyAtHoldSeq <= seq
+		a.state.listHoldSeq = seq
+	}
 	a.state.running, a.state.ended = reply.Running, reply.Ended
 	for _, s := range reply.Running {
 		delete(a.state.unknownStarts, runKey{s.GetTask(), s.GetRun()})
--- a/coordination/planner/faults_test.go
+++ b/coordination/planner/faults_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
 )
@@ -246,3 +247,32 @@
 	}
 	qt.Check(t, h.stateOf("5c0e7a21d94b36f8"), qt.Equals, job.Completed)
 }
+
+// Guards against a run that is stopped, although it may be at work, because a repetition of
+// its start order could not be sent.
+func TestUnsentRepetitionKeepsRun(t *testing.T) {
+	for _, reason := range []string{reasonNoPayload, reasonNotSent} {
+		t.Run(reason, func(t *testing.T) {
+			h := newHarness(t, 1)
+			j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+			h.addJob(j)
+			row := h.rows["j1/0"]
+			h.restartPlanner()
+			h.p.AddJob(j, []job.Progress{row}, h.now)
+			h.p.SetLoaded()
+			// The worker does not list the run yet.
+			h.p.Report("t00", &agentrpc.WatchReply{Worker: h.workers["t00"].worker, Listed: true, Look: 1}, h.now)
+			h.now = h.now.Add(resendAfter)
+			b := h.p.Plan(h.now)
+			qt.Assert(t, b.Orders, qt.HasLen, 1)
+			o := b.Orders[0].Orders[0]
+			qt.Assert(t, o.Stop, qt.IsFalse)
+			h.p.HandleOrderResult("t00", b.Orders[0].Incarnation, o, &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: reason}, h.now)
+			for range 3 {
+				h.advance(time.Second)
+			}
+			qt.Check(t, h.starts, qt.DeepEquals, []string{"j1.0.0.0 1 t00"})
+			qt.Check(t, h.workers["t00"].ended, qt.HasLen, 0)
+		})
+	}
+}
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -19,9 +19,10 @@
 	// reasonStaleRun is the reason with which a worker refuses a run if this run, or a later
 	// one of the task, has been stopped or has ended.
 	reasonStaleRun = "old"
-	// reasonNoPayload is the reason with which an agent refuses a run whose payload it
-	// could not read.
+	// reasonNoPayload and reasonNotSent are the reasons with which an agent refuses a start
+	// that it did not send, because it could not read the payload or reach the worker.
 	reasonNoPayload = "no payload"
+	reasonNotSent   = "not sent"
 )
 
 // orderStart queues the order to start a run.
@@ -184,6 +185,10 @@
 		// An earlier order has started the run, and only the resent one was refused.
 		return
 	}
+	if r.startOrders > 1 && (reason == reasonNoPayload || reason == reasonNotSent) {
+		// An earlier order may have started the run, and this one says nothing of it.
+		return
+	}
 	p.log.Info().Int("Event", EventStartRefused).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
 		Str("Reason", reason).Msg("start refused")
 	if reason != reasonNoPayload {
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -39,17 +39,19 @@
 	return &Candidate{cfg: cfg, deps: deps, boot: rand.Uint64() | 1}
 }
 
-// Run writes the row of this process's target and takes over the shard whenever it has
+// Run keeps the row of this process's target, and takes over the shard whenever it has
 // no working owner, until ctx ends. If the worker is gone by then, Run deletes the
 // target's row.
 func (c *Candidate) Run(ctx context.Context) {
-	c.writeTargetRow(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { c.keepAnnounced(ctx) })
 	for ctx.Err() == nil {
 		if prev, ok := c.shouldTakeOver(ctx); ok {
 			c.ownShard(ctx, prev)
 		}
 		pause.ForOrWake(ctx, c.deps.Agent.TakeOverRequests(), ownerCheckPause/2+rand.N(ownerCheckPause))
 	}
+	wg.Wait()
 	if c.deps.Agent.WorkerGone() {
 		c.deleteTargetRow(context.WithoutCancel(ctx))
 	}
@@ -76,20 +78,47 @@
 	readAt       time.Duration // the store's monotonic clock when the row was read
 }
 
-// writeTargetRow writes the row by which planners find the agent of this process.
-func (c *Candidate) writeTargetRow(ctx context.Context) {
-	tx := table.Tx{Part: c.cfg.Part}.WithWrite(TableTargets, c.cfg.Name, Target{Address: c.cfg.Address}.encode())
+// keepAnnounced makes sure that the row by which planners find the agent of this process
+// exists, at the start and whenever no planner has called for a while: a deletion by the
+// former process may take effect late. It writes the row only if it has to: a part carries
+// out one transaction after the other, and after a loss of power all processes start at the
+// same time.
+func (c *Candidate) keepAnnounced(ctx context.Context) {
 	for ctx.Err() == nil {
-		commit, err := c.deps.Store.Commit(ctx, tx)
-		if err == nil {
-			c.deps.Clock.Observe(commit.Now)
-			c.deps.Log.Info().Int("Event", EventAnnounced).Str("Address", c.cfg.Address).Msg("row of the target written")
-			return
+		for !c.isAnnounced(ctx) && !c.writeTargetRow(ctx) {
+			if !pause.For(ctx, ownerCheckPause) {
+				return
+			}
+		}
+		for pause.For(ctx, announceCheckPause) && c.deps.Agent.Contact().Silent < announceCheckPause {
 		}
-		pause.For(ctx, ownerCheckPause)
 	}
 }
 
+// isAnnounced reports whether the target's row names the address of this process.
+func (c *Candidate) isAnnounced(ctx context.Context) bool {
+	r := table.Range{Table: TableTargets, Part: c.cfg.Part, From: c.cfg.Name, To: c.cfg.Name + "\x00"}
+	page, err := c.deps.Store.Read(ctx, r)
+	if err != nil || len(page.Rows) == 0 {
+		return false
+	}
+	c.deps.Clock.Observe(page.Now)
+	row, err := DecodeTarget(page.Rows[0].Value)
+	return err == nil && row.Address == c.cfg.Address
+}
+
+// writeTargetRow writes the target's row and reports whether it is certainly written.
+func (c *Candidate) writeTargetRow(ctx context.Context) bool {
+	tx := table.Tx{Part: c.cfg.Part}.WithWrite(TableTargets, c.cfg.Name, Target{Address: c.cfg.Address}.encode())
+	commit, err := c.deps.Store.Commit(ctx, tx)
+	if err != nil {
+		return false
+	}
+	c.deps.Clock.Observe(commit.Now)
+	c.deps.Log.Info().Int("Event", EventAnnounced).Str("Address", c.cfg.Address).Msg("row of the target written")
+	return true
+}
+
 // shouldTakeOver reports whether this process should take over the shard, and returns
 // the owner to replace. If it reads the owner's row, it makes the agent of this process
 // refuse planners with a lower epoch. It logs the reason of a take-over unless there is
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -61,6 +61,10 @@
 	// pause is randomised, so that candidates don't act in step. It is also the pause
 	// before a failed write of the target's row is repeated.
 	ownerCheckPause = 250 * time.Millisecond
+	// announceCheckPause is how long no planner must have called the agent before its
+	// process checks that the target's row exists, and the shortest time between two such
+	// checks.
+	announceCheckPause = 3 * time.Second
 	// planPeriod is the longest time between two planning passes.
 	planPeriod = 200 * time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated.
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -370,20 +370,14 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			runSite(t, 3, func(s *testSite) {
-				ownerStore := &processStore{Store: s.store}
-				a := s.startProcess("a", ownerStore)
-				time.Sleep(settleTime)
-				s.submit()
-				time.Sleep(time.Second)
-				old := s.targetRunningJob()
-				s.c.Assert(old, qt.IsNotNil)
+				_, old := s.startOwnerWithRun()
 				old.update(func(x *fakeAgent) { x.unreachable = true })
 				time.Sleep(3 * time.Second)
 				s.store.Delete(shard.TableTargets, part, old.name, tt.historyLost)
 				time.Sleep(settleTime)
 				s.c.Check(s.startsExcept(old), qt.Equals, 1, qt.Commentf("the task was not started elsewhere"))
 				s.c.Check(s.ownerRow().Silent, qt.HasLen, 0)
-				s.c.Check(a.State(), qt.IsNotNil)
+				s.c.Check(s.ownerRow().Name, qt.Equals, "c")
 			})
 		})
 	}
@@ -435,3 +429,77 @@
 		s.c.Check(s.startsExcept(nil), qt.Equals, 1)
 	})
 }
+
+// Guards against a shard that stays without an owner after all processes have started again:
+// if each of hundreds wrote its target's row, the part would be busy with them for seconds,
+// and the take-over would wait.
+func TestRestartOfAllProcesses(t *testing.T) {
+	const targets = 20
+	runSite(t, targets, func(s *testSite) {
+		targetWrites := 0
+		part := make(chan struct{}, 1) // carries out one transaction after the other
+		s.store.OnCommit(func(tx table.Tx) tabletest.CommitResult {
+			part <- struct{}{}
+			defer func() { <-part }()
+			time.Sleep(50 * time.Millisecond)
+			for _, w := range tx.Writes {
+				if w.Table == shard.TableTargets {
+					targetWrites++
+				}
+			}
+			return tabletest.Normal
+		})
+		ended := make(map[string]*process)
+		for name := range s.targets {
+			ended[name] = s.startProcess(name, s.store)
+		}
+		time.Sleep(2 * settleTime)
+		s.c.Check(targetWrites, qt.Equals, 0)
+		before := s.ownerRow()
+		for name, p := range ended {
+			if name != before.Name {
+				p.stop()
+			}
+		}
+		ended[before.Name].stop()
+		s.c.Check(s.ownerRow().Name, qt.Equals, "")
+		for name := range s.targets {
+			s.startProcess(name, s.store)
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.c.Check(s.ownerRow().Epoch, qt.Equals, before.Epoch+1)
+		s.c.Check(s.ownerRow().Name, qt.Not(qt.Equals), "")
+		s.c.Check(targetWrites, qt.Equals, 0)
+	})
+}
+
+// Guards against a target whose row names a former address.
+func TestTargetRowIsRenewed(t *testing.T) {
+	runSite(t, 1, func(s *testSite) {
+		old := table.Tx{Part: part}.WithWrite(shard.TableTargets, "a", []byte(`{"Address":"elsewhere"}`))
+		_, err := s.store.Commit(s.c.Context(), old)
+		s.c.Assert(err, qt.IsNil)
+		s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		p, err := s.store.Read(s.c.Context(), table.Range{Table: shard.TableTargets, Part: part})
+		s.c.Assert(err, qt.IsNil)
+		row, err := shard.DecodeTarget(p.Rows[0].Value)
+		s.c.Assert(err, qt.IsNil)
+		s.c.Check(row.Address, qt.Equals, "a")
+	})
+}
+
+// Guards against a target that is never used again, because the deletion of its row by the
+// former process takes effect after the present one has found the row.
+func TestDeletedRowOfLivingTarget(t *testing.T) {
+	runSite(t, 2, func(s *testSite) {
+		s.startProcess("a", s.store)
+		s.startProcess("b", s.store)
+		time.Sleep(settleTime)
+		s.store.Delete(shard.TableTargets, part, "b", false)
+		time.Sleep(2 * settleTime)
+		p, err := s.store.Read(s.c.Context(), table.Range{Table: shard.TableTargets, Part: part})
+		s.c.Assert(err, qt.IsNil)
+		s.c.Check(p.Rows, qt.HasLen, 2)
+	})
+}
