Survive panics and malformed rows, and refuse keys that were withdrawn during a pause

A row that the planner can't work with (a step after one that doesn't exist, a thousand million occurrences, an occurrence that the job doesn't have) would have ended each planner in turn; a caller could submit the second kind, as Times had no limit. - An entry that was paused for seconds answered the calls that had waited by the configuration of before the pause, keys that were withdrawn meanwhile included.

In TestSubmit the fixture's job has a step now, since a job without steps is no longer read.

--- a/coordination/configuration/events.go
+++ b/coordination/configuration/events.go
@@ -6,4 +6,7 @@
 	EventInForce = 630
 	// EventMalformed occurs when the configuration row cannot be decoded.
 	EventMalformed = 631
+	// EventStale occurs when calls are refused because the configuration may be out of
+	// date and can't be read.
+	EventStale = 632
 )
--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -63,6 +63,17 @@
 	return time.Since(f.asOf), true
 }
 
+// MaxAge is like Age, but also counts the time for which the machine was suspended, in which
+// the monotonic clock stops. It is too large after the wall clock was set forward.
+func (f *Follower) MaxAge() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asOf.IsZero() {
+		return 0, false
+	}
+	return max(time.Since(f.asOf), time.Now().Round(0).Sub(f.asOf.Round(0))), true
+}
+
 // Run follows the table until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	var version uint64
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -251,6 +251,12 @@
 	return rec, nil
 }
 
+// Read reads a range, as the service itself does: it fails at once with ErrStoreDown while
+// the store is known to be unavailable.
+func (s *Service) Read(ctx context.Context, r table.Range) (table.Page, error) {
+	return s.read(ctx, r, 0)
+}
+
 // read reads the first maxRows rows of a range, or all of them if maxRows is 0. It fails at
 // once with ErrStoreDown while the breaker is open.
 func (s *Service) read(ctx context.Context, r table.Range, maxRows int) (table.Page, error) {
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -102,7 +102,7 @@
 				defer cancel()
 				begin := time.Now()
 				got := ""
-				switch r := s.Submit(ctx, job.Job{ID: "a", Token: "mine", Kind: "k"}).(type) {
+				switch r := s.Submit(ctx, job.Job{ID: "a", Token: "mine", Kind: "k", Steps: []job.Step{{Tasks: 1}}}).(type) {
 				case Accepted:
 					got = "accepted"
 					if r.Duplicate {
--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -48,16 +48,11 @@
 	return operator.NewShape(r.Workers, r.Accelerators).WithAdjacency(r.Adjacent)
 }
 
-// ConfigSource provides the current configuration.
-type ConfigSource interface {
-	Snapshot() *configuration.Snapshot
-}
-
 // Requests implements the callers' API, in which a request has a workspace, a kind and
 // an idempotency key. Its methods are safe for concurrent use.
 type Requests struct {
 	jobs     *Service
-	cfg      ConfigSource
+	cfg      configuration.Source
 	objects  table.Objects
 	notifier *notifier
 	draining chan struct{}
@@ -65,7 +60,7 @@
 
 // NewRequests returns a service of the callers' API that records its jobs with jobs
 // and stores large payloads in objects.
-func NewRequests(jobs *Service, cfg ConfigSource, objects table.Objects) *Requests {
+func NewRequests(jobs *Service, cfg configuration.Source, objects table.Objects) *Requests {
 	return &Requests{
 		jobs: jobs, cfg: cfg, objects: objects, notifier: newNotifier(jobs.store), draining: make(chan struct{}),
 	}
@@ -100,9 +95,9 @@
 			return st, err
 		}
 	}
-	j, refusal := q.resolve(r)
+	j, queueLimit, refusal := q.resolve(ctx, r)
 	if refusal == nil {
-		refusal = q.checkQueueLimit(ctx, j)
+		refusal = q.checkQueueLimit(ctx, j, queueLimit)
 	}
 	if refusal != nil {
 		return Status{Workspace: r.Workspace, Key: r.Key, Outcome: *refusal}, nil
@@ -163,17 +158,19 @@
 	return st, true, err
 }
 
-// resolve checks a request against the configuration and returns its job.
-func (q *Requests) resolve(r Request) (job.Job, *outcome.NotRun) {
-	reject := func(n outcome.NotRun) (job.Job, *outcome.NotRun) { return job.Job{}, &n }
+// resolve checks a request against the configuration and returns its job and the queue limit
+// of its workspace.
+func (q *Requests) resolve(ctx context.Context, r Request) (job.Job, int, *outcome.NotRun) {
+	reject := func(n outcome.NotRun) (job.Job, int, *outcome.NotRun) { return job.Job{}, 0, &n }
 	if q.isDraining() {
 		return reject(notRun(outcome.ReasonLeaving, time.Second, "the entry is shutting down"))
 	}
-	snap := q.cfg.Snapshot()
+	snap := q.cfg.Current(ctx)
 	if snap == nil {
 		return reject(notRun(outcome.ReasonNotReady, notReadyRetryAfter, "the entry does not know the current configuration"))
 	}
-	if _, ok := snap.Workspace(r.Workspace); !ok {
+	workspace, ok := snap.Workspace(r.Workspace)
+	if !ok {
 		return reject(notRun(outcome.ReasonInvalid, 0, fmt.Sprintf("unknown workspace %q", r.Workspace)))
 	}
 	kind, ok := snap.Kind(r.Workspace, r.Kind)
@@ -197,7 +194,7 @@
 	if r.Key == "" {
 		r.Key = rand.Text()
 	}
-	return newJob(r, kind, idempotent), nil
+	return newJob(r, kind, idempotent), workspace.QueueLimit(), nil
 }
 
 func newJob(r Request, kind operator.Kind, idempotent bool) job.Job {
@@ -224,14 +221,13 @@
 
 // checkQueueLimit returns a refusal if the queue of the job is at the queue limit of
 // its workspace, or if the queue cannot be read.
-func (q *Requests) checkQueueLimit(ctx context.Context, j job.Job) *outcome.NotRun {
-	w, _ := q.cfg.Snapshot().Workspace(j.Workspace)
-	n, err := q.jobs.waitingUpTo(ctx, j.Queue, w.QueueLimit())
+func (q *Requests) checkQueueLimit(ctx context.Context, j job.Job, limit int) *outcome.NotRun {
+	n, err := q.jobs.waitingUpTo(ctx, j.Queue, limit)
 	if err != nil {
 		r := notRun(outcome.ReasonStoreDown, storeDownRetryAfter, "the request could not be recorded")
 		return &r
 	}
-	if n < w.QueueLimit() {
+	if n < limit {
 		return nil
 	}
 	r := notRun(outcome.ReasonQueueFull, defaultRetryAfter, fmt.Sprintf("%d jobs of the kind wait", n))
--- a/coordination/intake/requests_test.go
+++ b/coordination/intake/requests_test.go
@@ -19,10 +19,10 @@
 	"github.com/medlargrade/medlargrade/state/table/tabletest"
 )
 
-// fixedConfig is a ConfigSource.
+// fixedConfig is a configuration.Source.
 type fixedConfig struct{ snapshot *configuration.Snapshot }
 
-func (c *fixedConfig) Snapshot() *configuration.Snapshot { return c.snapshot }
+func (c *fixedConfig) Current(context.Context) *configuration.Snapshot { return c.snapshot }
 
 // requestsHarness is a Requests with its store and configuration.
 type requestsHarness struct {
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -25,6 +25,9 @@
 	// EventRunFollowed occurs when a run is found in the next incarnation of its worker,
 	// which has the same ID as the former one.
 	EventRunFollowed = 562
+	// EventProgressIgnored occurs when the recorded progress of a job names an occurrence
+	// that the job does not have, or one twice.
+	EventProgressIgnored = 564
 	// EventUnitWaits occurs when a task or gang can't be placed, and again when the reason
 	// changes.
 	EventUnitWaits = 563
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -157,6 +157,11 @@
 	p.needsPass = true
 	byOccurrence := func(x, y job.Progress) int { return cmp.Compare(x.Occurrence, y.Occurrence) }
 	for _, r := range slices.SortedFunc(slices.Values(recorded), byOccurrence) {
+		if r.Occurrence < len(js.occurrences) || r.Occurrence >= j.Occurrences() {
+			p.log.Error().Int("Event", EventProgressIgnored).Str("Job", j.ID).Int("Occurrence", r.Occurrence).
+				Msg("the job has no such occurrence, or it is recorded twice; ignoring its progress")
+			continue
+		}
 		p.restore(js, r, acceptedAt)
 	}
 	p.log.Info().Int("Event", EventJobAdded).Str("Job", j.ID).Str("Kind", j.Kind).Str("Workspace", j.Workspace).
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -25,6 +25,7 @@
 	// the goroutine of Run only.
 	readFailed       bool
 	storeRecoveredAt time.Time
+	panickedAt       time.Time // last panic in an owner of this process; zero for none; used by the same goroutine
 
 	mu    sync.Mutex
 	owner *owner // nil while this process does not own the shard
@@ -124,6 +125,9 @@
 // refuse planners with a lower epoch. It logs the reason of a take-over unless there is
 // no row; for a row that can't be decoded it logs EventRowMalformed.
 func (c *Candidate) shouldTakeOver(ctx context.Context) (predecessor, bool) {
+	if !c.panickedAt.IsZero() && time.Since(c.panickedAt) < panicPause {
+		return predecessor{}, false
+	}
 	contact := c.deps.Agent.Contact()
 	if !contact.TakeOverRequested && contact.Epoch > 0 && contact.Silent < contactTimeout && contact.Unconfirmed < unconfirmedLimit {
 		return predecessor{}, false
@@ -187,6 +191,10 @@
 	c.setOwner(o)
 	err := o.run(ctx)
 	c.setOwner(nil)
+	var panicked *panicError
+	if errors.As(err, &panicked) {
+		c.panickedAt = time.Now()
+	}
 	c.deps.Log.Info().Int("Event", EventOwnershipEnded).Uint64("Epoch", o.row.Epoch).Err(err).Msg("this process no longer owns the shard")
 }
 
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -37,4 +37,7 @@
 	// EventCommitFailed occurs when the first attempt at a transaction of the owner fails
 	// or gets no answer.
 	EventCommitFailed = 653
+	// EventPanicked occurs when a goroutine of the owner panics. The process gives up the
+	// shard.
+	EventPanicked = 654
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -25,6 +25,7 @@
 	predecessorRow OwnerRow      // as the owner directly before this one left it
 	wake           chan struct{} // requests a planning pass
 	orderCalls     sync.WaitGroup
+	cancel         context.CancelCauseFunc // ends the ownership; set by run
 
 	mu              sync.Mutex
 	acquiredAt      time.Time // when the shard was taken over
@@ -52,20 +53,21 @@
 func (o *owner) run(ctx context.Context) error {
 	o.setAcquired(time.Now())
 	o.deps.Log.Info().Int("Event", EventOwned).Uint64("Epoch", o.row.Epoch).Msg("this process owns the shard")
-	runCtx, cancel := context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancelCause(ctx)
+	o.cancel = cancel
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer o.orderCalls.Wait()
-	defer cancel()
+	defer cancel(nil)
 	if err := o.loadProgress(runCtx); err != nil {
 		return err
 	}
 	config, followConfig := o.deps.NewConfig()
 	o.config = config
-	wg.Go(func() { followConfig(runCtx) })
+	o.goProtected(&wg, "configuration", func() { followConfig(runCtx) })
 	loaded := make(chan struct{})
-	wg.Go(func() { o.followTable(runCtx, job.TableJobs, &jobsSink{o: o, loaded: loaded}) })
-	wg.Go(func() {
+	o.goProtected(&wg, "jobs", func() { o.followTable(runCtx, job.TableJobs, &jobsSink{o: o, loaded: loaded}) })
+	o.goProtected(&wg, "targets", func() {
 		// Reports of targets refer to jobs, which must be loaded first.
 		select {
 		case <-runCtx.Done():
@@ -73,10 +75,15 @@
 			o.followTable(runCtx, TableTargets, targetsSink{o, runCtx, &wg})
 		}
 	})
-	wg.Go(func() { o.requestTakeOver(runCtx) })
-	wg.Go(func() { o.checkLapses(runCtx) })
-	err := o.planLoop(runCtx)
-	if ctx.Err() != nil {
+	o.goProtected(&wg, "requests to take over", func() { o.requestTakeOver(runCtx) })
+	o.goProtected(&wg, "lapses", func() { o.checkLapses(runCtx) })
+	var err error
+	o.protect("passes", cancel, func() { err = o.planLoop(runCtx) })
+	var panicked *panicError
+	switch {
+	case errors.As(context.Cause(runCtx), &panicked):
+		return panicked
+	case ctx.Err() != nil:
 		o.release(context.WithoutCancel(ctx))
 	}
 	return err
@@ -204,13 +211,7 @@
 		case <-timer.C:
 		}
 		timer.Reset(planPeriod)
-		o.mu.Lock()
-		if s := o.config.Snapshot(); s != nil {
-			o.plan.SetConfig(s)
-		}
-		b := o.plan.Plan(time.Now())
-		heartbeatDue := time.Since(o.confirmedSentAt) >= min(max(heartbeatPeriod, slowHeartbeatFactor*o.commitDuration), maxHeartbeatPeriod)
-		o.mu.Unlock()
+		b, heartbeatDue := o.planOnce()
 		if len(b.Writes)+len(b.Deletions) > 0 || heartbeatDue {
 			if err := o.commit(ctx, table.Tx{Writes: b.Writes, Deletions: b.Deletions}); err != nil {
 				return err
@@ -220,6 +221,19 @@
 	}
 }
 
+// planOnce makes a planning pass, and reports whether the owner's row must be rewritten even
+// if the pass has nothing to write.
+func (o *owner) planOnce() (b planner.Batch, heartbeatDue bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if s := o.config.Snapshot(); s != nil {
+		o.plan.SetConfig(s)
+	}
+	b = o.plan.Plan(time.Now())
+	period := min(max(heartbeatPeriod, slowHeartbeatFactor*o.commitDuration), maxHeartbeatPeriod)
+	return b, time.Since(o.confirmedSentAt) >= period
+}
+
 // commit writes rows together with the owner's row. It retries until they are known
 // to be written, ctx has ended or another process owns the shard.
 func (o *owner) commit(ctx context.Context, tx table.Tx) error {
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -503,3 +503,22 @@
 		s.c.Check(p.Rows, qt.HasLen, 2)
 	})
 }
+
+// Guards against a panic in the planner that ends the process, and with it the agent that
+// renews the leases of a worker, and against a process that takes over again at once.
+func TestPanicEndsOwnership(t *testing.T) {
+	runSite(t, 2, func(s *testSite) {
+		a := s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		s.startProcess("b", s.store)
+		s.submit()
+		time.Sleep(time.Second)
+		s.c.Assert(a.State(), qt.IsNotNil)
+		s.targets["b"].update(func(x *fakeAgent) { x.panicsFor = "a" })
+		time.Sleep(settleTime)
+		s.c.Check(a.State(), qt.IsNil)
+		s.c.Check(s.ownerRow().Name, qt.Equals, "b")
+		s.c.Check(s.ownerRow().Epoch, qt.Equals, uint64(2))
+		s.c.Check(s.startsExcept(nil), qt.Equals, 1)
+	})
+}
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -38,6 +38,7 @@
 	mu             sync.Mutex
 	unreachable    bool            // for all planners
 	unreachableFor map[string]bool // by planner; only their Watch calls do not arrive
+	panicsFor      string          // planner whose Watch calls panic
 	workerSilence  time.Duration   // time since the worker's last answer to the agent
 	delay          time.Duration   // of Watch calls, before they arrive
 	epoch          uint64
@@ -104,6 +105,11 @@
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
+	a.view(func(a *fakeAgent) {
+		if a.panicsFor == in.GetPlanner() {
+			panic("unexpected reply")
+		}
+	})
 	if d := a.watchDelay(); d > 0 {
 		time.Sleep(d)
 	}
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -52,7 +52,7 @@
 		if w == nil {
 			w = &watch{o: o, name: r.Key, lastAnswerAt: o.assumedLastAnswer(r.Key), fence: int64(o.row.Epoch) << fenceBits, wake: make(chan struct{}, 1)}
 			o.watches[r.Key] = w
-			s.wg.Go(func() { w.run(s.ctx) })
+			o.goProtected(s.wg, "watch of "+w.name, func() { w.run(s.ctx) })
 		}
 		w.address, w.rowDeleted = t.Address, false
 		o.mu.Unlock()
@@ -367,30 +367,35 @@
 	}
 	o.mu.Unlock()
 	for _, t := range b.Orders {
-		o.orderCalls.Go(func() { o.sendOrders(ctx, t) })
+		o.goProtected(&o.orderCalls, "orders for "+t.Target, func() { o.sendOrders(ctx, t) })
 	}
 }
 
-// sendOrders sends orders to the agent of a target and passes the results to the
-// planner. It omits orders that are no longer valid, because their run was removed or
-// stopped while the rows were written.
-func (o *owner) sendOrders(ctx context.Context, t planner.TargetOrders) {
+// orderRequest returns the orders that are still valid, the request for them and the address
+// to send it to.
+func (o *owner) orderRequest(t planner.TargetOrders) (planner.TargetOrders, *agentrpc.OrderRequest, string) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	w := o.watches[t.Target]
 	if w == nil {
-		o.mu.Unlock()
-		return
+		return planner.TargetOrders{}, nil, ""
 	}
-	address := w.address
-	req := &agentrpc.OrderRequest{Epoch: o.row.Epoch, Fence: w.fence, Life: t.Incarnation}
 	t.Orders = slices.DeleteFunc(t.Orders, func(ord planner.Order) bool { return !o.plan.OrderValid(t.Target, ord) })
-	o.mu.Unlock()
-	if len(t.Orders) == 0 {
-		return
-	}
+	req := &agentrpc.OrderRequest{Epoch: o.row.Epoch, Fence: w.fence, Life: t.Incarnation}
 	for _, ord := range t.Orders {
 		req.Orders = append(req.Orders, ord.Message)
 	}
+	return t, req, w.address
+}
+
+// sendOrders sends orders to the agent of a target and passes the results to the
+// planner. It omits orders that are no longer valid, because their run was removed or
+// stopped while the rows were written.
+func (o *owner) sendOrders(ctx context.Context, t planner.TargetOrders) {
+	t, req, address := o.orderRequest(t)
+	if len(t.Orders) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	reply, err := o.deps.Agents.Agent(address).Order(ctx, req)
--- a/process/config.go
+++ b/process/config.go
@@ -10,6 +10,7 @@
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/follow"
+	"github.com/medlargrade/medlargrade/coordination/intake"
 	"github.com/medlargrade/medlargrade/platform"
 	"github.com/medlargrade/medlargrade/state/table"
 )
@@ -42,6 +43,37 @@
 	return follow.New(s, follow.Settings{Table: tableName, Wait: configWatchWait(b), Clock: c}, h, log)
 }
 
+// newConfigGate returns the source of the configuration from source for calls. Its reads fail
+// at once while the store is known to be unavailable.
+func newConfigGate(source string, b Bounds, i *intake.Service, h *configuration.Holder, f *follow.Follower, log zerolog.Logger) *configuration.Gate {
+	r := configRange(source)
+	read := func(ctx context.Context) error {
+		p, err := i.Read(ctx, r)
+		if err != nil {
+			return fmt.Errorf("read the configuration: %w", err)
+		}
+		h.Apply(p.Rows)
+		return nil
+	}
+	return configuration.NewGate(h, f.MaxAge, read, maxConfigAge(b), log)
+}
+
+// configRange returns the row of the configuration from source.
+func configRange(source string) table.Range {
+	if source == SourcePlatform {
+		return table.Range{Table: platform.OperatorTable, From: platform.ConfigKey, To: platform.ConfigKey + "\x00"}
+	}
+	return table.Range{Table: configuration.Table, From: configuration.CurrentKey, To: configuration.CurrentKey + "\x00"}
+}
+
+// maxConfigDelay is how much older than twice the wait of a watch, which it reaches while the
+// store is available, the configuration may be before it may be out of date.
+const maxConfigDelay = 1800 * time.Millisecond
+
+// maxConfigAge returns the age of the configuration above which an entry is not ready, and
+// reads it again before it answers a call.
+func maxConfigAge(b Bounds) time.Duration { return 2*configWatchWait(b) + maxConfigDelay }
+
 // configWatchWait returns how long one watch of the configuration may wait.
 func configWatchWait(b Bounds) time.Duration {
 	return time.Duration(float64(b.ConfigInForce) * configWatchFraction)
@@ -67,7 +99,7 @@
 	if source != SourcePlatform {
 		return configuration.Read(ctx, s)
 	}
-	p, err := s.Read(ctx, table.Range{Table: platform.OperatorTable, From: platform.ConfigKey, To: platform.ConfigKey + "\x00"})
+	p, err := s.Read(ctx, configRange(source))
 	if err != nil || len(p.Rows) == 0 {
 		return nil, err
 	}
--- a/process/entry.go
+++ b/process/entry.go
@@ -23,11 +23,6 @@
 )
 
 const (
-	// maxConfigDelay is how much older than twice the wait of a watch, which it reaches
-	// while the store is available, the configuration may be before an entry is not
-	// ready. The configuration ages while the store is unavailable, and may then be out
-	// of date.
-	maxConfigDelay = 1800 * time.Millisecond
 	// maxStoreDowntime is how long the store may be unavailable before an entry is
 	// not ready, so that callers use entries that may still reach it.
 	maxStoreDowntime = 500 * time.Millisecond
@@ -47,6 +42,7 @@
 	Clients  *clients
 	Log      zerolog.Logger
 	Config   *configuration.Holder
+	Gate     configuration.Source
 	Follower *follow.Follower
 	Intake   *intake.Service
 	Requests *intake.Requests
@@ -70,8 +66,11 @@
 		func(s table.Store, c *table.Clock, m *metrics.Set, log zerolog.Logger) *intake.Service {
 			return intake.New(s, ShardPart, c, m, log)
 		},
-		func(i *intake.Service, h *configuration.Holder, s *platform.Store) *intake.Requests {
-			return intake.NewRequests(i, h, s)
+		func(i *intake.Service, h *configuration.Holder, f *follow.Follower, log zerolog.Logger) configuration.Source {
+			return newConfigGate(settings.Config, settings.Bounds, i, h, f, log)
+		},
+		func(i *intake.Service, c configuration.Source, s *platform.Store) *intake.Requests {
+			return intake.NewRequests(i, c, s)
 		},
 	}
 }
@@ -112,7 +111,7 @@
 	servers := []*caller.Server{caller.NewServer(caller.Handler(caller.NewService(e.Requests), e.Log), e.Log)}
 	listeners := []net.Listener{lis[0]}
 	if lis[2] != nil {
-		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Config, e.Metrics, e.Log), e.Log))
+		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Gate, e.Metrics, e.Log), e.Log))
 		listeners = append(listeners, lis[2])
 	}
 	for i, srv := range servers {
@@ -168,7 +167,7 @@
 		return errors.New("the entry is leaving")
 	case !ok || e.Config.Snapshot() == nil:
 		return errors.New("the configuration is not known yet")
-	case age > 2*configWatchWait(e.Settings.Bounds)+maxConfigDelay, e.Intake.StoreDowntime() > maxStoreDowntime:
+	case age > maxConfigAge(e.Settings.Bounds), e.Intake.StoreDowntime() > maxStoreDowntime:
 		return errors.New("the store does not answer")
 	}
 	return nil
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -131,12 +131,16 @@
 // Encode returns the value of the job's row.
 func (j Job) Encode() []byte { return table.EncodeValue(j) }
 
-// Decode decodes the value of a job's row.
+// Decode decodes the value of a job's row. A row that the planner could not work with is an
+// error.
 func Decode(value []byte) (Job, error) {
 	var j Job
 	if err := json.Unmarshal(value, &j); err != nil {
 		return Job{}, fmt.Errorf("decode job: %w", err)
 	}
+	if err := j.checkSteps(); err != nil {
+		return Job{}, fmt.Errorf("decode job %s: %w", j.ID, err)
+	}
 	return j, nil
 }
 
--- a/transport/rpc/events.go
+++ b/transport/rpc/events.go
@@ -11,4 +11,6 @@
 	// EventCallsCanceled occurs when calls are still in progress at the end of
 	// the drain time and the server cancels them.
 	EventCallsCanceled = 302
+	// EventHandlerPanicked occurs when the handler of a call panics.
+	EventHandlerPanicked = 303
 )
--- a/transport/rpc/rpc_test.go
+++ b/transport/rpc/rpc_test.go
@@ -345,3 +345,23 @@
 		})
 	}
 }
+
+// Guards against a handler that ends the process, or the other calls of its connection's
+// peer, by a panic.
+func TestPanicEndsOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		srv := &server{watch: func(ctx context.Context, r *agentrpc.WatchRequest) (*agentrpc.WatchReply, error) {
+			if r.GetPlanner() == "bad" {
+				panic("unexpected request")
+			}
+			return echo(ctx, r)
+		}}
+		h := newHarness(t, srv, rpc.Settings{})
+		_, err := h.client.Watch(t.Context(), &agentrpc.WatchRequest{Planner: "bad"})
+		qt.Check(t, err, qt.ErrorMatches, ".*the handler panicked: unexpected request.*")
+		reply, err := h.client.Watch(t.Context(), &agentrpc.WatchRequest{Planner: "good"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, reply.GetWorker().GetPool(), qt.Equals, "good")
+		h.close(t)
+	})
+}
--- a/transport/rpc/serve.go
+++ b/transport/rpc/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -18,6 +19,23 @@
 // the process has no file descriptors left.
 const acceptRetryDelay = 100 * time.Millisecond
 
+// recoveringHandler turns a panic of a handler into an error of its call.
+type recoveringHandler struct {
+	handler drpc.Handler
+	log     *zerolog.Logger
+}
+
+// HandleRPC implements drpc.Handler.
+func (h recoveringHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			h.log.Error().Int("Event", EventHandlerPanicked).Str("Call", rpc).Str("Panic", fmt.Sprint(v)).Bytes("Stack", debug.Stack()).Send()
+			err = fmt.Errorf("%s: the handler panicked: %v", rpc, v)
+		}
+	}()
+	return h.handler.HandleRPC(stream, rpc)
+}
+
 // Serve accepts drpc connections and passes their calls to h until ctx ends or
 // the listener fails. It then closes the listener and the idle connections, waits
 // up to DrainTimeout for calls in progress, cancels the contexts of those that
@@ -25,11 +43,12 @@
 // ended.
 //
 // A handler must return when its context ends. The context also ends when the
-// caller's connection is closed. Serve logs to the zerolog.Logger in ctx.
+// caller's connection is closed. A panic of a handler ends its call with an error. Serve logs to the zerolog.Logger in ctx.
 func Serve(ctx context.Context, lis net.Listener, h drpc.Handler) error {
 	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancelCalls()
-	s := &server{handler: h, log: zerolog.Ctx(ctx), conns: make(map[*serverConn]struct{})}
+	log := zerolog.Ctx(ctx)
+	s := &server{handler: recoveringHandler{h, log}, log: log, conns: make(map[*serverConn]struct{})}
 	acceptCtx, stopAccepting := context.WithCancel(ctx)
 	s.wg.Go(func() {
 		<-acceptCtx.Done()
