--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -395,6 +395,8 @@
 		{"never sent", start, []error{errNotListening, errNotListening}, agent.ReasonNotSent},
 		{"sent once", start, []error{errNotListening, errNoAnswer}, ""},
 		{"sent first", start, []error{errNoAnswer, errNotListening}, ""},
+		{"refused after no answer", start, []error{errNoAnswer, &agent.RefusedError{Reason: agent.ReasonNoCapacity}}, ""},
+		{"refused", start, []error{&agent.RefusedError{Reason: agent.ReasonNoCapacity}}, agent.ReasonNoCapacity},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/coordination/agent/fuzz_test.go
+++ b/coordination/agent/fuzz_test.go
@@ -19,7 +19,10 @@
 		&agentrpc.WatchRequest{},
 		&agentrpc.WatchRequest{Epoch: 1 << 63, Fence: -1, Life: life, SeenEnd: -1, LeaseCapMillis: 1 << 62, WaitMillis: -1, Boot: 1},
 		&agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: life, Orders: []*agentrpc.Order{
-			{}, {Order: &agentrpc.Order_Start{}}, {Order: &agentrpc.Order_Stop{}}, {Order: &agentrpc.Order_Pace{}},
+			{},
+			{Order: &agentrpc.Order_Start{}},
+			{Order: &agentrpc.Order_Stop{}},
+			{Order: &agentrpc.Order_Pace{}},
 			{Order: &agentrpc.Order_Start{Start: &agentrpc.Start{Task: "j", Run: -1, PayloadObject: "x"}}},
 		}},
 		&agentrpc.TakeOverRequest{Epoch: 3},
--- a/coordination/planner/faults_test.go
+++ b/coordination/planner/faults_test.go
@@ -276,3 +276,63 @@
 		})
 	}
 }
+
+// Guards against an at-most-once job that is started again after a run that may have had
+// effects.
+func TestAtMostOnceIsNotRepeated(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(h *harness)
+		want job.State
+	}{
+		{"done", func(h *harness) { h.finishTask("j1.0.0.0") }, job.Completed},
+		{"failed", func(h *harness) { h.workers["t00"].endRun("j1.0.0.0", endFailed) }, job.Failed},
+		{"stopped", func(h *harness) { h.workers["t00"].endRun("j1.0.0.0", endStopped) }, job.Lost},
+		{"lapsed", func(h *harness) { h.workers["t00"].endRun("j1.0.0.0", endLapsed) }, job.Lost},
+		{"lost", func(h *harness) { h.p.LoseRuns("t00", "test", h.now) }, job.Lost},
+		{"worker started again", func(h *harness) { h.workers["t00"] = newSimWorker("t00", 2, "r0") }, job.Lost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+			j.AtMostOnce = true
+			h.addJob(j)
+			h.advance(time.Second)
+			tt.end(h)
+			for range 3 {
+				h.advance(time.Second)
+			}
+			qt.Check(t, h.starts, qt.HasLen, 1)
+			qt.Check(t, h.stateOf("j1"), qt.Equals, tt.want)
+		})
+	}
+}
+
+// Guards against a task that is started again although an earlier order may have started its
+// run: the refusal of a repeated order does not show that it has not.
+func TestRefusedRepetitionIsNoProof(t *testing.T) {
+	h := newHarness(t, 2)
+	j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4})
+	h.addJob(j)
+	row := h.rows["j1/0"]
+	target := h.targetOf("j1.0.0.0")
+	h.restartPlanner()
+	h.p.AddJob(j, []job.Progress{row}, h.now)
+	h.p.SetLoaded()
+	// The worker does not list the run yet.
+	h.p.Report(target, &agentrpc.WatchReply{Worker: h.workers[target].worker, Listed: true, Look: 1}, h.now)
+	h.now = h.now.Add(resendAfter)
+	b := h.p.Plan(h.now)
+	qt.Assert(t, b.Orders, qt.HasLen, 1)
+	refused := &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: "room"}
+	h.p.HandleOrderResult(target, b.Orders[0].Incarnation, b.Orders[0].Orders[0], refused, h.now)
+	for range 5 {
+		h.now = h.now.Add(refusalPause)
+		for _, o := range h.p.Plan(h.now).Orders {
+			for _, ord := range o.Orders {
+				qt.Check(t, ord.Stop, qt.IsTrue, qt.Commentf("run %d is ordered on %s", ord.Run, o.Target))
+			}
+		}
+	}
+}
--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -53,6 +53,13 @@
 			time.Sleep(2 * time.Second)
 			s.targets["c"].update(func(x *fakeAgent) { x.unreachableFor = nil })
 		}},
+		// The same, while the former owner still reaches the run's target. It must not extend
+		// the lease after b has reached its agent.
+		{name: "the former owner, which reaches the target, is told to stop", formerOwnerReaches: true, within: 4*time.Second + lapseBound, changeOwner: func(s *testSite, _ *fakeAgent) {
+			s.startProcess("b", s.store)
+			time.Sleep(2 * time.Second)
+			s.targets["c"].update(func(x *fakeAgent) { x.unreachableFor = nil })
+		}},
 		// The second owner stops extending leases when its process ends, 5 s after the
 		// first is cut off.
 		{name: "the second owner's process has ended", within: 6*time.Second + lapseBound, changeOwner: func(s *testSite, oldTarget *fakeAgent) {
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -522,3 +522,63 @@
 		s.c.Check(s.startsExcept(nil), qt.Equals, 1)
 	})
 }
+
+// Guards against work that is started again elsewhere while its worker is only silent: its
+// leases may not have lapsed. Also against work that is never started again.
+func TestSilentWorker(t *testing.T) {
+	tests := []struct {
+		name    string
+		silence time.Duration // of the worker, as its agent reports it
+		want    int           // starts elsewhere
+	}{
+		{"for a few seconds", 5 * time.Second, 0},
+		{"for as long as a lease", leaseMax, 0},
+		{"for longer than a lease", lapseBound, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runSite(t, 3, func(s *testSite) {
+				_, old := s.startOwnerWithRun()
+				old.update(func(x *fakeAgent) { x.workerSilence = tt.silence })
+				time.Sleep(settleTime)
+				s.c.Check(s.startsExcept(old), qt.Equals, tt.want)
+			})
+		})
+	}
+}
+
+// Guards against an order from before the restart of an agent that arrives late and is still
+// carried out: the fencing token must rise with each restart.
+func TestFenceRisesWithRestart(t *testing.T) {
+	runSite(t, 1, func(s *testSite) {
+		s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		var before, after int64
+		x := s.targets["a"]
+		x.view(func(x *fakeAgent) { before = x.fence })
+		x.update(func(x *fakeAgent) { x.boot++ })
+		time.Sleep(settleTime)
+		x.view(func(x *fakeAgent) { after = x.fence })
+		s.c.Check(after > before, qt.IsTrue, qt.Commentf("token %d after %d", after, before))
+	})
+}
+
+// Guards against an agent that starts again and accepts orders of a former owner, because no
+// planner has called it yet: its process has read the owner's row.
+func TestRestartedAgentKnowsEpoch(t *testing.T) {
+	runSite(t, 2, func(s *testSite) {
+		for range 2 {
+			a := s.startProcess("a", s.store)
+			time.Sleep(settleTime)
+			a.stop()
+		}
+		s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		s.targets["b"].update(func(x *fakeAgent) { x.unreachable = true })
+		time.Sleep(settleTime)
+		b := s.startProcess("b", s.store)
+		time.Sleep(time.Second)
+		s.c.Check(b.agent.Contact().Epoch, qt.Equals, s.ownerRow().Epoch)
+		s.c.Check(s.ownerRow().Epoch > 1, qt.IsTrue)
+	})
+}
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -41,6 +41,7 @@
 	panicsFor      string          // planner whose Watch calls panic
 	workerSilence  time.Duration   // time since the worker's last answer to the agent
 	delay          time.Duration   // of Watch calls, before they arrive
+	boot           uint64          // of the agent
 	epoch          uint64
 	fence          int64
 	leaseCap       int64
@@ -56,7 +57,7 @@
 
 func newFakeAgent(name string) *fakeAgent {
 	return &fakeAgent{
-		name: name, incarnation: &agentrpc.Life{Worker: name + "-1", Born: 1}, startedAt: time.Now(),
+		name: name, boot: 1, incarnation: &agentrpc.Life{Worker: name + "-1", Born: 1}, startedAt: time.Now(),
 		running: make(map[string]int64), revision: 1, changed: make(chan struct{}),
 	}
 }
@@ -150,7 +151,7 @@
 		return nil, errUnreachable
 	}
 	out := &agentrpc.WatchReply{
-		Epoch: a.epoch, Boot: 1, Revision: a.revision, Listed: true, Ended: a.ended, Look: int64(a.revision), //nolint:gosec // small
+		Epoch: a.epoch, Boot: a.boot, Revision: a.revision, Listed: true, Ended: a.ended, Look: int64(a.revision), //nolint:gosec // small
 		Worker: &agentrpc.Worker{
 			Life: a.incarnation, Pool: "pool", Cpu: 64_000, MemoryMb: 1 << 18, Accelerators: 8, Rack: "r1",
 			ClockMillis: time.Since(a.startedAt).Milliseconds() + 1,
