Draw what logs say of a period

Cause: what makes work late on the large site could not be read from the logs. The planner of 240 workers writes more than 200 lines a second in bursts, and the budget dropped up to 624 lines at once, so that 175 of 997 stops had no reason. No line said how many tasks wait, what is free, or how long passes take.

Change: the owner logs the state of the shard once a second while work waits or runs (event 655). medlargrade-report reads logs and writes a page with tables (kinds, work thrown away by reason, preemptions, waits) and plots (queues, accelerators, runs, targets, passes, transactions), with gonum/plot. It is a program of its own, since the library would add to the memory of each daemon; the platform builds only cmd/medlargrade now. Reading of logs moved from explain to package eventlog. LogLines defaults to 600 a second.

Ruled out: a burst allowance for the budget (a planner is above 200 lines for seconds), and one line for the runs of a gang (explain finds the lines of a task).

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"errors"
@@ -19,6 +18,7 @@
 	"github.com/medlargrade/medlargrade/coordination/intake"
 	"github.com/medlargrade/medlargrade/coordination/planner"
 	"github.com/medlargrade/medlargrade/coordination/shard"
+	"github.com/medlargrade/medlargrade/eventlog"
 	"github.com/medlargrade/medlargrade/platform"
 	"github.com/medlargrade/medlargrade/process"
 	"github.com/medlargrade/medlargrade/transport/stdout"
@@ -32,9 +32,6 @@
 	// leadTime is how long before a job's first line events of the site are shown. A
 	// change of planner takes less.
 	leadTime = 5 * time.Second
-	// maxLineBytes bounds the length of a log line. The longest lines have the name of
-	// a task and an error text.
-	maxLineBytes = 1 << 20
 )
 
 // explainCommand prints what happened to one job.
@@ -47,65 +44,13 @@
 
 // Execute reads the logs and prints the explanation.
 func (c *explainCommand) Execute([]string) error {
-	var lines []logLine
-	for _, path := range c.Logs {
-		f, err := os.Open(path)
-		if err != nil {
-			return &ExitError{ExitInvalid, fmt.Errorf("log: %w", err)}
-		}
-		lines, err = readLog(lines, f)
-		_ = f.Close() // The file was only read.
-		if err != nil {
-			return fmt.Errorf("log %s: %w", path, err)
-		}
-	}
-	if len(c.Logs) == 0 {
-		var err error
-		if lines, err = readLog(lines, os.Stdin); err != nil {
-			return fmt.Errorf("standard input: %w", err)
-		}
+	lines, err := eventlog.ReadFiles(c.Logs, os.Stdin)
+	if err != nil {
+		return &ExitError{ExitInvalid, err}
 	}
 	return explain(os.Stdout, lines, c.Args.ID)
 }
 
-// logLine is a line of a process's log.
-type logLine struct {
-	Time    time.Time `json:"time"`
-	Process string
-	Event   int
-	Job     string
-	Task    string
-	// RequestID identifies a call about the job.
-	RequestID string
-	text      []byte
-}
-
-// readLog appends the log lines read from r. It ignores text before the JSON object
-// of a line, such as a time added by a log collector, and lines that are not log
-// events.
-func readLog(lines []logLine, r io.Reader) ([]logLine, error) {
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLineBytes)
-	for s.Scan() {
-		i := bytes.IndexByte(s.Bytes(), '{')
-		if i < 0 {
-			continue
-		}
-		l := logLine{text: bytes.Clone(s.Bytes()[i:])}
-		if json.Unmarshal(l.text, &l) != nil || l.Event == 0 || l.Time.IsZero() {
-			continue
-		}
-		lines = append(lines, l)
-	}
-	return lines, s.Err()
-}
-
-// isAbout reports whether a line is about the job or task id, or about one of its
-// tasks.
-func (l logLine) isAbout(id string) bool {
-	return l.Job == id || l.Task == id || strings.HasPrefix(l.Task, id+".")
-}
-
 // siteEvents are the events that may affect any job.
 var siteEvents = []int{
 	shard.EventOwned, shard.EventOwnershipEnded, shard.EventTakeOverAsked, shard.EventTargetLapsed,
@@ -118,16 +63,14 @@
 var errNoLines = errors.New("no line of the log names the job")
 
 // explain prints the lines about a job, and the site events from leadTime before the
-// first to the last of them, in order of time. The order of lines of different
-// processes is as accurate as their clocks.
-func explain(out io.Writer, lines []logLine, id string) error {
-	slices.SortStableFunc(lines, func(x, y logLine) int { return x.Time.Compare(y.Time) })
-	if i := slices.IndexFunc(lines, func(l logLine) bool { return l.RequestID == id && l.Job != "" }); i >= 0 {
+// first to the last of them. The lines must be in order of time.
+func explain(out io.Writer, lines []eventlog.Line, id string) error {
+	if i := slices.IndexFunc(lines, func(l eventlog.Line) bool { return l.RequestID == id && l.Job != "" }); i >= 0 {
 		id = lines[i].Job
 	}
 	first, last := -1, -1
 	for i, l := range lines {
-		if l.isAbout(id) {
+		if l.IsAbout(id) {
 			if first < 0 {
 				first = i
 			}
@@ -141,7 +84,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	var previous time.Time
 	for i, l := range lines {
-		aboutJob := l.isAbout(id)
+		aboutJob := l.IsAbout(id)
 		if !aboutJob && (i > last || l.Time.Before(start.Add(-leadTime)) || !slices.Contains(siteEvents, l.Event)) {
 			continue
 		}
@@ -151,7 +94,7 @@
 			}
 			previous = l.Time
 		}
-		_, _ = fmt.Fprintf(w, "%+.3f s\t%s\t%d\t%s\n", l.Time.Sub(start).Seconds(), l.Process, l.Event, l.describe()) // Flush reports errors.
+		_, _ = fmt.Fprintf(w, "%+.3f s\t%s\t%d\t%s\n", l.Time.Sub(start).Seconds(), l.Process, l.Event, describe(l)) // Flush reports errors.
 	}
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("explain: %w", err)
@@ -165,12 +108,12 @@
 var omittedFields = []string{"level", "time", "Process", "Event", "Job", "message"}
 
 // describe returns the description of the line's event and the fields of the line.
-func (l logLine) describe() string {
+func describe(l eventlog.Line) string {
 	parts := []string{eventDescriptions[l.Event] + " "}
 	if eventDescriptions[l.Event] == "" {
 		parts[0] = "event "
 	}
-	for _, f := range parseFields(l.text) {
+	for _, f := range parseFields(l.Text) {
 		if !slices.Contains(omittedFields, f.name) && f.value != `""` {
 			parts = append(parts, f.name+"="+f.value)
 		}
@@ -251,23 +194,23 @@
 }
 
 // summarize returns the summary of the lines about a job.
-func summarize(lines []logLine, id string) *summary {
+func summarize(lines []eventlog.Line, id string) *summary {
 	s := &summary{plannedRuns: make(map[string]struct{}), linesByEvent: make(map[int]int)}
 	for _, l := range lines {
-		if l.isAbout(id) {
+		if l.IsAbout(id) {
 			s.add(l)
 		}
 	}
 	return s
 }
 
-func (s *summary) add(l logLine) {
+func (s *summary) add(l eventlog.Line) {
 	s.linesByEvent[l.Event]++
 	var f struct {
 		Outcome, State, Reason, Error string
 		Run                           int
 	}
-	_ = json.Unmarshal(l.text, &f) // A field of another type does not affect the others.
+	l.Decode(&f)
 	switch l.Event {
 	case intake.EventSubmitted:
 		switch {
--- a/cmd/medlargrade/explain_test.go
+++ b/cmd/medlargrade/explain_test.go
@@ -6,17 +6,20 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/eventlog"
 )
 
 // explainLogs returns the output of explain for logs.
 func explainLogs(t *testing.T, id string, logs ...string) string {
 	t.Helper()
-	var lines []logLine
+	var lines []eventlog.Line
 	for _, l := range logs {
 		var err error
-		lines, err = readLog(lines, strings.NewReader(l))
+		lines, err = eventlog.Read(lines, strings.NewReader(l))
 		qt.Assert(t, err, qt.IsNil)
 	}
+	eventlog.Sort(lines)
 	var out bytes.Buffer
 	qt.Assert(t, explain(&out, lines, id), qt.IsNil)
 	return out.String()
@@ -77,7 +80,7 @@
 
 // Guards against output for a job of which there are no lines.
 func TestExplainUnknownJob(t *testing.T) {
-	lines, err := readLog(nil, strings.NewReader(entryLog))
+	lines, err := eventlog.Read(nil, strings.NewReader(entryLog))
 	qt.Assert(t, err, qt.IsNil)
 	var out bytes.Buffer
 	qt.Check(t, explain(&out, lines, "a"), qt.ErrorIs, errNoLines)
--- a/cmd/medlargrade/settings_test.go
+++ b/cmd/medlargrade/settings_test.go
@@ -52,7 +52,7 @@
 	bounds.StopTime = process.Duration(900 * time.Millisecond)
 	qt.Check(t, entry, qt.Equals, process.EntrySettings{
 		Name: "e2", DataCentre: "dc1", CallerAddress: "127.0.0.1:9", OperatorAddress: "127.0.0.1:3",
-		Platform: "http://127.0.0.1:4", Config: process.SourceApplied, DrainTime: process.Duration(5 * time.Second), LogLevel: "info", LogLines: 200,
+		Platform: "http://127.0.0.1:4", Config: process.SourceApplied, DrainTime: process.Duration(5 * time.Second), LogLevel: "info", LogLines: 600,
 		Bounds: bounds,
 	})
 
@@ -65,7 +65,7 @@
 	qt.Check(t, target, qt.Equals, process.TargetSettings{
 		Name: "t1", DataCentre: "dc1", Address: "127.0.0.1:1", ReportAddress: "127.0.0.1:4", OperatorAddress: "127.0.0.1:2",
 		Worker: "http://127.0.0.1:6", Platform: "http://127.0.0.1:5", Config: process.SourcePlatform, LogLevel: "info",
-		LogLines: 200, Bounds: process.DefaultBounds(),
+		LogLines: 600, Bounds: process.DefaultBounds(),
 	})
 }
 
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -40,4 +40,6 @@
 	// EventPanicked occurs when a goroutine of the owner panics. The process gives up the
 	// shard.
 	EventPanicked = 654
+	// EventShardState occurs once a second while work waits or runs.
+	EventShardState = 655
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -203,6 +203,7 @@
 func (o *owner) planLoop(ctx context.Context) error {
 	timer := time.NewTimer(planPeriod)
 	defer timer.Stop()
+	load := newLoad()
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,13 +212,21 @@
 		case <-timer.C:
 		}
 		timer.Reset(planPeriod)
+		begin := time.Now()
 		b, heartbeatDue := o.planOnce()
+		load.addPass(time.Since(begin))
 		if len(b.Writes)+len(b.Deletions) > 0 || heartbeatDue {
+			begin := time.Now()
 			if err := o.commit(ctx, table.Tx{Writes: b.Writes, Deletions: b.Deletions}); err != nil {
 				return err
 			}
+			load.addCommit(time.Since(begin))
 		}
 		o.dispatch(ctx, b)
+		if load.due() {
+			o.logState(load)
+			load = newLoad()
+		}
 	}
 }
 
--- a/process/settings.go
+++ b/process/settings.go
@@ -81,7 +81,7 @@
 	Config          string   `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
 	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress; 1m if missing"`
 	LogLevel        string   `long:"log-level" description:"debug, info, warn or error; info if missing"`
-	LogLines        int      `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 200 if missing"`
+	LogLines        int      `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
 	Bounds          Bounds   `no-flag:"true"`
 }
 
@@ -97,13 +97,13 @@
 	Platform        string `long:"platform" description:"URL of the platform's store"`
 	Config          string `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
 	LogLevel        string `long:"log-level" description:"debug, info, warn or error; info if missing"`
-	LogLines        int    `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 200 if missing"`
+	LogLines        int    `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
 	Bounds          Bounds `no-flag:"true"`
 }
 
 // defaultLogLinesPerSecond is enough for a planner at the size that the design is for,
 // which at peak decides on about 100 tasks per second.
-const defaultLogLinesPerSecond = 200
+const defaultLogLinesPerSecond = 600
 
 // DefaultEntrySettings returns entry settings with the defaults filled in.
 func DefaultEntrySettings() EntrySettings {
