Shorten the time without starts after a loss of all machines

All machines start again at 35.65 s. - 160 processes find at once that the owner is gone and take over: one succeeds at 35.80 s, and the part carries out the other 159 transactions until 36.75 s, before the first one of the new owner. The orders of its first pass, made at 36.05 s, leave at 36.8 s. - Runs that the former planner had recorded and not ordered any more are the cheapest victims for urgent work. They are stopped at 36.85 s, and the stop is confirmed at 38.29 s: a run that was never started leaves no end, so that the hold in progress, and the one after it, each wait a second.

Change: a process waits up to 150 ms at random before it takes over, and reads the row again. After orders with stops an agent makes a hold that the worker answers at once, beside the one in progress; lists are applied in the order in which the holds were sent. A run that no order of this planner and no list under its fencing token names has never started and is dropped at once.

Ruled out: an order of ranks among the processes (nobody knows how many there are when all have just started).

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -87,6 +87,7 @@
 	storedResults      map[string]struct{} // keys of the objects that hold results
 	resultPending      bool                // the last hold returned ends that are not listed yet, because a result could not be stored
 	revision           uint64
+	answeredHoldSeq    int64 // number of the last hold whose answer was recorded
 	holdSeq            int64 // number of the last hold sent; the planner gets hold numbers as WatchReply.look and OrderResult.look
 	listHoldSeq        int64 // number of the last hold that returned running and all of ended
 	notifyAtHoldSeq    int64 // watchers are notified when listHoldSeq reaches it, even if the lists are unchanged
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -481,3 +481,44 @@
 		r.c.Check(reply.GetLook() >= stopped, qt.IsTrue)
 	})
 }
+
+// Guards against a stop that is confirmed only when the hold in progress, and another one,
+// have waited in vain for an end: nothing ends if the run was never started.
+func TestStopIsConfirmedAtOnce(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		time.Sleep(maxCallTime)
+		begin := time.Now()
+		out, err := r.agent.Order(r.c.Context(), &agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: r.incarnation, Orders: []*agentrpc.Order{
+			{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: "j.0.0.0", Run: 1}}},
+			{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: "j.0.0.1", Run: 1}}},
+		}})
+		r.c.Assert(err, qt.IsNil)
+		reply := r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		for _, res := range out.GetResults() {
+			r.c.Check(reply.GetLook() >= res.GetLook(), qt.IsTrue, qt.Commentf("list of poll %d, stop shown by poll %d", reply.GetLook(), res.GetLook()))
+		}
+		r.c.Check(time.Since(begin) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(begin)))
+	})
+}
+
+// Guards against a list that is replaced by an older one, whose hold was sent before and
+// answered after it.
+func TestOlderListIsIgnored(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		time.Sleep(maxCallTime)
+		// The hold in progress gets the lists of now when it ends.
+		r.worker.withLock(func(w *fakeWorker) { w.running = []*agentrpc.RunStatus{{Task: "j.0.0.0", Run: 1}} })
+		stop := &agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: r.incarnation, Orders: []*agentrpc.Order{
+			{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: "j.0.0.1", Run: 1}}},
+		}}
+		_, err := r.agent.Order(r.c.Context(), stop)
+		r.c.Assert(err, qt.IsNil)
+		r.c.Check(r.watch(&agentrpc.WatchRequest{}).GetRunning(), qt.HasLen, 1)
+		for range 30 {
+			time.Sleep(50 * time.Millisecond)
+			r.c.Check(r.watch(&agentrpc.WatchRequest{}).GetRunning(), qt.HasLen, 1)
+		}
+	})
+}
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -108,6 +108,10 @@
 	if !agentrpc.SameLife(a.heartbeat.Incarnation, inc) {
 		return true
 	}
+	if err != nil && seq < a.state.answeredHoldSeq {
+		// The worker has answered a later hold.
+		return true
+	}
 	a.state.holdFailed = err != nil
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
@@ -125,7 +129,11 @@
 		return false
 	}
 	a.state.clock = max(a.state.clock, reply.Clock)
-	a.state.answeredHoldSentAt = sent
+	if seq < a.state.answeredHoldSeq {
+		// The lists may be older than those of the later hold that was answered before.
+		return true
+	}
+	a.state.answeredHoldSeq, a.state.answeredHoldSentAt = seq, sent
 	a.state.confirmedFence = max(a.state.confirmedFence, r.Fence)
 	a.state.ackedEnd = max(a.state.ackedEnd, r.RecordedEnd)
 	changed := !a.state.runsKnown || !sameRuns(a.state.running, reply.Running) || !sameEnds(a.state.ended, reply.Ended)
@@ -146,6 +154,18 @@
 	return true
 }
 
+// holdNow makes one hold call that the worker answers at once, beside the one that Run may have
+// in progress.
+func (a *Agent) holdNow(ctx context.Context) {
+	a.mu.Lock()
+	inc := a.heartbeat.Incarnation
+	r := HoldRequest{
+		CallHeader: CallHeader{Worker: inc.GetWorker(), Fence: a.state.fence}, Until: a.leaseUntilLocked(), RecordedEnd: a.state.recordedEnd,
+	}
+	a.mu.Unlock()
+	a.hold(ctx, inc, r)
+}
+
 // leasesLapsedLocked reports whether all leases on the worker have certainly lapsed, whether
 // or not it still runs.
 func (a *Agent) leasesLapsedLocked() bool {
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -36,6 +37,10 @@
 		wg.Go(func() { results[i] = a.execute(ctx, in, o) })
 	}
 	wg.Wait()
+	if stopped := slices.ContainsFunc(results, func(r *agentrpc.OrderResult) bool { return r.GetLook() > 0 }); stopped {
+		// A run that was never started leaves no end, for which the hold in progress waits.
+		a.holdNow(ctx)
+	}
 	return &agentrpc.OrderReply{Epoch: epoch, Results: results}, nil
 }
 
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -110,7 +110,9 @@
 	out.UngrantedMillis = time.Since(a.state.lastGrantSentAt).Milliseconds()
 	if out.Listed {
 		out.Running = a.state.running
-		out.Look = a.state.listHoldSeq
+		if !a.state.resultPending {
+			out.Look = a.state.listHoldSeq
+		}
 		for _, e := range a.state.ended {
 			if e.GetNumber() > a.state.recordedEnd {
 				out.Ended = append(out.Ended, e)
--- a/coordination/planner/faults_test.go
+++ b/coordination/planner/faults_test.go
@@ -336,3 +336,42 @@
 		}
 	}
 }
+
+// Guards against capacity that stays in use while a run is stopped that was recorded by a
+// former planner and has never been started: the worker's list under the new fencing token
+// shows that it hasn't, and that no earlier order can start it any more.
+func TestUnstartedRunEndsAtOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp func(h *harness, target string) // after the change of the planner
+		ended bool                            // the run is over as soon as it is to be stopped
+	}{
+		{"not listed", func(h *harness, target string) { h.report(target) }, true},
+		{"not reported", func(*harness, string) {}, false},
+		{"listed", func(h *harness, target string) {
+			h.workers[target].running["j1.0.0.0"] = &agentrpc.RunStatus{Task: "j1.0.0.0", Run: 1}
+			h.report(target)
+		}, false},
+		{"ordered again", func(h *harness, target string) {
+			h.report(target)
+			h.p.Plan(h.now)
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 8})
+			h.workers["t00"].dropsOrders = true
+			h.addJob(j)
+			row := h.rows["j1/0"]
+			qt.Assert(t, row.Steps[0].Tasks[0].Active, qt.HasLen, 1)
+			h.restartPlanner()
+			h.p.AddJob(j, []job.Progress{row}, h.now)
+			h.p.SetLoaded()
+			tt.setUp(h, "t00")
+			h.p.Cancel("j1", h.now)
+			h.runPass()
+			qt.Check(t, len(h.rows["j1/0"].Steps[0].Tasks[0].Active) == 0, qt.Equals, tt.ended)
+		})
+	}
+}
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -46,6 +46,12 @@
 	if _, active := t.runs[r]; !active || r.stopReason != "" {
 		return
 	}
+	if p.neverStarted(t, r) {
+		p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.incarnation.Target).
+			Str("Reason", "never started: "+reason).Send()
+		p.removeRun(r)
+		return
+	}
 	r.stopReason = reason
 	t.stopping = t.stopping.plus(r.resources)
 	p.usageByWorkspace, p.needsPass = nil, true
@@ -54,6 +60,14 @@
 		Str("Reason", reason).Send()
 }
 
+// neverStarted reports whether a run that a former planner has recorded has certainly not
+// started and never will: the worker has confirmed this planner's fencing token and does not
+// list the run, and this planner has not ordered it.
+func (p *Planner) neverStarted(t *target, r *run) bool {
+	return r.startQueuedAt.IsZero() && r.confirmedAt.IsZero() && r.firstListedAt.IsZero() &&
+		t.runsKnown && t.poll > 0 && r.incarnation == t.incarnation()
+}
+
 // stopGang stops a run and, if it is a member of a gang, the other members.
 func (p *Planner) stopGang(r *run, reason string) {
 	if !r.task.step.spec.Gang {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -18,7 +18,7 @@
 	connected bool
 	silentFor time.Duration // time without an answer of the worker, when last reported
 	leavesAt  time.Time     // when a draining worker may be gone; zero if unknown
-	poll      int64         // number of the poll that the last list is from
+	poll      int64         // number of the poll that the last list is from; 0 if the list lacks ends
 	lastEnd   int64         // highest run end that has been handled
 	runs      map[*run]struct{}
 	used      resources // of all runs
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -47,7 +47,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { c.keepAnnounced(ctx) })
 	for ctx.Err() == nil {
-		if prev, ok := c.shouldTakeOver(ctx); ok {
+		if prev, ok := c.shouldTakeOver(ctx); ok && c.standsAfterPause(ctx, prev) {
 			c.ownShard(ctx, prev)
 		}
 		pause.ForOrWake(ctx, c.deps.Agent.TakeOverRequests(), ownerCheckPause/2+rand.N(ownerCheckPause))
@@ -77,6 +77,7 @@
 	// the shard.
 	processEnded bool
 	readAt       time.Duration // the store's monotonic clock when the row was read
+	reason       string        // why it is replaced; empty if there is no row or it can't be decoded
 }
 
 // keepAnnounced makes sure that the row by which planners find the agent of this process
@@ -122,8 +123,8 @@
 
 // shouldTakeOver reports whether this process should take over the shard, and returns
 // the owner to replace. If it reads the owner's row, it makes the agent of this process
-// refuse planners with a lower epoch. It logs the reason of a take-over unless there is
-// no row; for a row that can't be decoded it logs EventRowMalformed.
+// refuse planners with a lower epoch. For a row that can't be decoded it logs
+// EventRowMalformed.
 func (c *Candidate) shouldTakeOver(ctx context.Context) (predecessor, bool) {
 	if !c.panickedAt.IsZero() && time.Since(c.panickedAt) < panicPause {
 		return predecessor{}, false
@@ -174,14 +175,39 @@
 	default:
 		return predecessor{}, false
 	}
-	c.deps.Log.Info().Int("Event", EventTakeOver).Uint64("Epoch", row.Epoch).Str("Owner", row.Name).
-		Dur("Age", row.age(page.Now)).Str("Reason", reason).Msg("taking over the shard")
+	prev.reason = reason
 	return prev, true
 }
 
+// standsAfterPause waits for a random time and reports whether the owner's row is still the one
+// of prev. Hundreds of processes may find at the same time that the owner is gone, and the part
+// would carry out the transactions of all of them before the next one of the new owner. A
+// process that only starts again, and one that was asked to take over, do not wait.
+func (c *Candidate) standsAfterPause(ctx context.Context, prev predecessor) bool {
+	if prev.row.Name == c.cfg.Name || c.deps.Agent.Contact().TakeOverRequested {
+		return true
+	}
+	if !pause.For(ctx, rand.N(takeOverSpread)) {
+		return false
+	}
+	page, err := c.deps.Store.Read(ctx, ownerRange(c.cfg.Part))
+	if err != nil {
+		return false
+	}
+	version := uint64(0)
+	if len(page.Rows) > 0 {
+		version = page.Rows[0].Version
+	}
+	return version == prev.version
+}
+
 // ownShard takes over the shard from prev and runs the planner until ctx ends or
 // ownership is lost.
 func (c *Candidate) ownShard(ctx context.Context, prev predecessor) {
+	if prev.reason != "" {
+		c.deps.Log.Info().Int("Event", EventTakeOver).Uint64("Epoch", prev.row.Epoch).Str("Owner", prev.row.Name).
+			Dur("Age", prev.row.age(prev.readAt)).Str("Reason", prev.reason).Msg("taking over the shard")
+	}
 	o := newOwner(c.cfg, c.deps, c.boot, prev)
 	if err := o.acquire(ctx); err != nil {
 		c.deps.Log.Info().Int("Event", EventTakeOverFailed).Uint64("Epoch", prev.row.Epoch+1).Err(err).Send()
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -57,6 +57,10 @@
 	// after the store answers it again. The owner gets this time to write, so that an
 	// outage of the store need not change the owner.
 	storeRecoveryGrace = 300 * time.Millisecond
+	// takeOverSpread is the longest time that a process waits before it takes over from an
+	// owner that is gone. Of 240 processes, about 20 then try within the 10 ms that a
+	// transaction takes.
+	takeOverSpread = 150 * time.Millisecond
 	// ownerCheckPause is the mean pause between two checks of the owner's row. That
 	// pause is randomised, so that candidates don't act in step. It is also the pause
 	// before a failed write of the target's row is repeated.
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -582,3 +582,29 @@
 		s.c.Check(s.ownerRow().Epoch > 1, qt.IsTrue)
 	})
 }
+
+// Guards against dozens of transactions of processes that all take over at the same time: the
+// part carries them out one after the other, and the new owner's next one waits for them.
+func TestTakeOversAreSpread(t *testing.T) {
+	const targets = 24
+	runSite(t, targets, func(s *testSite) {
+		takeOvers := 0
+		part := make(chan struct{}, 1) // carries out one transaction after the other
+		s.store.OnCommit(func(tx table.Tx) tabletest.CommitResult {
+			part <- struct{}{}
+			defer func() { <-part }()
+			time.Sleep(5 * time.Millisecond)
+			if len(tx.Writes) > 0 && tx.Writes[0].Table == shard.TableShard {
+				takeOvers++
+			}
+			return tabletest.Normal
+		})
+		for name := range s.targets {
+			s.startProcess(name, s.store)
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.c.Check(s.ownerRow().Epoch, qt.Equals, uint64(1))
+		// The transactions of 5 ms and the ones that are sent before the first is answered.
+		s.c.Check(takeOvers < targets/3, qt.IsTrue, qt.Commentf("%d transactions", takeOvers))
+	})
+}
--- a/experiment/comparison_test.go
+++ b/experiment/comparison_test.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		t.Skip("EXPERIMENT_SEEDS is not set")
 	}
-	for _, name := range slices.Concat(loads, grown) {
+	for _, name := range slices.Concat(loads, grown, large) {
 		for variant, l := range variants(readLoad(t, name)) {
 			t.Run(name+"/"+variant, func(t *testing.T) {
 				t.Parallel()
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -11,10 +11,11 @@
 )
 
 // loads are the loads of the example deployments, and grown those of the deployments
-// after their growth.
+// after their growth, and large that of a fleet of 240 workers.
 var (
 	loads = []string{"quillfold/load", "brno/load"}
 	grown = []string{"quillfold/load-grown", "brno/load-grown"}
+	large = []string{"quillfold/load-large"}
 )
 
 func readLoad(t testing.TB, name string) experiment.Load {
