Apply the configuration's limits on the requests of callers

Change: a server of callers serves the connections accepted under one version's limits by an http.Server of their own, because its limits can't be changed while it serves. A change applies to connections that are accepted after it; open ones keep their limits, so that no request is cut. A limit of 0 is that of operator.DefaultLimits.

Ruled out: changing the fields of the http.Server in use (read without a lock), and closing the idle connections at a change (a caller may be sending on one).

Result: TestLimits and TestHeaderTimeout; both fail when the limits in force are not looked at, the first when IdleTimeout is not set.

--- a/operator/pool.go
+++ b/operator/pool.go
@@ -1,6 +1,9 @@
 package operator
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Pool is a set of workers that run the same kinds. The scheduler uses only its name;
 // the other properties are recorded from the platform's configuration.
@@ -58,17 +61,26 @@
 // Spare reports whether the machines of the pool are powered off and not in use.
 func (p Pool) Spare() bool { return p.spare }
 
-// Limits are the platform's limits on the HTTP requests of callers. Only BodyBytes has
-// an effect: it bounds the submissions of the platform's route API. The other fields are
-// recorded from the platform's configuration.
+// Limits bound the HTTP requests of callers. BodyBytes applies to submissions by the
+// platform's route API, the others to each connection that a caller opens after the
+// version took effect.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int // 0 for the value of DefaultLimits
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes   int           // size of a request's header; net/http allows 4 KiB more
+	BodyBytes     int           // size of a request's body
+	HeaderTimeout time.Duration // from the first byte of a request to the end of its header
+	IdleTimeout   time.Duration // between two requests on a connection
 }
 
 // DefaultLimits returns the limits of a configuration that sets none.
 func DefaultLimits() Limits {
 	return Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
 }
+
+// WithDefaults returns the limits with those of DefaultLimits for all that are 0.
+func (l Limits) WithDefaults() Limits {
+	d := DefaultLimits()
+	return Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, d.HeaderBytes), BodyBytes: cmp.Or(l.BodyBytes, d.BodyBytes),
+		HeaderTimeout: cmp.Or(l.HeaderTimeout, d.HeaderTimeout), IdleTimeout: cmp.Or(l.IdleTimeout, d.IdleTimeout),
+	}
+}
--- a/process/config.go
+++ b/process/config.go
@@ -11,6 +11,7 @@
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/intake"
+	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/platform"
 	"github.com/medlargrade/medlargrade/state/table"
 )
@@ -109,3 +110,14 @@
 	}
 	return configuration.NewSnapshot(version, cfg), nil
 }
+
+// requestLimits returns a function that returns the limits of the configuration in
+// force on the requests of callers.
+func requestLimits(h *configuration.Holder) func() operator.Limits {
+	return func() operator.Limits {
+		if s := h.Snapshot(); s != nil {
+			return s.Config.Limits().WithDefaults()
+		}
+		return operator.DefaultLimits()
+	}
+}
--- a/process/entry.go
+++ b/process/entry.go
@@ -108,10 +108,11 @@
 	checkReady := func() error { return e.checkReady(draining.Load()) }
 
 	g, gctx := errgroup.WithContext(serveCtx)
-	servers := []*caller.Server{caller.NewServer(caller.Handler(caller.NewService(e.Requests), e.Log), e.Log)}
+	limits := requestLimits(e.Config)
+	servers := []*caller.Server{caller.NewServer(caller.Handler(caller.NewService(e.Requests), e.Log), limits, e.Log)}
 	listeners := []net.Listener{lis[0]}
 	if lis[2] != nil {
-		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Gate, e.Metrics, e.Log), e.Log))
+		servers = append(servers, caller.NewServer(platform.CallerHandler(e.Intake, e.Gate, e.Metrics, e.Log), limits, e.Log))
 		listeners = append(listeners, lis[2])
 	}
 	for i, srv := range servers {
--- a/transport/caller/caller_test.go
+++ b/transport/caller/caller_test.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +22,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
+	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/protocol/callerapi"
 	"github.com/medlargrade/medlargrade/transport/rpc/rpctest"
 )
@@ -35,10 +38,13 @@
 	req    callerapi.Request
 	wait   time.Duration
 	ctxErr error // from the context of a call that ended early
+	mu     sync.Mutex
 }
 
 func (f *fakeService) answer(ctx context.Context, call string) (callerapi.Response, error) {
+	f.mu.Lock()
 	f.calls = append(f.calls, call)
+	f.mu.Unlock()
 	select {
 	case <-time.After(f.delay):
 		return f.resp, f.err
@@ -49,7 +55,9 @@
 }
 
 func (f *fakeService) Submit(ctx context.Context, req callerapi.Request, wait time.Duration) (callerapi.Response, error) {
+	f.mu.Lock()
 	f.req, f.wait = req, wait
+	f.mu.Unlock()
 	return f.answer(ctx, "submit")
 }
 
@@ -166,6 +174,7 @@
 	svc    fakeService
 	server *Server
 	client Client
+	limits atomic.Pointer[operator.Limits]
 	served chan error
 }
 
@@ -177,7 +186,8 @@
 			return h.net.Dial(ctx, "e1")
 		}, ExpectContinueTimeout: time.Hour}
 		h.client = Client{Base: "http://e1", HTTP: &http.Client{Transport: tr}}
-		h.server = NewServer(Handler(&h.svc, zerolog.Nop()), zerolog.Nop())
+		h.limits.Store(&operator.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute})
+		h.server = NewServer(Handler(&h.svc, zerolog.Nop()), func() operator.Limits { return *h.limits.Load() }, zerolog.Nop())
 		lis := h.net.Listen("e1")
 		go func() { h.served <- h.server.Serve(lis) }()
 		f(t, h)
@@ -241,7 +251,7 @@
 // for a body that never arrives.
 func TestTimeouts(t *testing.T) {
 	withServer(t, func(t *testing.T, h *harness) {
-		h.svc.resp, h.svc.delay = callerapi.Response{Outcome: callerapi.Unknown}, 3*IdleTimeout
+		h.svc.resp, h.svc.delay = callerapi.Response{Outcome: callerapi.Unknown}, 6*time.Minute
 		for range 2 {
 			req, err := http.NewRequestWithContext(t.Context(), "POST", "http://e1/v1/jobs?wait=1h", strings.NewReader(validBody))
 			qt.Assert(t, err, qt.IsNil)
@@ -269,6 +279,70 @@
 	})
 }
 
+// Guards against limits of the configuration that are ignored, and against a change
+// that cuts a request in progress or a connection of a caller.
+func TestLimits(t *testing.T) {
+	tests := []struct {
+		name   string
+		limits operator.Limits
+		header int           // bytes of a header's value
+		pause  time.Duration // before a second request
+		code   int
+		dials  int // for both requests
+	}{
+		{name: "defaults", limits: operator.DefaultLimits(), header: 10 << 10, pause: 20 * time.Second, code: 200, dials: 1},
+		{name: "small header", limits: operator.Limits{HeaderBytes: 2 << 10}.WithDefaults(), header: 10 << 10, code: 431, dials: 2},
+		{name: "large header", limits: operator.Limits{HeaderBytes: 64 << 10}.WithDefaults(), header: 60 << 10, code: 200, dials: 1},
+		{name: "short idle time", limits: operator.Limits{IdleTimeout: 5 * time.Second}.WithDefaults(), pause: 20 * time.Second, code: 200, dials: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withServer(t, func(t *testing.T, h *harness) {
+				do := func(header int) int {
+					req, err := http.NewRequestWithContext(t.Context(), "POST", "http://e1/v1/jobs?wait=1h", strings.NewReader(validBody))
+					qt.Assert(t, err, qt.IsNil)
+					req.Header.Set("X-Padding", strings.Repeat("a", header))
+					resp, err := h.client.HTTP.Do(req)
+					qt.Assert(t, err, qt.IsNil)
+					_, _ = io.Copy(io.Discard, resp.Body)
+					qt.Check(t, resp.Body.Close(), qt.IsNil)
+					return resp.StatusCode
+				}
+				h.svc.resp, h.svc.delay = callerapi.Response{Outcome: callerapi.Unknown}, time.Minute
+				before := make(chan int, 1)
+				go func() { before <- do(0) }()
+				time.Sleep(time.Second)
+				h.limits.Store(&tt.limits)
+				qt.Check(t, do(tt.header), qt.Equals, tt.code)
+				qt.Check(t, <-before, qt.Equals, 200)
+				h.client.HTTP.CloseIdleConnections()
+				dials := h.net.Dials("e1")
+				qt.Check(t, do(tt.header), qt.Equals, tt.code)
+				time.Sleep(tt.pause)
+				qt.Check(t, do(tt.header), qt.Equals, tt.code)
+				qt.Check(t, h.net.Dials("e1")-dials, qt.Equals, tt.dials)
+			})
+		})
+	}
+}
+
+// Guards against a client that sends its header too slowly and keeps its connection.
+func TestHeaderTimeout(t *testing.T) {
+	withServer(t, func(t *testing.T, h *harness) {
+		l := operator.Limits{HeaderTimeout: 3 * time.Second}.WithDefaults()
+		h.limits.Store(&l)
+		conn, err := h.net.Dial(t.Context(), "e1")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, err = conn.Write([]byte("POST /v1/jobs HTTP/1.1\r\n"))
+		qt.Assert(t, err, qt.IsNil)
+		start := time.Now()
+		_, err = io.ReadAll(conn)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, time.Since(start), qt.Equals, 3*time.Second)
+	})
+}
+
 // Guards against a shutdown that aborts a request before its context ends, and
 // against one that does not return when it ends.
 func TestShutdown(t *testing.T) {
--- a/transport/caller/doc.go
+++ b/transport/caller/doc.go
@@ -22,7 +22,7 @@
 //
 // # Usage
 //
-//	s := caller.NewServer(caller.Handler(service, log), log)
+//	s := caller.NewServer(caller.Handler(service, log), limits, log)
 //	go func() { errs <- s.Serve(listener) }()
 //	<-ctx.Done()
 //	ctx, cancel := context.WithTimeout(context.Background(), drainTime)
--- a/transport/caller/server.go
+++ b/transport/caller/server.go
@@ -4,65 +4,91 @@
 	"context"
 	"errors"
 	"fmt"
-	stdlog "log"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/medlargrade/medlargrade/operator"
 )
 
-// Timeouts of a Server and its handler. There is none for a whole request,
-// because a request may wait for its job to end.
+// Timeouts of a Server and its handler besides those of the configuration. There is
+// none for a whole request, because a request may wait for its job to end.
 const (
-	// HeaderTimeout bounds the reading of a request's header.
-	HeaderTimeout = 5 * time.Second
 	// BodyTimeout bounds the reading of a whole request, from its first byte.
 	BodyTimeout = 30 * time.Second
 	// WriteTimeout bounds the writing of a response.
 	WriteTimeout = 30 * time.Second
-	// IdleTimeout is how long a connection is kept between requests.
-	IdleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request's header.
-	maxHeaderBytes = 16 << 10
 )
 
-// Server is an HTTP server with the package's timeouts.
+// Server is an HTTP server with the package's timeouts and the limits of the
+// configuration in force. A change of the limits applies to connections that are
+// accepted after it.
 type Server struct {
-	http    *http.Server
 	handler http.Handler
+	limits  func() operator.Limits
 	log     zerolog.Logger
 	wg      sync.WaitGroup // requests in progress
 
-	mu      sync.Mutex
-	active  int  // requests in progress
-	aborted bool // Shutdown has timed out; further requests are dropped
+	mu          sync.Mutex
+	active      int           // requests in progress
+	aborted     bool          // Shutdown has timed out; further requests are dropped
+	closed      bool          // Shutdown was called
+	generations []*generation // the last one accepts connections
 }
 
 // NewServer returns a server for the handler, which must return when the context
-// of its request ends.
-func NewServer(h http.Handler, log zerolog.Logger) *Server {
-	s := &Server{handler: h, log: log}
-	s.http = &http.Server{
-		Handler:           http.HandlerFunc(s.serveHTTP),
-		ReadHeaderTimeout: HeaderTimeout,
-		ReadTimeout:       BodyTimeout,
-		IdleTimeout:       IdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          stdlog.New(errorWriter{log}, "", 0),
-	}
-	return s
+// of its request ends. The function limits returns the limits in force, all of them
+// above 0.
+func NewServer(h http.Handler, limits func() operator.Limits, log zerolog.Logger) *Server {
+	return &Server{handler: h, limits: limits, log: log}
 }
 
 // Serve accepts connections until Shutdown is called or the listener fails. After
 // a call of Shutdown it returns nil immediately, before Shutdown returns.
 func (s *Server) Serve(lis net.Listener) error {
-	if err := s.http.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve on %s: %w", lis.Addr(), err)
+	var first net.Conn
+	for {
+		g := s.nextGeneration(lis, first)
+		if g == nil {
+			if first != nil {
+				_ = first.Close()
+			}
+			_ = lis.Close()
+			return nil
+		}
+		err := g.http.Serve(g.lis)
+		first = g.lis.takeRejected()
+		switch {
+		case first != nil:
+		case errors.Is(err, http.ErrServerClosed):
+			return nil
+		default:
+			return fmt.Errorf("serve on %s: %w", lis.Addr(), err)
+		}
 	}
-	return nil
+}
+
+// nextGeneration returns the generation that accepts connections under the limits in
+// force, beginning with first unless it is nil, and forgets those without a
+// connection. It returns nil after a call of Shutdown.
+func (s *Server) nextGeneration(lis net.Listener, first net.Conn) *generation {
+	l := s.limits()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	gl := &generationListener{Listener: lis, limits: l, current: s.limits, first: first}
+	g := newGeneration(l, gl, http.HandlerFunc(s.serveHTTP), errorWriter{s.log})
+	s.generations = slices.DeleteFunc(s.generations, func(g *generation) bool { return g.conns.Load() == 0 })
+	s.generations = append(s.generations, g)
+	return g
 }
 
 // Shutdown closes the listener and the idle connections and waits until every
@@ -75,7 +101,15 @@
 // contexts of their requests, waits for the handlers to return, and returns an
 // error with the number of aborted requests.
 func (s *Server) Shutdown(ctx context.Context) error {
-	err := s.http.Shutdown(ctx)
+	s.mu.Lock()
+	s.closed = true
+	generations := slices.Clone(s.generations)
+	s.mu.Unlock()
+	var wait errgroup.Group
+	for _, g := range generations {
+		wait.Go(func() error { return g.http.Shutdown(ctx) })
+	}
+	err := wait.Wait()
 	if err == nil {
 		return nil
 	}
@@ -83,7 +117,9 @@
 	s.aborted = true
 	n := s.active
 	s.mu.Unlock()
-	_ = s.http.Close()
+	for _, g := range generations {
+		_ = g.http.Close()
+	}
 	s.wg.Wait()
 	s.log.Warn().Int("Event", EventRequestsCut).Int("Requests", n).Msg("shutdown timed out; requests in progress were aborted")
 	return fmt.Errorf("%d requests cut short: %w", n, err)
