Log the objective of an occurrence with its end, and count the ends in time

Change: event 552 has the objective; the report counts completed occurrences that met it.

Result: TestCounts.

--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -307,7 +307,7 @@
 	}
 	p.dirty[o] = struct{}{}
 	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.ordinal).Str("State", string(state)).
-		Dur("Since", now.Sub(o.releaseTime())).Msg("occurrence ended")
+		Dur("Since", now.Sub(o.releaseTime())).Dur("Objective", p.objective(o.job, p.kindOf(o.job))).Msg("occurrence ended")
 	p.measureEnd(o, now)
 	if state == job.Completed {
 		// The other members of a gang are about to end on their own.
--- a/eventlog/dayreport/dayreport.go
+++ b/eventlog/dayreport/dayreport.go
@@ -42,6 +42,7 @@
 	Jobs      int
 	Tasks     int
 	Ended     map[string]int  // occurrences by final state
+	InTime    int             // completed occurrences that met their objective
 	Waits     []time.Duration // from a job's acceptance by a planner to its first start, ascending
 	Durations []time.Duration // of completed occurrences, ascending
 	Lost      float64         // core-seconds
@@ -199,12 +200,16 @@
 		return
 	}
 	var f struct {
-		State string
-		Since float64 // milliseconds
+		State     string
+		Since     float64 // milliseconds
+		Objective float64 // milliseconds
 	}
 	l.Decode(&f)
 	j.kind.Ended[f.State]++
 	if f.State == "completed" {
+		if f.Since <= f.Objective {
+			j.kind.InTime++
+		}
 		j.kind.Durations = append(j.kind.Durations, time.Duration(f.Since*float64(time.Millisecond)))
 	}
 }
--- a/eventlog/dayreport/dayreport_test.go
+++ b/eventlog/dayreport/dayreport_test.go
@@ -29,7 +29,7 @@
 {"time":"2026-01-01T10:00:04.000Z","Process":"t2","Event":550,"Job":"00000000000000bb","Kind":"urgent","Tasks":1}
 {"time":"2026-01-01T10:00:04.100Z","Process":"t2","Event":555,"Task":"00000000000000bb.0.0.0","Run":1,"Reason":"lease lapsed","LostCoreSeconds":7}
 {"time":"2026-01-01T10:00:05.000Z","Process":"t2","Event":554,"Task":"00000000000000aa.0.0.1","Run":1,"How":"done"}
-{"time":"2026-01-01T10:00:05.000Z","Process":"t2","Event":552,"Job":"00000000000000aa","State":"completed","Since":4000}
+{"time":"2026-01-01T10:00:05.000Z","Process":"t2","Event":552,"Job":"00000000000000aa","State":"completed","Since":4000,"Objective":4000}
 {"time":"2026-01-01T10:00:06.000Z","Process":"t2","Event":552,"Job":"00000000000000bb","State":"failed","Since":4000}
 {"time":"2026-01-01T10:00:07.000Z","Process":"t2","Event":380,"BeyondBudget":7,"QueueFull":1}
 `
@@ -49,7 +49,7 @@
 	qt.Check(t, r.Dropped, qt.Equals, 8)
 	qt.Check(t, r.Kinds, qt.DeepEquals, []dayreport.Kind{
 		{
-			Name: "long", Jobs: 1, Tasks: 2, Ended: map[string]int{"completed": 1},
+			Name: "long", Jobs: 1, Tasks: 2, Ended: map[string]int{"completed": 1}, InTime: 1,
 			Waits: []time.Duration{500 * time.Millisecond}, Durations: []time.Duration{4 * time.Second}, Lost: 4.5,
 		},
 		{Name: "urgent", Jobs: 1, Tasks: 1, Ended: map[string]int{"failed": 1}, Lost: 7},
--- a/eventlog/dayreport/html.go
+++ b/eventlog/dayreport/html.go
@@ -162,9 +162,9 @@
 <p>{{.Lines}} lines from {{.Begin.Format "2006-01-02 15:04:05.000"}} to {{.End.Format "15:04:05.000"}}.
 {{if .Dropped}}<strong>{{.Dropped}} lines were left out by the processes, so that counts may be too low.</strong>{{end}}</p>
 <h2>Kinds</h2>
-<table><tr><th>kind</th><th>jobs</th><th>tasks</th><th>completed</th><th>failed</th><th>cancelled</th><th>expired</th><th>lost</th>
+<table><tr><th>kind</th><th>jobs</th><th>tasks</th><th>completed</th><th>in time</th><th>failed</th><th>cancelled</th><th>expired</th><th>lost</th>
 <th>first start, half within</th><th>95 % within</th><th>end, half within</th><th>95 % within</th><th>core-seconds lost</th></tr>
-{{range .Kinds}}<tr><td>{{.Name}}</td><td>{{.Jobs}}</td><td>{{.Tasks}}</td><td>{{index .Ended "completed"}}</td><td>{{index .Ended "failed"}}</td>
+{{range .Kinds}}<tr><td>{{.Name}}</td><td>{{.Jobs}}</td><td>{{.Tasks}}</td><td>{{index .Ended "completed"}}</td><td>{{.InTime}}</td><td>{{index .Ended "failed"}}</td>
 <td>{{index .Ended "cancelled"}}</td><td>{{index .Ended "expired"}}</td><td>{{index .Ended "lost"}}</td>
 <td>{{quantile .Waits 0.5}}</td><td>{{quantile .Waits 0.95}}</td><td>{{quantile .Durations 0.5}}</td><td>{{quantile .Durations 0.95}}</td><td>{{number .Lost}}</td></tr>
 {{end}}</table>
