--- a/cmd/medlargrade-report/main.go
+++ b/cmd/medlargrade-report/main.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 
 	"github.com/jessevdk/go-flags"
 
@@ -64,7 +65,7 @@
 
 // write writes the page to a file, which it leaves as it was if the page can't be drawn.
 func write(path string, r *dayreport.Report) error {
-	f, err := os.CreateTemp(".", ".report-*")
+	f, err := os.CreateTemp(filepath.Dir(path), ".report-*")
 	if err != nil {
 		return fmt.Errorf("create page: %w", err)
 	}
