--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -43,7 +43,7 @@
 // Refused reports a job that this call has not recorded and never will.
 type Refused struct {
 	Reason     string
-	RetryAfter time.Duration
+	RetryAfter time.Duration // 0 if the call can't succeed later
 }
 
 // OutcomeUnknown reports a job that may or may not be recorded.
@@ -162,6 +162,11 @@
 	if err != nil {
 		return s.outcomeUnknown(j, err)
 	}
+	if recorded.Workspace != j.Workspace && recorded.Workspace != "" && j.Workspace != "" {
+		err := errors.New("the ID belongs to a job of another workspace")
+		s.reportSubmission(j, "refused", err)
+		return Refused{Reason: err.Error()}
+	}
 	s.reportSubmission(j, "accepted", nil)
 	return Accepted{Duplicate: recorded.Token != j.Token}
 }
@@ -187,6 +192,13 @@
 // ErrNoJob reports a job that does not exist.
 var ErrNoJob = errors.New("no such job")
 
+// Access reports whether a caller may see and cancel a job. To others the job does not
+// exist.
+type Access func(j job.Job) bool
+
+// AnyJob is the Access of a caller that is known to be allowed.
+func AnyJob(job.Job) bool { return true }
+
 // jobRecord is the recorded state of a job.
 type jobRecord struct {
 	job        job.Job
@@ -198,11 +210,14 @@
 	progress  []job.Progress // of the recorded occurrences
 }
 
-// State returns the state of a job, or ErrNoJob. It reports a job that has not ended as
+// State returns the state of a job that the caller may access, or ErrNoJob. It reports a job that has not ended as
 // cancelled once its cancellation is recorded. Lookup and Cancel of Requests report it
 // as queued or running until the planner has processed the cancellation.
-func (s *Service) State(ctx context.Context, id string) (job.State, error) {
+func (s *Service) State(ctx context.Context, id string, may Access) (job.State, error) {
 	rec, err := s.readJob(ctx, id)
+	if err == nil && !may(rec.job) {
+		return "", ErrNoJob
+	}
 	if rec.cancelled && !rec.state.Final() {
 		return job.Cancelled, err
 	}
@@ -273,14 +288,17 @@
 	return p, err
 }
 
-// Cancel records the cancellation of a job. It returns ErrNoJob if the job does not
-// exist, and does nothing if the job has ended or is cancelled already. After any other
+// Cancel records the cancellation of a job that the caller may access. It returns
+// ErrNoJob if there is no such job, and does nothing if the job has ended or is cancelled already. After any other
 // error the cancellation is not recorded, unless the error is a *table.OutcomeUnknownError.
-func (s *Service) Cancel(ctx context.Context, id, requestID string) error {
+func (s *Service) Cancel(ctx context.Context, id, requestID string, may Access) error {
 	rec, err := s.readJob(ctx, id)
 	if err != nil {
 		return err
 	}
+	if !may(rec.job) {
+		return ErrNoJob
+	}
 	if rec.state.Final() || rec.cancelled {
 		return nil
 	}
--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -266,7 +266,7 @@
 // cancellation only after the planner has processed it.
 func (q *Requests) Cancel(ctx context.Context, workspace, key string) (Status, error) {
 	id := job.DeriveID(workspace, key)
-	if err := q.jobs.Cancel(ctx, id, ""); err != nil {
+	if err := q.jobs.Cancel(ctx, id, "", AnyJob); err != nil {
 		return Status{}, err
 	}
 	return q.await(ctx, id, 0)
--- a/coordination/intake/requests_test.go
+++ b/coordination/intake/requests_test.go
@@ -248,7 +248,7 @@
 		q := NewRequests(s, &fixedConfig{configWithQueueLimit(1)}, memory)
 		defer s.Close()
 		defer q.Close()
-		_, err := s.State(t.Context(), "a")
+		_, err := s.State(t.Context(), "a", AnyJob)
 		qt.Assert(t, err, qt.IsNotNil)
 		begin := time.Now()
 		_, _, err = q.List(t.Context(), "w1", "", 10)
