Report crashes of workers with what they ran

The logs can't tell whether a task crashes its workers, the workers are at fault, or sound workers are taken for crashed ones: "run lost" doesn't say whether the run was known to run, for how long, or how often its task has been lost before.

Change: the agent notes when its worker's address has no listener and when a new incarnation registers without an announcement of the former one's end. For 30 s it tells the planner which runs that incarnation had, with their ages. The planner logs them (565, 566) and counts crashes by task; nothing is decided by them yet.

Ruled out: detection by the planner alone, since a new planner doesn't know whether a recorded run had started, or whether the machine was restarted with its worker.

Result: TestCrashReports.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -67,7 +67,8 @@
 	takeOverEpoch   uint64
 	takeOverWake    chan struct{} // buffered, so that a request is not lost while nobody receives
 
-	state workerState // of the incarnation in heartbeat
+	state   workerState // of the incarnation in heartbeat
+	crashes []crash     // in order of time
 }
 
 // workerState is what an agent knows about one incarnation of a worker.
@@ -93,6 +94,12 @@
 	notifyAtHoldSeq    int64 // watchers are notified when listHoldSeq reaches it, even if the lists are unchanged
 	// unknownStarts holds the starts whose outcome is unknown.
 	unknownStarts map[runKey]struct{}
+	// runStarts holds the runs that the worker is known to run, and since when.
+	runStarts    map[runKey]time.Time
+	failingSince time.Time // when the first hold since the last answer failed; zero if none has
+	notListening bool      // the worker's address has had no listener since the last answer
+	// crashedRuns is what the worker may have run, as of when notListening was set.
+	crashedRuns []*agentrpc.CrashedRun
 }
 
 type runKey struct {
@@ -128,6 +135,7 @@
 		}
 	}
 	if !agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) {
+		a.recordCrashLocked()
 		a.reportedDraining, a.deregistered, a.gone = false, false, false
 		a.state = workerState{unknownStarts: make(map[runKey]struct{}), revision: a.state.revision, clock: heartbeat.Clock, answeredHoldSentAt: time.Now(), lastGrantSentAt: time.Now()}
 		a.log.Info().Int("Event", EventWorkerLife).Str("Worker", heartbeat.Incarnation.GetWorker()).Int64("Born", heartbeat.Incarnation.GetBorn()).
--- /dev/null
+++ b/coordination/agent/crash_test.go
@@ -0,0 +1,96 @@
+package agent_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/coordination/agent"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
+)
+
+// Guards against crashes of the worker that the planner doesn't hear of, and against other ends
+// of a worker that it takes for crashes.
+func TestCrashReports(t *testing.T) {
+	tests := []struct {
+		name string
+		// end ends the worker, on which a run was started 3 s before.
+		end  func(r *harness)
+		runs []*agentrpc.CrashedRun
+		none bool // no crash is reported
+	}{
+		{
+			name: "no listener", end: func(r *harness) { r.worker.withLock(func(w *fakeWorker) { w.notListening = true }) },
+			runs: []*agentrpc.CrashedRun{{Task: "j.0.0.0", Run: 1, AgeMillis: 3000, Confirmed: true}},
+		},
+		{
+			name: "silent", end: func(r *harness) { r.worker.withLock(func(w *fakeWorker) { w.unresponsive = true }) },
+			runs: []*agentrpc.CrashedRun{{Task: "j.0.0.0", Run: 1, AgeMillis: 4500, Confirmed: true}},
+		},
+		{name: "silent until the leases have lapsed", end: func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) { w.unresponsive = true })
+			time.Sleep(leaseMax + 3*time.Second)
+		}},
+		{name: "no listener after the leases have lapsed", end: func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) { w.unresponsive = true })
+			time.Sleep(leaseMax + 3*time.Second)
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		}},
+		{name: "run has ended", end: func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) {
+				w.running, w.ended = nil, []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
+			})
+			time.Sleep(2 * time.Second)
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		}},
+		{name: "start without an answer", end: func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) { w.startResult = func() error { return errNoAnswer } })
+			_, err := r.agent.Order(r.c.Context(), &agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: r.incarnation, Orders: []*agentrpc.Order{
+				{Order: &agentrpc.Order_Start{Start: &agentrpc.Start{Task: "k.0.0.0", Run: 2}}},
+			}})
+			r.c.Assert(err, qt.IsNil)
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		}, runs: []*agentrpc.CrashedRun{{Task: "j.0.0.0", Run: 1, AgeMillis: 3300, Confirmed: true}, {Task: "k.0.0.0", Run: 2}}},
+		{name: "announced by a heartbeat", none: true, end: func(r *harness) {
+			r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: r.incarnation, Clock: 2, Sequence: 2, Draining: true})
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		}},
+		{name: "deregistered", none: true, end: func(r *harness) {
+			r.agent.WorkerDeregistered("w-1")
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withAgent(t, func(r *harness) {
+				r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000})
+				synctest.Wait()
+				r.c.Assert(r.startRun().GetOutcome(), qt.Equals, agentrpc.Outcome_DONE)
+				r.worker.withLock(func(w *fakeWorker) { w.running = []*agentrpc.RunStatus{{Task: "j.0.0.0", Run: 1}} })
+				time.Sleep(3 * time.Second)
+				tt.end(r)
+				time.Sleep(3 * time.Second)
+				next := &agentrpc.Life{Worker: "w-2", Born: 8}
+				r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: next, Clock: 1, Sequence: 1})
+				got := r.watch(&agentrpc.WatchRequest{}).GetCrashes()
+				if tt.none {
+					r.c.Assert(got, qt.HasLen, 0)
+					return
+				}
+				r.c.Assert(got, qt.HasLen, 1)
+				r.c.Check(agentrpc.SameLife(got[0].GetLife(), r.incarnation), qt.IsTrue)
+				r.c.Assert(got[0].GetRuns(), qt.HasLen, len(tt.runs))
+				for i, want := range tt.runs {
+					run := got[0].GetRuns()[i]
+					r.c.Check([]any{run.GetTask(), run.GetRun(), run.GetConfirmed()}, qt.DeepEquals, []any{want.GetTask(), want.GetRun(), want.GetConfirmed()})
+					// A crash is noticed by the next call, at the latest after its wait and time limit.
+					r.c.Check(run.GetAgeMillis() >= want.GetAgeMillis()-200 && run.GetAgeMillis() <= want.GetAgeMillis()+1500, qt.IsTrue, qt.Commentf("age %d", run.GetAgeMillis()))
+				}
+				time.Sleep(31 * time.Second)
+				r.c.Check(r.watch(&agentrpc.WatchRequest{}).GetCrashes(), qt.HasLen, 0)
+			})
+		})
+	}
+}
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -19,6 +19,11 @@
 	EventDeregistrationVoid = 510
 	// EventWorkerGone occurs when a deregistered worker no longer answers.
 	EventWorkerGone = 507
+	// EventWorkerDown occurs when the worker's address has no listener.
+	EventWorkerDown = 511
+	// EventWorkerCrashed occurs when a new incarnation of the worker registers although the
+	// former one has not announced its end.
+	EventWorkerCrashed = 512
 	// EventPlannerChanged occurs at the first call of a planner with a higher epoch or
 	// another name.
 	EventPlannerChanged = 503
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -115,6 +115,7 @@
 	a.state.holdFailed = err != nil
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
+		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) || a.leasesLapsedLocked()) {
 			a.gone = true
 			a.log.Info().Int("Event", EventWorkerGone).Str("Worker", inc.GetWorker()).Err(err).Msg("deregistered worker no longer answers")
@@ -126,8 +127,10 @@
 		// The worker has been restarted under the same ID. Its next heartbeat
 		// registers the new incarnation.
 		a.state.holdFailed = true
+		a.recordFailedHoldLocked(false)
 		return false
 	}
+	a.state.failingSince, a.state.notListening, a.state.crashedRuns = time.Time{}, false, nil
 	a.state.clock = max(a.state.clock, reply.Clock)
 	if seq < a.state.answeredHoldSeq {
 		// The lists may be older than those of the later hold that was answered before.
@@ -145,6 +148,7 @@
 		a.state.listHoldSeq = seq
 	}
 	a.state.running, a.state.ended = reply.Running, reply.Ended
+	a.state.recordRunsLocked(reply.Running, sent)
 	for _, s := range reply.Running {
 		delete(a.state.unknownStarts, runKey{s.GetTask(), s.GetRun()})
 	}
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -117,13 +117,21 @@
 		res.Outcome = agentrpc.Outcome_UNKNOWN
 	}
 	if res.GetOutcome() != agentrpc.Outcome_UNKNOWN {
-		a.mu.Lock()
-		delete(a.state.unknownStarts, key)
-		a.mu.Unlock()
+		a.recordOutcome(in.GetLife(), key, res.GetOutcome())
 	}
 	return res
 }
 
+// recordOutcome records the known outcome of a start.
+func (a *Agent) recordOutcome(inc *agentrpc.Life, key runKey, outcome agentrpc.Outcome) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.state.unknownStarts, key)
+	if outcome == agentrpc.Outcome_DONE && agentrpc.SameLife(a.heartbeat.Incarnation, inc) {
+		a.state.recordStartLocked(key)
+	}
+}
+
 // unsentStart returns the result of an order whose start was not sent. It is refused, unless
 // the outcome of an earlier order for the run is unknown.
 func (a *Agent) unsentStart(key runKey, unknown bool, reason string) *agentrpc.OrderResult {
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -108,6 +108,7 @@
 	out.Listed = a.state.runsKnown && a.state.confirmedFence == a.state.fence
 	out.SilentMillis = time.Since(a.state.answeredHoldSentAt).Milliseconds()
 	out.UngrantedMillis = time.Since(a.state.lastGrantSentAt).Milliseconds()
+	out.Crashes = a.crashReportsLocked()
 	if out.Listed {
 		out.Running = a.state.running
 		if !a.state.resultPending {
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -33,6 +33,11 @@
 	EventUnitWaits = 563
 	// EventStartRefused occurs when a worker refuses to start a run.
 	EventStartRefused = 560
+	// EventWorkerCrash occurs when an agent reports that its worker ended without having
+	// announced it.
+	EventWorkerCrash = 565
+	// EventRunCrashed occurs for each run that such a worker ran at its end, or may have run.
+	EventRunCrashed = 566
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -81,6 +81,7 @@
 	// retryAt delays the next start after a refusal.
 	retryAt time.Time
 	claimed bool // part of a claim
+	crashes int  // crashes of workers that ran the task
 }
 
 // run is a run that is recorded and not known to have ended.
