Show that a task that crashes its workers is started again for ever

The rule allows fewer than three starts after the third crash, so at most five starts, and a task may be given up only after two crashes.

--- a/coordination/planner/harness_test.go
+++ b/coordination/planner/harness_test.go
@@ -34,6 +34,8 @@
 	lastEnd     int64                          // number of the last end
 	poll        int64                          // number of the last poll
 	dropsOrders bool                           // orders to the worker are lost
+	startedAt   map[string]time.Time           // of the running tasks
+	crashes     []*agentrpc.Crash              // of former incarnations
 }
 
 const (
@@ -75,7 +77,7 @@
 			Life: &agentrpc.Life{Worker: fmt.Sprintf("%s-%d", name, born), Born: born}, Pool: testPool,
 			Cpu: 128_000, MemoryMb: 262_144, Accelerators: 8, Labels: []string{"a", rack}, Rack: rack,
 		},
-		running: make(map[string]*agentrpc.RunStatus),
+		running: make(map[string]*agentrpc.RunStatus), startedAt: make(map[string]time.Time),
 	}
 }
 
@@ -151,6 +153,7 @@
 		return res
 	}
 	w.running[o.Task] = &agentrpc.RunStatus{Task: o.Task, Run: int64(o.Run)}
+	w.startedAt[o.Task] = h.now
 	h.starts = append(h.starts, fmt.Sprintf("%s %d %s", o.Task, o.Run, target))
 	return res
 }
@@ -167,7 +170,7 @@
 	for _, n := range names {
 		w := h.workers[n]
 		w.poll++
-		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended}
+		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended, Crashes: w.crashes}
 		for _, x := range w.running {
 			r.Running = append(r.Running, x)
 		}
