Give up a job whose task crashes the workers that run it

Callers saw a job that stayed "running" for ever, and other jobs lost work each time a worker crashed under it.

Cause: the budget of attempts counts ends that a worker lists as failed. A crashed worker lists nothing, so that its runs were lost, which costs no attempt, and started again at once. The class of fault: a retry without a budget, because the failure is detected by somebody else than the one who counts.

Change: each crash that an agent reports is kept with the tasks that ran on the worker, in the row of the job, so that a new planner knows it. A job is given up as failed after two crashes within a second of the start of one task, or four crashes under it within an hour at any age. All occurrences of a recurring job are given up, since each would crash workers again; crashes that are explained in this way, or by a later run that lasts 1.5 s, no longer count as the former kind for other tasks. A run whose machine went with its worker, or whose worker had announced its end, counts nothing.

Rows have space for the crashes: bounds in state/job/size.go; a gang that doesn't fit any more forgets those that it isn't suspected of.

Ruled out: counting every loss as an attempt.

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -168,6 +168,7 @@
 	planner.EventTargetLife:    "worker registered",
 	planner.EventWorkerCrash:   "worker crashed",
 	planner.EventRunCrashed:    "worker crashed with the run",
+	planner.EventJobGivenUp:    "job given up",
 	agent.EventStartOrder:      "start ordered at the worker",
 	agent.EventStopOrder:       "stop ordered at the worker",
 	agent.EventWorkerGone:      "worker gone",
--- a/coordination/planner/crashes.go
+++ b/coordination/planner/crashes.go
@@ -1,21 +1,52 @@
 package planner
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 )
 
-// maxKnownCrashes is how many crashes of a target's worker are kept to recognise repetitions.
-// It exceeds the number in a reply of an agent.
-const maxKnownCrashes = 8
+const (
+	// startCrashTime is the longest time from the start of a task to the crash of its worker
+	// after which the task is suspected of having caused it.
+	startCrashTime = time.Second
+	// suspectProbation is how long a suspected task must run to be cleared. It exceeds
+	// startCrashTime by the time that it takes to learn of a crash: an agent repeats a failed
+	// call after 150 ms.
+	suspectProbation = startCrashTime + 500*time.Millisecond
+	// maxStartCrashes is the number of crashes soon after its start for which a task is given
+	// up, and maxCrashes that of all crashes under it within crashMemory. Tasks that run beside
+	// the cause of a crash, or on faulty workers, rarely have two of the former.
+	maxStartCrashes = 2
+	maxCrashes      = 4
+	crashMemory     = time.Hour
+	// maxKnownCrashes is how many crashes of a target's worker are kept to recognise
+	// repetitions. It exceeds the number in a reply of an agent.
+	maxKnownCrashes = 8
+)
+
+// crash is the unannounced end of a worker that ran a task, or may have run it.
+type crash struct {
+	worker string // the worker's ID
+	born   int64  // identifies the incarnation together with worker
+	at     time.Time
+	// atStart is set if the worker is known to have run the task, for at most startCrashTime,
+	// and nothing else explains the crash.
+	atStart bool
+}
 
-// recordCrashes records the crashes of a target's worker that a report has for the first time.
-func (p *Planner) recordCrashes(t *target, in *agentrpc.WatchReply) {
+// sameCrash reports whether two crashes are that of the same incarnation.
+func sameCrash(x, y crash) bool { return x.worker == y.worker && x.born == y.born }
+
+// recordCrashes records the crashes of a target's worker that a report has for the first time,
+// and gives up the jobs of the tasks that have caused too many.
+func (p *Planner) recordCrashes(t *target, in *agentrpc.WatchReply, now time.Time) {
 	for _, c := range in.GetCrashes() {
 		former := job.Incarnation{Target: t.name, Worker: c.GetLife().GetWorker(), Born: c.GetLife().GetBorn()}
-		if t.knowsCrash(former) {
+		if slices.Contains(t.crashes, former) {
 			continue
 		}
 		t.crashes = append(t.crashes, former)
@@ -23,27 +54,131 @@
 		ago := time.Duration(c.GetAgoMillis()) * time.Millisecond
 		p.log.Warn().Int("Event", EventWorkerCrash).Str("Target", t.name).Str("Worker", former.Worker).Int64("Born", former.Born).
 			Dur("Ago", ago).Int("Runs", len(c.GetRuns())).Msg("worker crashed")
-		for _, x := range c.GetRuns() {
-			task := p.taskNamed(x.GetTask())
-			if task == nil {
-				continue
+		var tasks []*task
+		for _, r := range c.GetRuns() {
+			age := time.Duration(r.GetAgeMillis()) * time.Millisecond
+			x := crash{former.Worker, former.Born, now.Add(-ago), r.GetConfirmed() && age <= startCrashTime}
+			if k := p.taskNamed(r.GetTask()); k != nil && p.addCrash(k, x, now) {
+				tasks = append(tasks, k)
+				p.log.Info().Int("Event", EventRunCrashed).Str("Task", k.name).Int64("Run", r.GetRun()).Str("Target", t.name).
+					Str("Worker", former.Worker).Int64("AgeMillis", r.GetAgeMillis()).Bool("Confirmed", r.GetConfirmed()).
+					Int("Crashes", len(k.crashes)).Msg("worker crashed with the run")
+			}
+		}
+		for _, k := range tasks {
+			if k.causesCrashes(now) && !k.step.occ.state.Final() {
+				p.giveUp(k, now)
+			}
+		}
+	}
+}
+
+// addCrash adds a crash to those of a task, and forgets the ones that are older than
+// crashMemory. It does nothing and returns false if the crash is known or the task has ended.
+func (p *Planner) addCrash(k *task, x crash, now time.Time) bool {
+	if k.done || k.step.occ.state.Final() || slices.ContainsFunc(k.crashes, func(y crash) bool { return sameCrash(x, y) }) {
+		return false
+	}
+	k.crashes = slices.DeleteFunc(k.crashes, func(y crash) bool { return now.Sub(y.at) > crashMemory })
+	k.crashes = append(k.crashes, x)
+	if x.atStart {
+		p.suspects[k] = struct{}{}
+	}
+	p.dirty[k.step.occ] = struct{}{}
+	return true
+}
+
+// startCrashes returns the number of crashes that are suspected to be caused by the task.
+func (k *task) startCrashes() int {
+	n := 0
+	for _, x := range k.crashes {
+		if x.atStart {
+			n++
+		}
+	}
+	return n
+}
+
+// causesCrashes reports whether the task has caused so many crashes that it must not be
+// started again.
+func (k *task) causesCrashes(now time.Time) bool {
+	n := 0
+	for _, x := range k.crashes {
+		if now.Sub(x.at) <= crashMemory {
+			n++
+		}
+	}
+	return k.startCrashes() >= maxStartCrashes || n >= maxCrashes
+}
+
+// giveUp ends the job of a task that crashes its workers as failed, with all its occurrences:
+// each would crash workers again. The crashes of the task are then explained for the other
+// tasks that were on the workers.
+func (p *Planner) giveUp(k *task, now time.Time) {
+	js := k.step.occ.job
+	js.givenUp = true
+	k.err = fmt.Sprintf("%d workers crashed while they ran this task", len(k.crashes))
+	p.log.Warn().Int("Event", EventJobGivenUp).Str("Job", js.job.ID).Str("Task", k.name).Int("Crashes", len(k.crashes)).
+		Int("StartCrashes", k.startCrashes()).Msg("job given up, because workers crash that run a task of it")
+	p.count(`medlargrade_jobs_given_up_total`)
+	p.failOccurrences(js, now)
+	for other := range p.suspects {
+		if other.step.occ.job != js {
+			p.clearCrashes(other, k.crashes)
+		}
+	}
+}
+
+// failOccurrences ends the occurrences of a job as failed.
+func (p *Planner) failOccurrences(js *jobState, now time.Time) {
+	for _, o := range js.occurrences {
+		if !o.state.Final() {
+			p.finishOccurrence(o, job.Failed, now)
+		}
+	}
+}
+
+// clearCrashes records that crashes of a task are explained by something else.
+func (p *Planner) clearCrashes(k *task, explained []crash) {
+	for i, x := range k.crashes {
+		if x.atStart && slices.ContainsFunc(explained, func(y crash) bool { return sameCrash(x, y) }) {
+			k.crashes[i].atStart = false
+			p.dirty[k.step.occ] = struct{}{}
+		}
+	}
+	if k.startCrashes() == 0 {
+		delete(p.suspects, k)
+	}
+}
+
+// forgetCrashes forgets the crashes of an occurrence's tasks that the tasks are not suspected
+// of, which leaves more space in the row.
+func (p *Planner) forgetCrashes(o *occurrence) {
+	for _, s := range o.steps {
+		for _, k := range s.tasks {
+			n := len(k.crashes)
+			if k.crashes = slices.DeleteFunc(k.crashes, func(x crash) bool { return !x.atStart }); len(k.crashes) < n {
+				p.dirty[o] = struct{}{}
 			}
-			task.crashes++
-			p.log.Info().Int("Event", EventRunCrashed).Str("Task", task.name).Int64("Run", x.GetRun()).Str("Target", t.name).
-				Str("Worker", former.Worker).Int64("AgeMillis", x.GetAgeMillis()).Bool("Confirmed", x.GetConfirmed()).
-				Int("Crashes", task.crashes).Msg("worker crashed with the run")
 		}
 	}
 }
 
-// knowsCrash reports whether the crash of an incarnation has been recorded.
-func (t *target) knowsCrash(former job.Incarnation) bool {
-	for _, known := range t.crashes {
-		if known == former {
-			return true
+// checkSuspects clears the suspects that have run for suspectProbation.
+func (p *Planner) checkSuspects(now time.Time) {
+	for k := range p.suspects {
+		if k.done || k.step.occ.state.Final() {
+			delete(p.suspects, k)
+			continue
+		}
+		for _, r := range k.runs {
+			t := p.targetNamed(r.incarnation.Target)
+			if t.connected && t.runsKnown && !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) > suspectProbation {
+				p.clearCrashes(k, k.crashes)
+				break
+			}
 		}
 	}
-	return false
 }
 
 // taskNamed returns the task with a name, or nil if there is none.
@@ -62,3 +197,28 @@
 	}
 	return o.steps[n.Step].tasks[n.Index]
 }
+
+// recordedCrashes returns the task's crashes as they are recorded in the row.
+func (k *task) recordedCrashes() []job.Crash {
+	var out []job.Crash
+	for _, x := range k.crashes {
+		out = append(out, job.Crash{Worker: x.worker, Born: x.born, AfterMillis: k.step.occ.sinceAcceptance(x.at), AtStart: x.atStart})
+	}
+	return out
+}
+
+// restoreCrashes sets the task's crashes from the row. The job has been given up if they are
+// why its occurrence failed.
+func (p *Planner) restoreCrashes(k *task, recorded []job.Crash) {
+	o := k.step.occ
+	for _, x := range recorded {
+		at := o.job.acceptedAt.Add(time.Duration(x.AfterMillis) * time.Millisecond)
+		k.crashes = append(k.crashes, crash{x.Worker, x.Born, at, x.AtStart})
+	}
+	switch {
+	case o.state == job.Failed && k.causesCrashes(o.finalAt):
+		o.job.givenUp = true
+	case !k.done && !o.state.Final() && k.startCrashes() > 0:
+		p.suspects[k] = struct{}{}
+	}
+}
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -94,7 +94,7 @@
 			t.done = true
 		}
 	}
-	r.task.done = true
+	r.task.done, r.task.crashes = true, nil
 	s.resetIncompleteGang()
 	// A task is started only while it has no runs, but a restored row may list several.
 	for _, other := range r.task.runs {
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -38,6 +38,8 @@
 	EventWorkerCrash = 565
 	// EventRunCrashed occurs for each run that such a worker ran at its end, or may have run.
 	EventRunCrashed = 566
+	// EventJobGivenUp occurs when a job ends because workers crash that run a task of it.
+	EventJobGivenUp = 567
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
--- a/coordination/planner/harness_test.go
+++ b/coordination/planner/harness_test.go
@@ -24,6 +24,8 @@
 	names   []string                // of the targets
 	rows    map[string]job.Progress // committed, by the keys of job.TableProgress
 	starts  []string                // "task run target" of each start, in order
+
+	acceptedAt map[string]time.Time // of the jobs added by addJob
 }
 
 // simWorker is a worker with its agent.
@@ -35,13 +37,16 @@
 	poll        int64                          // number of the last poll
 	dropsOrders bool                           // orders to the worker are lost
 	startedAt   map[string]time.Time           // of the running tasks
-	crashes     []*agentrpc.Crash              // of former incarnations
+	crash       *agentrpc.Crash                // of the former incarnation; nil if it did not crash
+	crashedAt   time.Time
 }
 
 const (
 	testPool  = "pool"
 	testRacks = 1
 	stopTime  = 400 * time.Millisecond
+	// crashReportTime is how long agents report a crash.
+	crashReportTime = 30 * time.Second
 )
 
 func testSettings() Settings {
@@ -55,7 +60,7 @@
 func newHarness(t *testing.T, workersPerRack int) *harness {
 	h := &harness{
 		t: t, p: New(testSettings(), zerolog.Nop()), now: time.Unix(1_800_000_000, 0),
-		workers: make(map[string]*simWorker), rows: make(map[string]job.Progress),
+		workers: make(map[string]*simWorker), rows: make(map[string]job.Progress), acceptedAt: make(map[string]time.Time),
 	}
 	h.p.SetConfig(testConfig())
 	h.p.SetLoaded()
@@ -104,6 +109,7 @@
 
 // addJob adds a job that has no recorded progress and makes a pass.
 func (h *harness) addJob(j job.Job) {
+	h.acceptedAt[j.ID] = h.now
 	h.p.AddJob(j, nil, h.now)
 	h.runPass()
 }
@@ -170,7 +176,11 @@
 	for _, n := range names {
 		w := h.workers[n]
 		w.poll++
-		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended, Crashes: w.crashes}
+		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended}
+		if ago := h.now.Sub(w.crashedAt); w.crash != nil && ago <= crashReportTime {
+			w.crash.AgoMillis = ago.Milliseconds()
+			r.Crashes = []*agentrpc.Crash{w.crash}
+		}
 		for _, x := range w.running {
 			r.Running = append(r.Running, x)
 		}
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -15,6 +15,7 @@
 type jobState struct {
 	job       job.Job
 	cancelled bool
+	givenUp   bool // a task crashes its workers; no occurrence is started any more
 	// hasWaitingRow is whether the job has a row in job.TableWaiting. The row is deleted
 	// in the transaction that records the first start or the end of the job.
 	hasWaitingRow bool
@@ -80,8 +81,8 @@
 	avoidedTargets map[string]struct{}
 	// retryAt delays the next start after a refusal.
 	retryAt time.Time
-	claimed bool // part of a claim
-	crashes int  // crashes of workers that ran the task
+	claimed bool    // part of a claim
+	crashes []crash // recent ones of workers that ran the task, or may have run it
 }
 
 // run is a run that is recorded and not known to have ended.
@@ -244,6 +245,7 @@
 			t := s.tasks[k]
 			t.lastRun, t.done, t.failures, t.checkpoint = rt.LastRun, rt.Done, rt.Failures, rt.Checkpoint
 			t.result, t.resultObject, t.err = rt.Result, rt.ResultObject, rt.Error
+			p.restoreCrashes(t, rt.Crashes)
 			for _, a := range rt.Active {
 				restored := &run{task: t, number: a.Number, incarnation: a.Place, resources: taskResources(s.spec), startOrders: 1}
 				if a.ConfirmedAfterMillis > 0 {
@@ -278,7 +280,7 @@
 	o := t.step.occ
 	out := job.Task{
 		LastRun: t.lastRun, Done: t.done, Failures: t.failures, Checkpoint: t.checkpoint,
-		Result: t.result, ResultObject: t.resultObject, Error: t.err,
+		Result: t.result, ResultObject: t.resultObject, Error: t.err, Crashes: t.recordedCrashes(),
 	}
 	for _, r := range t.runs {
 		active := job.Run{Number: r.number, Place: r.incarnation}
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -53,6 +53,7 @@
 		p.removeOldJobs(now)
 		p.evacuate(now)
 		p.handleStalledRuns(now)
+		p.checkSuspects(now)
 		p.eligibleCache = make(map[requirement]*eligibleTargets)
 		p.processClaims(now)
 		for _, u := range p.units(now) {
@@ -73,7 +74,11 @@
 // addDueOccurrences adds the occurrences of jobs whose time has come.
 func (p *Planner) addDueOccurrences(now time.Time) {
 	for _, js := range p.jobs {
-		if js.cancelled {
+		if js.givenUp {
+			// An earlier planner may not have recorded the end of all occurrences.
+			p.failOccurrences(js, now)
+		}
+		if js.cancelled || js.givenUp {
 			continue
 		}
 		for len(js.occurrences) < js.job.Occurrences() {
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -10,6 +10,8 @@
 	if u.step.spec.Gang {
 		if len(u.tasks) <= fit {
 			p.placeUnit(u, now)
+		} else {
+			p.forgetCrashes(u.step.occ)
 		}
 		return
 	}
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -40,7 +40,8 @@
 	jobs          map[string]*jobState
 	jobsLoaded    bool // all recorded jobs have been added
 	targets       map[string]*target
-	sortedTargets []*target // targets, sorted by name
+	sortedTargets []*target          // targets, sorted by name
+	suspects      map[*task]struct{} // tasks that may have crashed workers
 	// claims are placements that wait until other runs have ended.
 	claims []*claim
 	// usageByWorkspace caches, for each workspace, the accelerators in use or claimed by
@@ -70,7 +71,7 @@
 	return &Planner{
 		settings: settings, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
 		dirty: make(map[*occurrence]struct{}), orders: make(map[string][]Order), endAcks: make(map[string]EndAck),
-		runTimeRatios: make(runTimeRatios), tombstones: make(map[string]tombstone),
+		runTimeRatios: make(runTimeRatios), suspects: make(map[*task]struct{}), tombstones: make(map[string]tombstone),
 	}
 }
 
--- a/coordination/planner/retention.go
+++ b/coordination/planner/retention.go
@@ -58,7 +58,7 @@
 // mayRemove reports whether the retention of a job is over and nothing of it is left to run
 // or to write.
 func (p *Planner) mayRemove(js *jobState, now time.Time) bool {
-	if len(js.occurrences) == 0 || !js.cancelled && len(js.occurrences) < js.job.Occurrences() {
+	if len(js.occurrences) == 0 || !js.cancelled && !js.givenUp && len(js.occurrences) < js.job.Occurrences() {
 		return false
 	}
 	for _, o := range js.occurrences {
--- a/coordination/planner/row_size.go
+++ b/coordination/planner/row_size.go
@@ -4,7 +4,7 @@
 
 // smallJobTasks is the number of tasks up to which the row of an occurrence is certain to
 // have space for a run of each, so that its size is not computed.
-const smallJobTasks = 200
+const smallJobTasks = 80
 
 // startsThatFit returns how many more runs of an occurrence its row has space for. Rows
 // have a maximum size, and a transaction with a larger one would be refused for good.
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -138,7 +138,7 @@
 	if w.GetGone() {
 		p.LoseRuns(name, "the worker has left", now)
 	}
-	p.recordCrashes(t, in)
+	p.recordCrashes(t, in, now)
 	p.resolveFormerRuns(t, in, now)
 	if !t.runsKnown {
 		return
@@ -236,7 +236,7 @@
 	p.measureLoss(lostCoreSeconds)
 	p.count(`medlargrade_runs_lost_total`)
 	p.log.Info().Int("Event", EventRunLost).Str("Task", r.task.name).Int("Run", r.number).Str("Target", r.incarnation.Target).
-		Str("Reason", reason).Float64("LostCoreSeconds", lostCoreSeconds).Int("Crashes", r.task.crashes).Msg("run lost")
+		Str("Reason", reason).Float64("LostCoreSeconds", lostCoreSeconds).Int("Crashes", len(r.task.crashes)).Msg("run lost")
 	p.removeRun(r)
 	r.task.step.resetIncompleteGang()
 	p.loseAtMostOnce(r, now)
--- a/state/job/check_test.go
+++ b/state/job/check_test.go
@@ -58,6 +58,7 @@
 		{"done", Task{LastRun: 1234, Done: true, Failures: 99}},
 		{"running", Task{LastRun: 1234, Active: []Run{run, run}, Failures: 99, Checkpoint: "0123456789abcdef"}},
 		{"long checkpoint", Task{LastRun: 1, Checkpoint: "0123456789abcdef0123456789abcdef"}},
+		{"after crashes", Task{LastRun: 1234, Crashes: []Crash{{"i-7f3a91c2", 1_796_389_111_000, 3_600_000, true}, {"i-7f3a91c3", 1_796_389_111_001, 3_600_001, true}}}},
 		{"with a result", Task{LastRun: 1, Done: true, Result: make([]byte, 512)}},
 		{"with an object", Task{LastRun: 1, Done: true, ResultObject: "result-j1.0.0.0-1"}},
 		{"with control characters", Task{LastRun: 1, Error: "\x00\x01\x02\x03"}},
--- a/state/job/progress.go
+++ b/state/job/progress.go
@@ -53,9 +53,21 @@
 	Checkpoint string `json:",omitempty"`
 	// Result is the result of the run that completed the task. ResultObject is the
 	// key of the object that holds it instead if it is too large for the row.
-	Result       []byte `json:",omitempty"`
-	ResultObject string `json:",omitempty"`
-	Error        string `json:",omitempty"` // of the last failed run
+	Result       []byte  `json:",omitempty"`
+	ResultObject string  `json:",omitempty"`
+	Error        string  `json:",omitempty"` // of the last failed run
+	Crashes      []Crash `json:",omitempty"` // recent ones
+}
+
+// Crash is the unannounced end of a worker that ran a task, or may have run it.
+type Crash struct {
+	Worker string // the worker's ID
+	Born   int64  // as in Incarnation
+	// AfterMillis is the time from the acceptance of the job to the crash, at least 1.
+	AfterMillis int64
+	// AtStart is set if the worker crashed soon after it had started the task, and nothing
+	// else explains the crash.
+	AtStart bool `json:",omitempty"`
 }
 
 // StepProgress is the recorded state of one step.
--- a/state/job/size.go
+++ b/state/job/size.go
@@ -8,14 +8,19 @@
 	taskBytes       = 30  // a Task without the parts below
 	checkpointBytes = 36  // a checkpoint of up to 16 bytes
 	failureBytes    = 16  // a number of failures
-	runBytes        = 84  // a Run without the names in its Place
+	runBytes        = 90  // a Run without the names in its Place, or the first Crash of a task without its name
+	crashesBytes    = 14  // the crashes of a task, without them
+	crashBytes      = 76  // a Crash without the worker's ID
 	fieldBytes      = 20  // the name of a field and the punctuation around its value
-	// placeNameBytes is the expected size of the names in the Place of a run.
-	placeNameBytes = 64
+	// placeNameBytes is the expected size of the names in the Place of a run, and
+	// workerNameBytes that of the worker's ID alone.
+	placeNameBytes  = 64
+	workerNameBytes = 32
 )
 
-// MaxBytes returns an upper bound of the encoded size of the task, also after it fails again
-// or, if it is checkpointable, leaves a checkpoint.
+// MaxBytes returns an upper bound of the encoded size of the task, also after it fails again,
+// after the worker of one of its runs crashes or, if it is checkpointable, after it leaves a
+// checkpoint.
 func (t Task) MaxBytes(checkpointable bool) int {
 	n := taskBytes + failureBytes
 	if checkpointable || t.Checkpoint != "" {
@@ -32,6 +37,12 @@
 		// Bytes are encoded as base64.
 		n += len(t.Result)*4/3 + fieldBytes
 	}
+	if len(t.Crashes) > 0 {
+		n += crashesBytes
+	}
+	for _, c := range t.Crashes {
+		n += crashBytes + len(c.Worker)
+	}
 	for _, r := range t.Active {
 		n += MaxRunBytes(len(r.Place.Target) + len(r.Place.Worker))
 	}
@@ -47,11 +58,11 @@
 func FreeBytes(tasks int) int { return max(table.MaxValueBytes-progressBytes-tasks, 0) }
 
 // fitsRow reports whether the row of an occurrence has space for the runs of the largest
-// gang, which all exist at once.
+// gang, which all exist at once, and for one crash of each member.
 func (j Job) fitsRow() bool {
 	n := 0
 	for _, s := range j.Steps {
 		n += s.Tasks * Task{}.MaxBytes(s.Checkpointable)
 	}
-	return j.LargestGang()*MaxRunBytes(placeNameBytes) <= FreeBytes(n)
+	return j.LargestGang()*(MaxRunBytes(placeNameBytes)+crashesBytes+crashBytes+workerNameBytes) <= FreeBytes(n)
 }
