Clear a suspected task only when a list shows that its run has lasted

Cause: a suspected task was cleared 1.5 s after its start was confirmed, although its worker had crashed. The runs of a crashed worker stay until its next incarnation registers, 3 s later, and its agent repeats the last list meanwhile. The tests didn't see that, since no pass was made while the simulated worker was down.

Change: only a list from a poll more than a second after the start clears a task. The simulated worker is down for 3 s with passes in between, and the test checks the number of crashes after which each case is given up: two at the start, four otherwise.

Result: TestTaskThatCrashesWorkersIsGivenUp fails in five of eight cases before (4 crashes instead of 2).

--- a/coordination/planner/crashes.go
+++ b/coordination/planner/crashes.go
@@ -13,10 +13,6 @@
 	// startCrashTime is the longest time from the start of a task to the crash of its worker
 	// after which the task is suspected of having caused it.
 	startCrashTime = time.Second
-	// suspectProbation is how long a suspected task must run to be cleared. It exceeds
-	// startCrashTime by the time that it takes to learn of a crash: an agent repeats a failed
-	// call after 150 ms.
-	suspectProbation = startCrashTime + 500*time.Millisecond
 	// maxStartCrashes is the number of crashes soon after its start for which a task is given
 	// up, and maxCrashes that of all crashes under it within crashMemory. Tasks that run beside
 	// the cause of a crash, or on faulty workers, rarely have two of the former.
@@ -164,19 +160,17 @@
 	}
 }
 
-// checkSuspects clears the suspects that have run for suspectProbation.
-func (p *Planner) checkSuspects(now time.Time) {
+// checkSuspects clears the suspects of which a run has lasted for longer than startCrashTime.
+func (p *Planner) checkSuspects() {
 	for k := range p.suspects {
 		if k.done || k.step.occ.state.Final() {
 			delete(p.suspects, k)
 			continue
 		}
-		for _, r := range k.runs {
-			t := p.targetNamed(r.incarnation.Target)
-			if t.connected && t.runsKnown && !r.confirmedAt.IsZero() && now.Sub(r.confirmedAt) > suspectProbation {
-				p.clearCrashes(k, k.crashes)
-				break
-			}
+		// Only a list shows that a run has lasted: a worker that has crashed keeps its runs
+		// until its next incarnation registers.
+		if slices.ContainsFunc(k.runs, func(r *run) bool { return r.lastListedAt.Sub(r.confirmedAt) > startCrashTime }) {
+			p.clearCrashes(k, k.crashes)
 		}
 	}
 }
--- a/coordination/planner/crashes_test.go
+++ b/coordination/planner/crashes_test.go
@@ -15,8 +15,8 @@
 // crashDowntime is the time from a crash until the next incarnation of the worker registers.
 const crashDowntime = 3 * time.Second
 
-// crash ends a worker without an announcement. A new incarnation registers with its next
-// report.
+// crash ends a worker without an announcement. A new incarnation registers with the first
+// report after crashDowntime.
 func (h *harness) crash(target string) {
 	w := h.workers[target]
 	c := &agentrpc.Crash{Life: w.worker.GetLife()}
@@ -26,8 +26,8 @@
 		})
 	}
 	next := newSimWorker(target, w.worker.GetLife().GetBorn()+1, w.worker.GetRack())
-	next.crash, next.crashedAt = c, h.now
-	h.workers[target] = next
+	next.crash, next.formerCrashedAt = c, h.now
+	w.next, w.crashedAt = next, h.now
 }
 
 // startsOf returns how often runs of a task were started.
@@ -64,16 +64,17 @@
 		step     job.Step
 		age      time.Duration // of the run at the crash; 10 ms if 0
 		unknown  bool          // the starts have no answer
-		takeOver bool          // the planner is replaced while the worker is down
+		takeOver bool          // the planner is replaced after each crash
+		crashes  int           // after which the job is given up
 	}{
-		{name: "single task", step: job.Step{Tasks: 1, Accelerators: 2}},
-		{name: "gang on several workers", step: job.Step{Tasks: 4, Accelerators: 4, Gang: true}},
-		{name: "one of several tasks", step: job.Step{Tasks: 4, Accelerators: 2}},
-		{name: "long-running task", step: job.Step{Tasks: 1, Accelerators: 2, LongRunning: true}},
-		{name: "crash after 3 s", step: job.Step{Tasks: 1, Accelerators: 2}, age: 3 * time.Second},
-		{name: "crash after a minute", step: job.Step{Tasks: 1, Accelerators: 2}, age: time.Minute},
-		{name: "start without an answer", step: job.Step{Tasks: 1, Accelerators: 2}, unknown: true},
-		{name: "new planner after each crash", step: job.Step{Tasks: 1, Accelerators: 2}, takeOver: true},
+		{name: "single task", step: job.Step{Tasks: 1, Accelerators: 2}, crashes: 2},
+		{name: "gang on several workers", step: job.Step{Tasks: 4, Accelerators: 4, Gang: true}, crashes: 2},
+		{name: "one of several tasks", step: job.Step{Tasks: 4, Accelerators: 2}, crashes: 2},
+		{name: "long-running task", step: job.Step{Tasks: 1, Accelerators: 2, LongRunning: true}, crashes: 2},
+		{name: "crash after 3 s", step: job.Step{Tasks: 1, Accelerators: 2}, age: 3 * time.Second, crashes: 4},
+		{name: "crash after a minute", step: job.Step{Tasks: 1, Accelerators: 2}, age: time.Minute, crashes: 4},
+		{name: "start without an answer", step: job.Step{Tasks: 1, Accelerators: 2}, unknown: true, crashes: 4},
+		{name: "new planner after each crash", step: job.Step{Tasks: 1, Accelerators: 2}, takeOver: true, crashes: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -92,12 +93,14 @@
 					h.now = h.now.Add(10 * time.Millisecond)
 					h.crash(target)
 					if tt.unknown {
-						for _, r := range h.workers[target].crash.GetRuns() {
+						for _, r := range h.workers[target].next.crash.GetRuns() {
 							r.Confirmed, r.AgeMillis = false, 0
 						}
 					}
 					crashes++
-					h.now = h.now.Add(crashDowntime)
+					for range 15 {
+						h.advance(crashDowntime / 15)
+					}
 					if tt.takeOver {
 						h.takeOver(other, bad)
 					}
@@ -106,7 +109,7 @@
 			}
 			// A task may be given up after two crashes, and must not be started three times
 			// more after three.
-			qt.Check(t, crashes >= 2, qt.IsTrue, qt.Commentf("%d crashes", crashes))
+			qt.Check(t, crashes, qt.Equals, tt.crashes)
 			qt.Check(t, h.startsOf("bad.0.0.0") <= 5, qt.IsTrue, qt.Commentf("%d starts", h.startsOf("bad.0.0.0")))
 			qt.Check(t, h.stateOf("bad"), qt.Equals, job.Failed)
 			qt.Check(t, slices.ContainsFunc(h.rows["bad/0"].Steps[0].Tasks, func(k job.Task) bool {
@@ -127,7 +130,7 @@
 		crashes := 0
 		for range 200 {
 			for _, n := range h.names {
-				if len(h.workers[n].running) > 0 {
+				if len(h.workers[n].running) > 0 && h.workers[n].next == nil {
 					h.now = h.now.Add(10 * time.Millisecond)
 					h.crash(n)
 					crashes++
@@ -179,7 +182,7 @@
 			h.now = h.now.Add(100 * time.Millisecond)
 			h.crash(h.targetOf("j.0.0.0"))
 			h.advance(crashDowntime)
-			h.advance(suspectProbation + 100*time.Millisecond)
+			h.advance(startCrashTime + 100*time.Millisecond)
 			h.advance(time.Second)
 			h.crash(h.targetOf("j.0.0.0"))
 			h.advance(crashDowntime)
@@ -189,7 +192,7 @@
 				h.now = h.now.Add(100 * time.Millisecond)
 				h.crash(h.targetOf("j.0.0.0"))
 				h.advance(crashDowntime)
-				h.advance(suspectProbation + 100*time.Millisecond)
+				h.advance(startCrashTime + 100*time.Millisecond)
 				h.advance(time.Second)
 				h.workers[h.targetOf("j.0.0.0")].endRun("j.0.0.0", endFailed)
 				h.advance(0)
--- a/coordination/planner/harness_test.go
+++ b/coordination/planner/harness_test.go
@@ -30,15 +30,17 @@
 
 // simWorker is a worker with its agent.
 type simWorker struct {
-	worker      *agentrpc.Worker
-	running     map[string]*agentrpc.RunStatus // by task
-	ended       []*agentrpc.RunEnd             // not acknowledged yet
-	lastEnd     int64                          // number of the last end
-	poll        int64                          // number of the last poll
-	dropsOrders bool                           // orders to the worker are lost
-	startedAt   map[string]time.Time           // of the running tasks
-	crash       *agentrpc.Crash                // of the former incarnation; nil if it did not crash
-	crashedAt   time.Time
+	worker          *agentrpc.Worker
+	running         map[string]*agentrpc.RunStatus // by task
+	ended           []*agentrpc.RunEnd             // not acknowledged yet
+	lastEnd         int64                          // number of the last end
+	poll            int64                          // number of the last poll
+	dropsOrders     bool                           // orders to the worker are lost
+	startedAt       map[string]time.Time           // of the running tasks
+	crashedAt       time.Time                      // zero unless it has crashed
+	next            *simWorker                     // its next incarnation, if it has crashed
+	crash           *agentrpc.Crash                // of the former incarnation; nil if it did not crash
+	formerCrashedAt time.Time
 }
 
 const (
@@ -126,7 +128,7 @@
 	for _, to := range b.Orders {
 		w := h.workers[to.Target]
 		for _, o := range to.Orders {
-			if w.dropsOrders {
+			if w.dropsOrders || w.next != nil {
 				continue
 			}
 			h.p.HandleOrderResult(to.Target, to.Incarnation, o, w.execute(h, to.Target, o), h.now)
@@ -171,13 +173,20 @@
 	delete(w.running, task)
 }
 
-// report polls workers and reports their state to the planner.
+// report polls workers and reports their state to the planner. While a worker is down, its
+// agent repeats the last list.
 func (h *harness) report(names ...string) {
 	for _, n := range names {
 		w := h.workers[n]
-		w.poll++
+		if w.next != nil && h.now.Sub(w.crashedAt) >= crashDowntime {
+			w = w.next
+			h.workers[n] = w
+		}
+		if w.next == nil {
+			w.poll++
+		}
 		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended}
-		if ago := h.now.Sub(w.crashedAt); w.crash != nil && ago <= crashReportTime {
+		if ago := h.now.Sub(w.formerCrashedAt); w.crash != nil && ago <= crashReportTime {
 			w.crash.AgoMillis = ago.Milliseconds()
 			r.Crashes = []*agentrpc.Crash{w.crash}
 		}
@@ -207,7 +216,7 @@
 // targetOf returns the target on which a task runs, or "".
 func (h *harness) targetOf(task string) string {
 	for _, n := range h.names {
-		if _, ok := h.workers[n].running[task]; ok {
+		if _, ok := h.workers[n].running[task]; ok && h.workers[n].next == nil {
 			return n
 		}
 	}
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -53,7 +53,7 @@
 		p.removeOldJobs(now)
 		p.evacuate(now)
 		p.handleStalledRuns(now)
-		p.checkSuspects(now)
+		p.checkSuspects()
 		p.eligibleCache = make(map[requirement]*eligibleTargets)
 		p.processClaims(now)
 		for _, u := range p.units(now) {
