Place nothing on a worker whose address has no listener

Callers of urgent gangs waited a second longer: a member was placed on a worker that had crashed, its start was refused with "no lease", and the others were stopped.

Cause: a worker gets new work until it has been silent for 2.5 s. The agent knows from the refused connection at once that no worker runs there, but tells the planner with the next change only.

Change: the agent reports the runs of such a worker as not listed and notifies the planner. They stay in use until the next incarnation registers or the leases have lapsed.

Ruled out: giving up the runs at once, since a refused connection doesn't show that the process has ended.

Result: TestWatchersLearnThatWorkerIsDown fails before.

--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// recordFailedHoldLocked records a hold that got no answer.
+// recordFailedHoldLocked records a hold that got no answer. Watchers are notified if the
+// worker's address has no listener, so that nothing is placed there before it answers again.
 func (a *Agent) recordFailedHoldLocked(notListening bool) {
 	if a.state.failingSince.IsZero() {
 		a.state.failingSince = time.Now()
@@ -58,10 +59,11 @@
 	if !notListening || a.state.notListening {
 		return
 	}
-	a.state.notListening = true
+	a.state.notListening, a.state.runsKnown = true, false
 	a.state.crashedRuns = a.runsAtCrashLocked()
 	a.log.Info().Int("Event", EventWorkerDown).Str("Worker", a.heartbeat.Incarnation.GetWorker()).
 		Int("Runs", len(a.state.crashedRuns)).Msg("the worker's address has no listener")
+	a.bumpRevisionLocked()
 }
 
 // runsAtCrashLocked returns what the worker may have run when its calls began to fail:
--- a/coordination/agent/crash_test.go
+++ b/coordination/agent/crash_test.go
@@ -94,3 +94,22 @@
 		})
 	}
 }
+
+// Guards against work that is placed on a worker whose process is down, until the worker has been
+// silent for seconds.
+func TestWatchersLearnThatWorkerIsDown(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000})
+		time.Sleep(3 * time.Second)
+		reply := r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000})
+		r.c.Assert(reply.GetListed(), qt.IsTrue)
+		r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+		begin := time.Now()
+		reply = r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000, WaitMillis: 5000, Boot: reply.GetBoot(), Revision: reply.GetRevision()})
+		r.c.Check(reply.GetListed(), qt.IsFalse)
+		r.c.Check(time.Since(begin) <= 1500*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(begin)))
+		r.worker.withLock(func(w *fakeWorker) { w.notListening = false })
+		reply = r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000, WaitMillis: 5000, Boot: reply.GetBoot(), Revision: reply.GetRevision()})
+		r.c.Check(reply.GetListed(), qt.IsTrue)
+	})
+}
