Start a task that may have crashed a worker on an empty one, alone

Callers of other jobs lost work twice: with the first crash, which can't be foreseen, and with the second, for which the suspected task was placed like any other, on the fullest worker that holds it. Of two tasks that were started together, the innocent one could be placed beside the other again, and be given up in its place.

Change: a task under which a worker crashed within a second of its start goes to the emptiest worker, which gets no other work until the task has run for 1.5 s. Suspects of one job share one worker, so that a job all of whose tasks crash does so one worker at a time; a gang keeps other work away from all its workers. Tasks that survive are cleared, as before.

Ruled out: holding suspects back until a worker is empty; a job may not wait for 3 s while there is capacity for it.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -169,24 +169,31 @@
 }
 
 // bestFit chooses for each task the target with the least available capacity that holds it,
-// so that whole workers stay free. It returns nil if not all tasks fit.
+// so that whole workers stay free. For suspects it is the one with the most, where a crash
+// does the least harm. It returns nil if not all tasks fit.
 func (p *Planner) bestFit(u unit, targets []*target) []*target {
 	total := 0
 	for _, t := range targets {
 		total += t.available().maxCount(u.resources, p.remainingPerWorker(u, t))
 		if total >= len(u.tasks) {
-			return pack(u, p.candidates(u, targets))
+			return pack(u, p.candidates(u, targets), slices.ContainsFunc(u.tasks, p.isSuspect))
 		}
 	}
 	return nil
 }
 
-// pack chooses the targets for a unit that is known to fit, with a best-fit strategy.
-func pack(u unit, candidates []candidate) []*target {
+// pack chooses the targets for a unit that is known to fit, with a best-fit strategy, or a
+// worst-fit strategy if emptiestFirst is set.
+func pack(u unit, candidates []candidate, emptiestFirst bool) []*target {
 	candidates = slices.DeleteFunc(candidates, func(c candidate) bool { return c.maxTasks(u) == 0 })
 	// A target that gets a task is an even tighter fit for the next one, so the order
 	// remains valid.
-	slices.SortStableFunc(candidates, func(x, y candidate) int { return compareResources(x.available, y.available) })
+	slices.SortStableFunc(candidates, func(x, y candidate) int {
+		if emptiestFirst {
+			x, y = y, x
+		}
+		return compareResources(x.available, y.available)
+	})
 	targets := make([]*target, 0, len(u.tasks))
 	for _, c := range candidates {
 		for range c.maxTasks(u) {
--- a/coordination/planner/crashes.go
+++ b/coordination/planner/crashes.go
@@ -13,6 +13,10 @@
 	// startCrashTime is the longest time from the start of a task to the crash of its worker
 	// after which the task is suspected of having caused it.
 	startCrashTime = time.Second
+	// suspectProbation is how long a suspect's worker gets no other work. It exceeds
+	// startCrashTime by the time that it takes to learn of a crash: an agent repeats a failed
+	// call after 150 ms.
+	suspectProbation = startCrashTime + 500*time.Millisecond
 	// maxStartCrashes is the number of crashes soon after its start for which a task is given
 	// up, and maxCrashes that of all crashes under it within crashMemory. Tasks that run beside
 	// the cause of a crash, or on faulty workers, rarely have two of the former.
@@ -160,8 +164,10 @@
 	}
 }
 
-// checkSuspects clears the suspects of which a run has lasted for longer than startCrashTime.
-func (p *Planner) checkSuspects() {
+// checkSuspects clears the suspects of which a run has lasted for longer than startCrashTime,
+// and isolates the others that run.
+func (p *Planner) checkSuspects(now time.Time) {
+	clear(p.isolated)
 	for k := range p.suspects {
 		if k.done || k.step.occ.state.Final() {
 			delete(p.suspects, k)
@@ -171,8 +177,50 @@
 		// until its next incarnation registers.
 		if slices.ContainsFunc(k.runs, func(r *run) bool { return r.lastListedAt.Sub(r.confirmedAt) > startCrashTime }) {
 			p.clearCrashes(k, k.crashes)
+			continue
+		}
+		for _, r := range k.runs {
+			if r.confirmedAt.IsZero() || now.Sub(r.confirmedAt) <= suspectProbation {
+				p.isolate(k, p.targetNamed(r.incarnation.Target))
+			}
+		}
+	}
+}
+
+// isolate keeps other work away from a target on which a suspect is started, until the next
+// call of checkSuspects.
+func (p *Planner) isolate(k *task, t *target) { p.isolated[t] = k.step.occ.job }
+
+// isSuspect reports whether a task is suspected of having crashed a worker.
+func (p *Planner) isSuspect(k *task) bool {
+	_, ok := p.suspects[k]
+	return ok
+}
+
+// withoutIsolated returns the targets that isolation leaves to a unit. Suspects of one job
+// share a target, so that they crash no more than one worker at a time; members of a gang
+// can't wait for each other, so that only other work is kept away from theirs.
+func (p *Planner) withoutIsolated(u unit, s *eligibleTargets) *eligibleTargets {
+	js := u.step.occ.job
+	suspected := slices.ContainsFunc(u.tasks, p.isSuspect)
+	hasTarget := false // a suspect of the job is being started somewhere
+	for _, other := range p.isolated {
+		hasTarget = hasTarget || other == js
+	}
+	excluded := func(t *target) bool {
+		switch isolatedFor := p.isolated[t]; {
+		case !suspected:
+			return isolatedFor != nil
+		case hasTarget && !u.step.spec.Gang:
+			return isolatedFor != js
+		default:
+			return isolatedFor != nil && isolatedFor != js
 		}
 	}
+	if !slices.ContainsFunc(s.targets, excluded) {
+		return s
+	}
+	return newEligibleTargets(slices.DeleteFunc(slices.Clone(s.targets), excluded))
 }
 
 // taskNamed returns the task with a name, or nil if there is none.
--- a/coordination/planner/crashes_test.go
+++ b/coordination/planner/crashes_test.go
@@ -178,6 +178,19 @@
 				h.advance(crashDowntime)
 			}
 		}},
+		{name: "crashes at its start that another task explains", play: func(h *harness) {
+			h.addJob(newJob("bad", "long", job.Step{Tasks: 1, Accelerators: 2}))
+			qt.Assert(h.t, h.targetOf("bad.0.0.0"), qt.Equals, h.targetOf("j.0.0.0"))
+			for range 2 {
+				h.now = h.now.Add(10 * time.Millisecond)
+				h.crash(h.targetOf("bad.0.0.0"))
+				h.advance(crashDowntime)
+			}
+			qt.Assert(h.t, h.stateOf("bad"), qt.Equals, job.Failed)
+			h.now = h.now.Add(10 * time.Millisecond)
+			h.crash(h.targetOf("j.0.0.0"))
+			h.advance(crashDowntime)
+		}},
 		{name: "one crash at its start, and one after it ran for a while", play: func(h *harness) {
 			h.now = h.now.Add(100 * time.Millisecond)
 			h.crash(h.targetOf("j.0.0.0"))
@@ -215,3 +228,32 @@
 		})
 	}
 }
+
+// Guards against a suspected task that takes other work with it when it crashes its next worker,
+// and against a job that crashes several workers at a time.
+func TestSuspectsAreIsolated(t *testing.T) {
+	h := newHarness(t, 8)
+	h.addJob(newJob("bad", "urgent", job.Step{Tasks: 6, Accelerators: 1, EstimateMillis: 600_000}))
+	target := h.targetOf("bad.0.0.0")
+	h.now = h.now.Add(10 * time.Millisecond)
+	h.crash(target)
+	// Other work takes a part of each of the other workers, most of one.
+	for i, n := range h.names[1:] {
+		h.addJob(newJob("other"+n, "urgent", job.Step{Tasks: 1, Accelerators: 8 - i, EstimateMillis: 600_000}))
+	}
+	h.advance(crashDowntime)
+	suspects := make(map[string]int) // by target
+	for k := range 6 {
+		suspects[h.targetOf(job.TaskName{Job: "bad", Index: k}.String())]++
+	}
+	qt.Assert(t, suspects, qt.DeepEquals, map[string]int{target: 6}, qt.Commentf("suspects on the empty worker only"))
+	h.addJob(newJob("new", "urgent", job.Step{Tasks: 20, Accelerators: 2}))
+	for _, s := range h.starts {
+		if strings.HasPrefix(s, "new") {
+			qt.Check(t, strings.HasSuffix(s, target), qt.IsFalse, qt.Commentf("%s", s))
+		}
+	}
+	qt.Check(t, h.startsOf("new.0.0.19"), qt.Equals, 0)
+	h.advance(suspectProbation + 100*time.Millisecond)
+	qt.Check(t, h.starts[len(h.starts)-1], qt.Matches, "new.* "+target)
+}
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -53,7 +53,7 @@
 		p.removeOldJobs(now)
 		p.evacuate(now)
 		p.handleStalledRuns(now)
-		p.checkSuspects()
+		p.checkSuspects(now)
 		p.eligibleCache = make(map[requirement]*eligibleTargets)
 		p.processClaims(now)
 		for _, u := range p.units(now) {
@@ -189,6 +189,9 @@
 		r := &run{task: t, number: number, incarnation: targets[i].incarnation(), resources: taskResources(t.step.spec), progressedAt: now}
 		t.runs = append(t.runs, r)
 		p.addRunToTarget(targets[i], r)
+		if p.isSuspect(t) {
+			p.isolate(t, targets[i])
+		}
 		p.orderStart(r, now)
 		p.log.Info().Int("Event", EventRunPlanned).Str("Task", t.name).Int("Run", number).Str("Target", targets[i].name).
 			Str("Worker", r.incarnation.Worker).Dur("Waited", now.Sub(t.step.waitingSince)).Str("Checkpoint", t.checkpoint).Send()
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -19,8 +19,8 @@
 	for i, t := range tasks {
 		u.tasks = tasks[i : i+1]
 		// If one task does not fit, neither do the others: they differ only in the
-		// targets that they avoid.
-		if !p.placeUnit(u, now) && len(t.avoidedTargets) == 0 {
+		// targets that they avoid, and in the ones that are isolated for them or from them.
+		if !p.placeUnit(u, now) && len(t.avoidedTargets) == 0 && !p.isSuspect(t) {
 			return
 		}
 	}
@@ -34,6 +34,9 @@
 		p.logWait(u, s, "too little room beside what is kept free for urgent work")
 		return false
 	}
+	if len(p.suspects) > 0 {
+		s = p.withoutIsolated(u, s)
+	}
 	targets := p.chooseTargets(u, s, now)
 	if targets == nil {
 		reason := p.preempt(u, s, now)
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -42,6 +42,8 @@
 	targets       map[string]*target
 	sortedTargets []*target          // targets, sorted by name
 	suspects      map[*task]struct{} // tasks that may have crashed workers
+	// isolated holds the targets on which suspects have just been started, with their jobs.
+	isolated map[*target]*jobState
 	// claims are placements that wait until other runs have ended.
 	claims []*claim
 	// usageByWorkspace caches, for each workspace, the accelerators in use or claimed by
@@ -71,7 +73,7 @@
 	return &Planner{
 		settings: settings, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
 		dirty: make(map[*occurrence]struct{}), orders: make(map[string][]Order), endAcks: make(map[string]EndAck),
-		runTimeRatios: make(runTimeRatios), suspects: make(map[*task]struct{}), tombstones: make(map[string]tombstone),
+		runTimeRatios: make(runTimeRatios), suspects: make(map[*task]struct{}), isolated: make(map[*target]*jobState), tombstones: make(map[string]tombstone),
 	}
 }
 
--- a/coordination/planner/preemption.go
+++ b/coordination/planner/preemption.go
@@ -252,7 +252,7 @@
 		}
 	}
 	candidates, _ := s.candidatesAfter(p, out.victims)
-	out.targets = pack(s.u, candidates)
+	out.targets = pack(s.u, candidates, false)
 	return out
 }
 
