Start nothing beyond a capacity that has shrunk

What users say: a worker's capacity may shrink while it runs, and a worker without admission check starts whatever it is told to (LIMIT).

Cause: three paths to a start don't look at the capacity again: an order that is repeated because it got no answer, a run that an earlier planner has recorded and that is ordered by its successor, and an order that waits for its transaction while the store is slow. New work and claims do look.

Change: an order to start is valid only as long as the worker's capacity holds what it may run. When the repetition of one is due and it isn't, the run is stopped, unless stops in progress free enough. What runs goes on.

Ruled out: stopping work that exceeds the new capacity; the rule is about starts, and the room may grow again.

--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -114,7 +114,7 @@
 					p.orderStop(t.name, r.task.name, r.number, r)
 				}
 			case r.confirmedAt.IsZero() && now.Sub(r.startQueuedAt) >= resendAfter:
-				p.orderStart(r, now)
+				p.repeatStart(t, r, now)
 			}
 		}
 		for key, queuedAt := range t.foreign {
@@ -126,6 +126,18 @@
 	}
 }
 
+// repeatStart queues another order to start a run, unless the capacity of the worker has shrunk
+// below what it may run: not every worker refuses a start for which it has no capacity. The
+// run is then stopped, if the stops in progress don't free enough capacity for it.
+func (p *Planner) repeatStart(t *target, r *run, now time.Time) {
+	switch {
+	case !t.unused().isNegative():
+		p.orderStart(r, now)
+	case t.unused().plus(t.stopping).isNegative():
+		p.stopGang(r, "the capacity of the worker has shrunk")
+	}
+}
+
 // checkLimit fails the job of a run that has run for longer than the job's limit.
 func (p *Planner) checkLimit(r *run, now time.Time) {
 	o := r.task.step.occ
@@ -138,14 +150,15 @@
 }
 
 // OrderValid reports whether an order must still be carried out. Its run may have
-// been removed or stopped while its row was being committed.
+// been removed or stopped while its row was being committed, and the capacity of the worker may
+// have shrunk.
 func (p *Planner) OrderValid(target string, o Order) bool {
 	if o.run == nil {
 		return true
 	}
 	t := p.targetNamed(target)
 	_, ok := t.runs[o.run]
-	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "")
+	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "" && !t.unused().isNegative())
 }
 
 // HandleOrderResult handles the result of an order; res is nil if there was no
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -149,6 +149,9 @@
 	return o.cpu <= s.cpu && o.memory <= s.memory && o.accelerators <= s.accelerators
 }
 
+// isNegative reports whether s is negative in any part.
+func (s resources) isNegative() bool { return s.cpu < 0 || s.memory < 0 || s.accelerators < 0 }
+
 // taskResources returns the resources that a task of a step reserves on a worker. Fillers
 // reserve no processors: they use those that other tasks leave idle.
 func taskResources(s *job.Step) resources {
