Give up runs on a worker that ended while its agent was down

Cause: most processes were killed at 4.8 s, and worker w5 ended at 7.5 s, before its target process had started again. The new agent knew no worker and said nothing of the time since when. The planner gives up runs if an agent can't be reached, or if it reports a worker that is silent; an agent that answers and knows no worker was neither. The orders to stop the run were refused for ever.

Change: an agent without a worker reports the time since its start as silence. It has extended no lease, and the agent before it made its last call earlier, so that the leases have lapsed after the usual time.

Ruled out: giving the runs up when the agent restarts, since the worker may be alive and register with its next heartbeat.

Result: TestAgentWithoutWorkerReportsSilence fails before; two new cases of TestSilentWorker.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -39,11 +39,12 @@
 
 // Agent is the agent of one worker. Its methods are safe for concurrent use.
 type Agent struct {
-	cfg    Settings
-	worker WorkerClient
-	objs   table.Objects
-	log    zerolog.Logger
-	boot   uint64 // random, never 0, which means none; revisions of agents with another boot are not comparable
+	cfg       Settings
+	worker    WorkerClient
+	objs      table.Objects
+	log       zerolog.Logger
+	startedAt time.Time
+	boot      uint64 // random, never 0, which means none; revisions of agents with another boot are not comparable
 
 	mu       sync.Mutex
 	changed  chan struct{} // closed and replaced when the revision changes
@@ -114,7 +115,7 @@
 		cfg.Metrics = metrics.NewSet()
 	}
 	return &Agent{
-		cfg: cfg, worker: w, objs: objs, log: log, boot: rand.Uint64() | 1,
+		cfg: cfg, worker: w, objs: objs, log: log, startedAt: time.Now(), boot: rand.Uint64() | 1,
 		changed: make(chan struct{}), holdWake: make(chan struct{}), takeOverWake: make(chan struct{}, 1),
 	}
 }
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -522,3 +522,17 @@
 		}
 	})
 }
+
+// Guards against runs that are kept for ever on a worker that ended while its agent was down: an
+// agent that knows no worker must report since when it has known none.
+func TestAgentWithoutWorkerReportsSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := agent.New(agent.Settings{Name: "target-1", LeaseMax: leaseMax}, &fakeWorker{start: time.Now()}, tabletest.New(), zerolog.Nop())
+		time.Sleep(20 * time.Second)
+		out, err := a.Watch(t.Context(), &agentrpc.WatchRequest{Epoch: 1, Fence: 1, Planner: "target-2"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, out.GetWorker(), qt.IsNil)
+		qt.Check(t, out.GetSilentMillis(), qt.Equals, int64(20_000))
+		qt.Check(t, out.GetUngrantedMillis(), qt.Equals, int64(20_000))
+	})
+}
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -95,6 +95,10 @@
 func (a *Agent) watchReplyLocked() *agentrpc.WatchReply {
 	out := &agentrpc.WatchReply{Epoch: a.epoch, Boot: a.boot, Revision: a.state.revision}
 	if a.heartbeat.Incarnation == nil {
+		// This agent has made no call to a worker, and a former one in its place has made none
+		// since this one was started.
+		out.SilentMillis = time.Since(a.startedAt).Milliseconds()
+		out.UngrantedMillis = out.SilentMillis
 		return out
 	}
 	h := a.heartbeat
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -529,17 +529,25 @@
 	tests := []struct {
 		name    string
 		silence time.Duration // of the worker, as its agent reports it
+		restart bool          // the agent has started again and knows no worker
 		want    int           // starts elsewhere
 	}{
-		{"for a few seconds", 5 * time.Second, 0},
-		{"for as long as a lease", leaseMax, 0},
-		{"for longer than a lease", lapseBound, 1},
+		{"for a few seconds", 5 * time.Second, false, 0},
+		{"for as long as a lease", leaseMax, false, 0},
+		{"for longer than a lease", lapseBound, false, 1},
+		{"since its agent was restarted", leaseMax, true, 0},
+		{"for longer than a lease since its agent was restarted", lapseBound, true, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			runSite(t, 3, func(s *testSite) {
 				_, old := s.startOwnerWithRun()
-				old.update(func(x *fakeAgent) { x.workerSilence = tt.silence })
+				old.update(func(x *fakeAgent) {
+					x.workerSilence, x.noWorker = tt.silence, tt.restart
+					if tt.restart {
+						x.boot++
+					}
+				})
 				time.Sleep(settleTime)
 				s.c.Check(s.startsExcept(old), qt.Equals, tt.want)
 			})
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -40,6 +40,7 @@
 	unreachableFor map[string]bool // by planner; only their Watch calls do not arrive
 	panicsFor      string          // planner whose Watch calls panic
 	workerSilence  time.Duration   // time since the worker's last answer to the agent
+	noWorker       bool            // no worker has registered with the agent
 	delay          time.Duration   // of Watch calls, before they arrive
 	boot           uint64          // of the agent
 	epoch          uint64
@@ -158,6 +159,10 @@
 		},
 		SilentMillis: a.workerSilence.Milliseconds(), UngrantedMillis: a.workerSilence.Milliseconds(),
 	}
+	if a.noWorker {
+		out.Worker, out.Listed = nil, false
+		return out, nil
+	}
 	for task, run := range a.running {
 		out.Running = append(out.Running, &agentrpc.RunStatus{Task: task, Run: run})
 	}
