Place nothing on a target whose agent knows no worker

Callers waited up to a heartbeat longer for work that was placed on a machine whose target process had just been restarted.

Cause: a report without a worker left the planner's view of the target unchanged, so that it got new work. The agent refuses all orders until the worker registers.

Change: such a report makes the runs of the target unknown, until it reports a worker with its list.

Result: TestNothingIsPlacedWithoutWorker fails before.

--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -123,6 +123,7 @@
 	}
 	w := in.GetWorker()
 	if w == nil {
+		t.runsKnown = false
 		return
 	}
 	if !agentrpc.SameLife(t.worker.GetLife(), w.GetLife()) {
--- a/coordination/planner/worker_gone_test.go
+++ b/coordination/planner/worker_gone_test.go
@@ -26,3 +26,14 @@
 	qt.Assert(t, h.targetOf("j1.0.0.0"), qt.Not(qt.Equals), origin)
 	qt.Assert(t, h.rows["j1/0"].Steps[0].Tasks[0].Failures, qt.Equals, 0)
 }
+
+// Guards against work that is placed on a target whose agent was restarted and knows no worker:
+// the agent refuses its orders, so that it waits until the worker registers.
+func TestNothingIsPlacedWithoutWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	h.p.Report("t00", &agentrpc.WatchReply{Boot: 7}, h.now)
+	h.addJob(newJob("j1", "urgent", job.Step{Tasks: 4, Accelerators: 2}))
+	for k := range 4 {
+		qt.Check(t, h.targetOf(job.TaskName{Job: "j1", Index: k}.String()), qt.Equals, "t01")
+	}
+}
