Let the worker's stand-in crash with a task, shrink, and start what doesn't fit

Change: a payload may say that the first task of each step crashes its worker after a time; the worker starts again 3 s later. A fault takes a share of the capacity away. A setting leaves out the admission check. The records say which run crashes its worker and which start exceeds the capacity, and since when the worker had reported it; CheckCrashBudget and CheckCapacity judge them. Members of a gang on a crashed worker are recorded as crashed, not as broken.

--- a/standin/worker/check.go
+++ b/standin/worker/check.go
@@ -129,3 +129,68 @@
 	}
 	return violations
 }
+
+const (
+	// budgetCrashes is the number of workers that a task may crash before further starts count,
+	// and budgetStarts the number of further starts that are too many.
+	budgetCrashes = 3
+	budgetStarts  = 3
+)
+
+// CheckCrashBudget returns the tasks that were started budgetStarts times after they had
+// crashed budgetCrashes workers.
+func CheckCrashBudget(records []Record) []string {
+	byTask := make(map[string][]Record)
+	for _, r := range records {
+		if r.CrashesWorker {
+			byTask[r.Task] = append(byTask[r.Task], r)
+		}
+	}
+	var violations []string
+	for task, list := range byTask {
+		slices.SortFunc(list, func(a, b Record) int { return a.Arrived.Compare(b.Arrived) })
+		further := 0
+		for i, r := range list {
+			crashes := 0
+			for _, earlier := range list[:i] {
+				if earlier.How == EndCrashed && !earlier.Ended.After(r.Arrived) {
+					crashes++
+				}
+			}
+			if crashes >= budgetCrashes {
+				further++
+			}
+		}
+		if further >= budgetStarts {
+			violations = append(violations, fmt.Sprintf("%s was started %d times after it had crashed %d workers", task, further, budgetCrashes))
+		}
+	}
+	slices.Sort(violations)
+	return violations
+}
+
+// Crashed reports whether two workers have crashed under one task of a job, so that the job
+// may be given up.
+func Crashed(records []Record, id string) bool {
+	crashes := make(map[string]int)
+	for _, r := range records {
+		if n, err := job.ParseTaskName(r.Task); err == nil && n.Job == id && r.How == EndCrashed {
+			if crashes[r.Task]++; crashes[r.Task] == 2 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// CheckCapacity returns the starts that brought a worker over a capacity that it had reported
+// for longer than settle.
+func CheckCapacity(records []Record, settle time.Duration) []string {
+	var violations []string
+	for _, r := range records {
+		if r.Excess && r.CapacityAge > settle {
+			violations = append(violations, fmt.Sprintf("run %d of %s brought %s over the capacity that it had reported for %v", r.Run, r.Task, r.Incarnation(), r.CapacityAge))
+		}
+	}
+	return violations
+}
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -27,6 +27,8 @@
 	Unhealthy  bool    // starts and health checks get status 503; the starts are not executed
 	LoseOrders int     // number of next orders that get no response but are executed
 	LateMillis int64   // delay before orders without a response are executed
+	// LostCapacity is the share of the capacity that is gone, from 0 to 1.
+	LostCapacity float64
 }
 
 // Faults returns the current faults. Each lost response decrements LoseOrders.
@@ -42,6 +44,10 @@
 	for _, r := range w.incarnation.runs {
 		r.workDone = r.progressLocked()
 	}
+	if f.LostCapacity != w.faults.LostCapacity {
+		w.capacityAt = time.Time{}
+		w.triggerHeartbeatLocked()
+	}
 	w.faults = f
 	for _, r := range w.incarnation.runs {
 		if r.working {
--- a/standin/worker/handlers.go
+++ b/standin/worker/handlers.go
@@ -152,25 +152,22 @@
 	if j, ok := w.site.lookupJob(name.Job); ok && name.Step < len(j.Steps) {
 		step = j.Steps[name.Step]
 	}
-	if !w.fitsLocked(step) {
+	if !w.cfg.NoAdmissionCheck && !w.fitsLocked(step) {
 		return "room"
 	}
 	w.addRunLocked(name, step, o)
 	return ""
 }
 
-// fitsLocked reports whether a task of the step fits beside the current runs. Fillers use
-// only idle CPU.
+// fitsLocked reports whether a task of the step fits beside the current runs.
 func (w *Worker) fitsLocked(step job.Step) bool {
-	cpu, memory, accelerators := step.CPU, step.MemoryMB, step.Accelerators
-	for _, r := range w.incarnation.runs {
-		if !r.step.Filler {
-			cpu += r.step.CPU
-		}
-		memory += r.step.MemoryMB
-		accelerators += r.step.Accelerators
+	used := w.usageLocked()
+	if !step.Filler {
+		used.CPU += step.CPU
 	}
-	return (step.Filler || cpu <= w.cfg.CPU) && memory <= w.cfg.MemoryMB && accelerators <= w.cfg.Accelerators
+	used.MemoryMB += step.MemoryMB
+	used.Accelerators += step.Accelerators
+	return w.capacityLocked().holds(used)
 }
 
 func (w *Worker) addRunLocked(name job.TaskName, step job.Step, o order) {
@@ -192,7 +189,14 @@
 		r.workDone = min(workDone, r.totalWork)
 		r.totalWork += w.cfg.RestoreWork
 	}
+	r.record.CrashesWorker = r.behaviour.CrashMillis > 0 && name.Index == 0
 	w.incarnation.runs[o.Task] = r
+	if !w.capacityLocked().holds(w.usageLocked()) {
+		r.record.Excess = true
+		if !w.capacityAt.IsZero() {
+			r.record.CapacityAge = time.Since(w.capacityAt)
+		}
+	}
 	w.site.records = append(w.site.records, r.record)
 	if w.faults.FailAll {
 		r.behaviour.Fail = "accelerator fault"
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -16,7 +16,7 @@
 	EndLapsed  = "lapsed"  // the lease of the worker expired
 	EndBroken  = "broken"  // another member of the gang ended
 	EndAlone   = "alone"   // the other members of the gang did not start in time
-	endCrashed = "crashed" // the worker crashed; only in records
+	EndCrashed = "crashed" // the worker crashed; only in records
 )
 
 // Behaviour is the optional JSON form of a job's payload. It defines the behaviour of
@@ -25,6 +25,9 @@
 	RunMillis int64           // run time; the step's estimate if 0
 	Result    json.RawMessage // result of each task; the payload if missing
 	Fail      string          // if not empty, tasks fail with this error at the end of their run time
+	// CrashMillis, if positive, is the time after which the first task of each step crashes its
+	// worker. The worker starts again after Settings.CrashDowntime.
+	CrashMillis int64
 }
 
 // run is a run of a task. The site's lock guards it.
@@ -119,6 +122,7 @@
 	if !r.working {
 		r.working = true
 		r.record.Began = time.Now()
+		w.scheduleCrashLocked(r)
 	}
 	r.workDoneAt = time.Now()
 	if r.timer != nil {
@@ -143,6 +147,30 @@
 	})
 }
 
+// scheduleCrashLocked makes a run crash its worker if its behaviour says so. A member of a gang
+// does it once the gang is complete.
+func (w *Worker) scheduleCrashLocked(r *run) {
+	if !r.record.CrashesWorker {
+		return
+	}
+	inc := w.incarnation
+	time.AfterFunc(time.Duration(r.behaviour.CrashMillis)*time.Millisecond, func() {
+		w.site.mu.Lock()
+		defer w.site.mu.Unlock()
+		if r.finished || w.incarnation != inc || w.down {
+			return
+		}
+		w.crashLocked()
+		time.AfterFunc(w.cfg.CrashDowntime, func() {
+			w.site.mu.Lock()
+			defer w.site.mu.Unlock()
+			if w.incarnation == inc && w.down {
+				w.startLocked(true)
+			}
+		})
+	})
+}
+
 // changeSpeedLocked updates the progress of a run and then applies a change of its speed.
 func (w *Worker) changeSpeedLocked(r *run, change func()) {
 	r.workDone, r.workDoneAt = r.progressLocked(), time.Now()
@@ -167,7 +195,7 @@
 	}
 	r.record.Ended, r.record.How = time.Now(), how
 	delete(w.incarnation.runs, r.task)
-	if how != endCrashed {
+	if how != EndCrashed {
 		w.incarnation.lastEnd++
 		w.incarnation.listedEnds = append(w.incarnation.listedEnds, runEnd{w.incarnation.lastEnd, r, how})
 		w.incarnation.lastRun[r.task] = max(w.incarnation.lastRun[r.task], r.number)
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -35,7 +35,13 @@
 	Arrived    time.Time // when the start was executed
 	Began      time.Time // when the work began; zero if it has not
 	Ended      time.Time // zero while the run is in progress
-	How        string    // one of the End constants, or "crashed"
+	How        string    // one of the End constants
+	// CrashesWorker is whether the run crashes its worker, if it gets that far.
+	CrashesWorker bool
+	// Excess is whether the start brought the worker over its capacity, and CapacityAge how long
+	// before that the worker had first reported this capacity; 0 if it had not.
+	Excess      bool
+	CapacityAge time.Duration
 	// Void is when the end became void: the lease expired or the incarnation ended
 	// while the end was still listed. From then on the task may be run again. Zero if
 	// neither happened.
@@ -120,7 +126,11 @@
 	}
 	for _, m := range g.members {
 		if !m.finished {
-			m.worker.endLocked(m, others)
+			end := others
+			if m.worker.down {
+				end = EndCrashed
+			}
+			m.worker.endLocked(m, end)
 			m.record.Ended = at
 		}
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -25,6 +25,7 @@
 	DefaultGangWait           = 3 * time.Second
 	DefaultCheckpointInterval = 500 * time.Millisecond
 	DefaultRestoreWork        = 250 * time.Millisecond
+	DefaultCrashDowntime      = 3 * time.Second
 )
 
 const reportTimeout = time.Second
@@ -47,6 +48,8 @@
 	GangWait           time.Duration // how long a gang member waits for the others
 	CheckpointInterval time.Duration // work between checkpoints; none if negative
 	RestoreWork        time.Duration // additional work to resume from a checkpoint
+	CrashDowntime      time.Duration // time until the worker starts again after a task has crashed it
+	NoAdmissionCheck   bool          // starts are carried out even if there is too little capacity
 	ClockRate          float64       // rate of the worker's clock relative to real time; 1 if 0
 }
 
@@ -70,6 +73,7 @@
 		{&s.GangWait, DefaultGangWait},
 		{&s.CheckpointInterval, DefaultCheckpointInterval},
 		{&s.RestoreWork, DefaultRestoreWork},
+		{&s.CrashDowntime, DefaultCrashDowntime},
 	}
 	for _, f := range times {
 		if *f.field == 0 {
@@ -95,7 +99,8 @@
 
 	// The site's lock guards the fields below.
 	faults       Faults
-	idCount      int // number of IDs used
+	capacityAt   time.Time // when the present capacity was first reported; zero if it was not
+	idCount      int       // number of IDs used
 	incarnation  *incarnation
 	down         bool
 	drainEnd     time.Time     // when the worker leaves; zero unless it is draining
@@ -186,7 +191,7 @@
 	w.down = true
 	w.incarnation.voidEndsLocked()
 	for _, r := range w.incarnation.runs {
-		w.endLocked(r, endCrashed)
+		w.endLocked(r, EndCrashed)
 	}
 	if w.incarnation.leaseTimer != nil {
 		w.incarnation.leaseTimer.Stop()
@@ -264,7 +269,7 @@
 func (w *Worker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.site.mu.Lock()
-		heartbeatNow, down, drainEnd := w.heartbeatNow, w.down, w.drainEnd
+		heartbeatNow, down, drainEnd, inc := w.heartbeatNow, w.down, w.drainEnd, w.incarnation
 		w.site.mu.Unlock()
 		wait := w.cfg.HeartbeatInterval
 		if !down {
@@ -272,7 +277,7 @@
 		}
 		if !drainEnd.IsZero() {
 			if remaining := time.Until(drainEnd); remaining <= 0 && !down {
-				w.leave(ctx)
+				w.leave(ctx, inc)
 			} else if remaining > 0 {
 				wait = min(wait, remaining)
 			}
@@ -299,42 +304,86 @@
 	heartbeat := map[string]any{
 		"Backend": w.cfg.Pool, "Addr": w.cfg.Address, "Zone": w.cfg.DataCentre, "Version": "v1", "Slots": 8,
 		"State": state, "ColdLeftMs": 0, "Labels": []string{w.cfg.HardwareType, w.cfg.Rack}, "Machine": w.cfg.Name,
-		"Capacity": map[string]int{"Cpu": w.cfg.CPU, "MemMb": w.cfg.MemoryMB, "Gpu": w.cfg.Accelerators},
+		"Capacity": w.capacityLocked(),
 		"ClockMs":  inc.clockLocked(), "Seq": inc.seq, "born": inc.born,
 	}
 	if !w.drainEnd.IsZero() {
 		heartbeat["RemainingMs"] = max(time.Until(w.drainEnd).Milliseconds(), 0)
 	}
+	reported := w.capacityLocked()
 	w.site.mu.Unlock()
-	w.sendReport(ctx, http.MethodPut, inc.id, heartbeat)
+	if !w.sendReport(ctx, http.MethodPut, inc.id, heartbeat) {
+		return
+	}
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	if w.capacityAt.IsZero() && w.capacityLocked() == reported {
+		w.capacityAt = time.Now()
+	}
+}
+
+// capacity is an amount of worker capacity in the form of heartbeats.
+type capacity struct {
+	CPU          int `json:"Cpu,omitempty"` // thousandths of a core
+	MemoryMB     int `json:"MemMb,omitempty"`
+	Accelerators int `json:"Gpu,omitempty"`
+}
+
+// holds reports whether o fits into c.
+func (c capacity) holds(o capacity) bool {
+	return o.CPU <= c.CPU && o.MemoryMB <= c.MemoryMB && o.Accelerators <= c.Accelerators
+}
+
+// capacityLocked returns the present capacity of the worker.
+func (w *Worker) capacityLocked() capacity {
+	left := func(n int) int { return n - int(float64(n)*w.faults.LostCapacity) }
+	return capacity{left(w.cfg.CPU), left(w.cfg.MemoryMB), left(w.cfg.Accelerators)}
+}
+
+// usageLocked returns the capacity that the current runs use. Fillers use only idle CPU.
+func (w *Worker) usageLocked() capacity {
+	var out capacity
+	for _, r := range w.incarnation.runs {
+		if !r.step.Filler {
+			out.CPU += r.step.CPU
+		}
+		out.MemoryMB += r.step.MemoryMB
+		out.Accelerators += r.step.Accelerators
+	}
+	return out
 }
 
-// leave deregisters the worker from the target process and ends the incarnation.
-func (w *Worker) leave(ctx context.Context) {
-	id, _ := w.Incarnation()
-	w.sendReport(ctx, http.MethodDelete, id, nil)
-	w.Crash()
+// leave deregisters an incarnation from the target process and ends it, unless the worker has
+// been restarted meanwhile.
+func (w *Worker) leave(ctx context.Context, inc *incarnation) {
+	w.sendReport(ctx, http.MethodDelete, inc.id, nil)
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	if w.incarnation == inc && !w.down {
+		w.crashLocked()
+	}
 }
 
 // sendReport sends a report, which is a heartbeat or a deregistration, to the target
-// process.
-func (w *Worker) sendReport(ctx context.Context, method, id string, message any) {
+// process. It reports whether the process has accepted it.
+func (w *Worker) sendReport(ctx context.Context, method, id string, message any) bool {
 	body, err := json.Marshal(message)
 	if err != nil {
 		w.log.Error().Int("Event", eventReportFailed).Err(err).Msg("failed to encode a report")
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+w.cfg.ReportAddress+"/medlargrade/instances/"+id, bytes.NewReader(body))
 	if err != nil {
 		w.log.Error().Int("Event", eventReportFailed).Err(err).Msg("failed to create the request for a report")
-		return
+		return false
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
 		w.log.Debug().Int("Event", eventReportLost).Err(err).Msg("no response to a report")
-		return
+		return false
 	}
 	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
