Play tasks that crash workers, and shrinking workers, in matrix and soak

Change: the scenario crash-loop of the matrix has a task and a gang that crash their workers beside other work; each fault is injected at each of its steps. The fault worker-shrinks takes half of a worker's capacity; every second worker has no admission check. Two checkers judge the budget and the capacity. The soak gets the same: 4 % of the jobs crash their workers, at once or during their work; workers lose a quarter, a half or all of their capacity.

--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -77,6 +77,7 @@
 	{name: "worker-unhealthy", inject: workerFault(worker.Faults{Unhealthy: true})},
 	{name: "worker-loses-orders", inject: workerFault(worker.Faults{LoseOrders: 3})},
 	{name: "worker-orders-late", inject: workerFault(worker.Faults{LoseOrders: 3, LateMillis: 4000})},
+	{name: "worker-shrinks", inject: workerFault(worker.Faults{LostCapacity: 0.5})},
 	{name: "worker-cut-off", inject: func(s *Site, h hit) func() {
 		p := s.targetFor(h)
 		restoreOut, restoreIn := s.cut(p.host, workerHostOf(p.host)), s.cut(workerHostOf(p.host), p.host)
--- a/matrix/history_queries_test.go
+++ b/matrix/history_queries_test.go
@@ -59,6 +59,7 @@
 	for i, x := range h.executions {
 		out[i] = worker.Record{
 			Task: x.TaskID, Run: x.Run, Worker: x.Incarnation, Arrived: x.Start, Began: x.Began, Ended: x.End, How: x.EndReason, Void: x.VoidAt,
+			CrashesWorker: x.CrashesWorker, Excess: x.Excess, CapacityAge: x.CapacityAge,
 		}
 	}
 	return out
--- a/matrix/planted_test.go
+++ b/matrix/planted_test.go
@@ -140,6 +140,16 @@
 		{"not run after it was told to have run", "keys-linearizable", func(h *history) {
 			h.calls = append(h.calls, notRunCall(orderRequest("order", 0), 14, 15))
 		}},
+		{"task crashes six workers", "crash-budget", func(h *history) {
+			for i := range 6 {
+				x := executionAt("claim", 0, float64(50+i), float64(50+i)+0.5, worker.EndCrashed)
+				x.CrashesWorker = true
+				h.executions = append(h.executions, x)
+			}
+		}},
+		{"start over a capacity that has shrunk", "capacity", func(h *history) {
+			find(h, "claim").Excess, find(h, "claim").CapacityAge = true, 4*time.Second
+		}},
 		{"two jobs under a key", "keys-linearizable", func(h *history) {
 			other := ranCall(orderRequest("order", 0), 14, 15, "order")
 			other.resp.Job = "other"
--- a/matrix/scenarios_test.go
+++ b/matrix/scenarios_test.go
@@ -150,6 +150,16 @@
 			s.startRequest(r)
 		}
 	}},
+	{name: "crash-loop", start: func(s *Site) {
+		// The first task of each of two jobs crashes every worker that starts it.
+		s.startRequest(planRequest("beside", 1, 1, 3*time.Second))
+		for _, r := range []request{planRequest("crasher", 1, 1, 3*time.Second), planRequest("crasher-gang", 3, 1, 3*time.Second)} {
+			r.crash = 10 * time.Millisecond
+			s.startRequest(r)
+		}
+		s.startRequest(askRequest("short", 300*time.Millisecond))
+		time.Sleep(4 * time.Second)
+	}},
 	{name: "large", start: func(s *Site) {
 		r := planRequest("large-1", 1, 1, 500*time.Millisecond)
 		r.minPartBytes = 40 << 10
--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,9 @@
 	// rollbackBound is how long an older version may still be observed after a newer
 	// one took effect.
 	rollbackBound = 250 * time.Millisecond
+	// capacityBound is how long a worker may have reported a smaller capacity when a start
+	// brings it over that.
+	capacityBound = 3 * time.Second
 	// memoryBoundMB is the memory of the smallest machine that runs a process.
 	memoryBoundMB = 152
 )
@@ -32,6 +35,8 @@
 //
 //   - twice: a task ran twice at once, or again after it was done
 //   - gang: a gang began incomplete, or a member worked on after another had ended
+//   - budget: a task that crashes its workers was started too often
+//   - capacity: a start brought a worker over its capacity
 //   - unasked: the task of a run was not submitted or not accepted, or the payload differs
 //   - order: a run started before the steps it depends on were done
 //   - cancelled: a run of a cancelled job started or went on too late
@@ -57,6 +62,8 @@
 	size := func(n job.TaskName) int { return gangSize(jobs, n) }
 	addViolations("twice", worker.CheckOnce(records, size, now))
 	addViolations("gang", worker.CheckGangs(records, size, now))
+	addViolations("budget", worker.CheckCrashBudget(records))
+	addViolations("capacity", worker.CheckCapacity(records, capacityBound))
 	addViolations("unasked", checkSubmitted(jobs, records))
 	addViolations("order", checkStepOrder(jobs, records))
 	addViolations("cancelled", h.checkCancelled(records, now))
@@ -176,16 +183,16 @@
 }
 
 // checkStates reports jobs whose last state is contradicted by the runs: completed
-// before all steps were done, failed without a failed run or a cancellation, or
-// cancelled without a cancellation.
+// before all steps were done, failed without a failed run, two crashes under a task or a
+// cancellation, or cancelled without a cancellation.
 func checkStates(jobs map[string]*jobRecord, records []worker.Record) []string {
 	var bad []string
 	for id, r := range jobs {
 		if r.state == "failed" && r.cancelSentAt.IsZero() {
 			if !slices.ContainsFunc(records, func(x worker.Record) bool {
 				return strings.HasPrefix(x.Task, id+".") && x.How == worker.EndFailed
-			}) {
-				bad = append(bad, id+" was reported as failed although none of its runs failed")
+			}) && !worker.Crashed(records, id) {
+				bad = append(bad, id+" was reported as failed although none of its runs failed and no task crashed two workers")
 			}
 		}
 		if r.state == "cancelled" && r.cancelSentAt.IsZero() {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -75,6 +75,20 @@
 		{"runs twice", "twice", func(s *observations) {
 			s.records = append(s.records, record("claim.0.0.0", "w1", 11.5, 13, worker.EndDone))
 		}},
+		{"crashes six workers", "budget", func(s *observations) {
+			for i := range 6 {
+				r := record("gone.0.0.0", "w1", 50+float64(i), 50.5+float64(i), worker.EndCrashed)
+				r.Run, r.CrashesWorker = int64(2+i), true
+				s.records = append(s.records, r)
+			}
+		}},
+		{"starts over a capacity that has shrunk", "capacity", func(s *observations) {
+			s.records[0].Excess, s.records[0].CapacityAge = true, 4*time.Second
+		}},
+		{"given up after one crash", "mixed", func(s *observations) {
+			s.records[2].How = worker.EndCrashed
+			s.h.jobs["steps"].state = "failed"
+		}},
 		{"runs after it was done", "twice", func(s *observations) {
 			s.records = append(s.records, record("claim.0.0.0", "w1", 50, 51, worker.EndDone))
 		}},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -13,34 +13,35 @@
 
 // Faults.
 const (
-	faultKill               faultKind = "kill"          // a process gets SIGKILL
-	faultKillAll            faultKind = "kill all"      // most or all processes get SIGKILL at once
-	faultTerm               faultKind = "leave"         // a process gets SIGTERM
-	faultRollingTerm        faultKind = "roll"          // the entries get SIGTERM one after another
-	faultPause              faultKind = "pause"         // a process gets SIGSTOP, later SIGCONT
-	faultReload             faultKind = "reload"        // half of the processes get SIGHUP
-	faultStoreLink          faultKind = "store link"    // the link between a process and the store becomes silent, one-way, resetting or slow
-	faultAgentLink          faultKind = "agent link"    // the same, between the planner and a target
-	faultWorkerLink         faultKind = "worker link"   // the same, between a target and its worker
-	faultReportLink         faultKind = "report link"   // the same, between a worker and its target
-	faultCallerLink         faultKind = "caller link"   // the same, between callers and an entry
-	faultOpenConns          faultKind = "stale links"   // all open connections of a process are silenced permanently or reset
-	faultIsolate            faultKind = "cut off"       // the links of a target to the store and the planner change as above
-	faultStoreDown          faultKind = "store down"    // for all processes
-	faultStoreSlow          faultKind = "store slow"    // for all processes
-	faultStoreLostResponses faultKind = "store loses"   // the responses to writes are lost; the writes may take effect later
-	faultStoreHistoryLost   faultKind = "store forgets" // the store drops its change history
-	faultWorkerCrash        faultKind = "worker crash"  // a worker is down until the end and restarts under its ID or another one
-	faultWorkerDrain        faultKind = "worker leaves" // with a notice; it restarts at the end
-	faultWorkerFaulty       faultKind = "worker bad"    // fails all runs, hangs, is slow, or is unhealthy
-	faultLostOrderResponses faultKind = "late orders"   // the responses to orders are lost; the orders may take effect later
-	faultConfig             faultKind = "config"        // several versions in quick succession
+	faultKill               faultKind = "kill"           // a process gets SIGKILL
+	faultKillAll            faultKind = "kill all"       // most or all processes get SIGKILL at once
+	faultTerm               faultKind = "leave"          // a process gets SIGTERM
+	faultRollingTerm        faultKind = "roll"           // the entries get SIGTERM one after another
+	faultPause              faultKind = "pause"          // a process gets SIGSTOP, later SIGCONT
+	faultReload             faultKind = "reload"         // half of the processes get SIGHUP
+	faultStoreLink          faultKind = "store link"     // the link between a process and the store becomes silent, one-way, resetting or slow
+	faultAgentLink          faultKind = "agent link"     // the same, between the planner and a target
+	faultWorkerLink         faultKind = "worker link"    // the same, between a target and its worker
+	faultReportLink         faultKind = "report link"    // the same, between a worker and its target
+	faultCallerLink         faultKind = "caller link"    // the same, between callers and an entry
+	faultOpenConns          faultKind = "stale links"    // all open connections of a process are silenced permanently or reset
+	faultIsolate            faultKind = "cut off"        // the links of a target to the store and the planner change as above
+	faultStoreDown          faultKind = "store down"     // for all processes
+	faultStoreSlow          faultKind = "store slow"     // for all processes
+	faultStoreLostResponses faultKind = "store loses"    // the responses to writes are lost; the writes may take effect later
+	faultStoreHistoryLost   faultKind = "store forgets"  // the store drops its change history
+	faultWorkerCrash        faultKind = "worker crash"   // a worker is down until the end and restarts under its ID or another one
+	faultWorkerDrain        faultKind = "worker leaves"  // with a notice; it restarts at the end
+	faultWorkerFaulty       faultKind = "worker bad"     // fails all runs, hangs, is slow, or is unhealthy
+	faultWorkerShrink       faultKind = "worker shrinks" // a worker loses a part of its capacity until the end
+	faultLostOrderResponses faultKind = "late orders"    // the responses to orders are lost; the orders may take effect later
+	faultConfig             faultKind = "config"         // several versions in quick succession
 )
 
 var faultKinds = []faultKind{
 	faultKill, faultKillAll, faultTerm, faultRollingTerm, faultPause, faultReload, faultStoreLink, faultAgentLink, faultWorkerLink,
 	faultReportLink, faultCallerLink, faultOpenConns, faultIsolate, faultStoreDown, faultStoreSlow, faultStoreLostResponses,
-	faultStoreHistoryLost, faultWorkerCrash, faultWorkerDrain, faultWorkerFaulty, faultLostOrderResponses, faultConfig,
+	faultStoreHistoryLost, faultWorkerCrash, faultWorkerDrain, faultWorkerFaulty, faultLostOrderResponses, faultConfig, faultWorkerShrink,
 }
 
 // fault is one fault of a run.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -107,6 +107,9 @@
 		variants := []worker.Faults{{FailAll: true}, {Hang: true}, {Slow: workSlowdown}, {Unhealthy: true}}
 		w.SetFaults(variants[f.variant%len(variants)])
 		return func() { w.SetFaults(worker.Faults{}) }
+	case faultWorkerShrink:
+		w.SetFaults(worker.Faults{LostCapacity: []float64{0.25, 0.5, 1}[f.variant%3]})
+		return func() { w.SetFaults(worker.Faults{}) }
 	case faultLostOrderResponses:
 		w.SetFaults(worker.Faults{LoseOrders: lostResponses, LateMillis: int64(f.variant%2) * lateDelay.Milliseconds()})
 		return func() { w.SetFaults(worker.Faults{}) }
--- a/soak/load.go
+++ b/soak/load.go
@@ -23,6 +23,8 @@
 	unreadRequestSlack = 200 * time.Millisecond
 	// cancelShare is the share of jobs that are cancelled.
 	cancelShare = 0.1
+	// crashShare is the share of jobs whose first task crashes the workers that start it.
+	crashShare = 0.04
 	// thinkTimeMax is the longest pause between two jobs of a caller.
 	thinkTimeMax = 1200 * time.Millisecond
 	// pollInterval is the pause between two lookups of a job.
@@ -85,7 +87,11 @@
 		next.After = []int{0}
 		j.Steps = append(j.Steps, next)
 	}
-	j.Payload = fmt.Sprintf(`{"RunMillis": %d, "Result": %q}`, work.Milliseconds(), j.ID)
+	crash := time.Duration(0)
+	if !c.usesGuarantee && c.random.Float64() < crashShare {
+		crash = randDuration(c.random, time.Millisecond, work/4)
+	}
+	j.Payload = fmt.Sprintf(`{"RunMillis": %d, "CrashMillis": %d, "Result": %q}`, work.Milliseconds(), crash.Milliseconds(), j.ID)
 	key := unguaranteedKey
 	if c.usesGuarantee {
 		key = guaranteedKey
--- a/soak/site.go
+++ b/soak/site.go
@@ -182,7 +182,7 @@
 		Name: fmt.Sprintf("w%d", i+1), Pool: poolName, DataCentre: fmt.Sprintf("dc%d", rack+1), Rack: fmt.Sprintf("r%d", rack+1),
 		// Address is not used: the target reaches its worker through a link.
 		Accelerators: accelerators, Address: "127.0.0.1:1", ReportAddress: m.report.Address(), HeartbeatInterval: heartbeatInterval, LeaseMax: leaseMax,
-		StopTime: stopTime, GangWait: gangWait,
+		StopTime: stopTime, GangWait: gangWait, NoAdmissionCheck: i%2 == 1,
 	}
 	if i%2 == 0 {
 		settings.ClockRate = slowClockRate
