Count no accelerators as missing on a worker whose capacity has shrunk

Callers of work with time to spare waited although a worker was free.

Cause: the headroom counts the accelerators that are available on all workers. On one that runs more than it has left, the number is negative and was taken from that of the others.

Result: TestHeadroomAfterCapacityShrinks fails before. Claims can make the number negative too; the tests of planner and experiment pass unchanged.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -211,11 +211,12 @@
 	return cmp.Or(cmp.Compare(x.accelerators, y.accelerators), cmp.Compare(x.memory, y.memory), cmp.Compare(x.cpu, y.cpu))
 }
 
-// availableAccelerators returns how many accelerators are available on targets.
+// availableAccelerators returns how many accelerators are available on targets. A target that
+// runs more than its capacity holds has none.
 func availableAccelerators(targets []*target) int {
 	n := 0
 	for _, t := range targets {
-		n += t.available().accelerators
+		n += max(t.available().accelerators, 0)
 	}
 	return n
 }
--- a/coordination/planner/capacity_test.go
+++ b/coordination/planner/capacity_test.go
@@ -95,3 +95,15 @@
 	h.report("t00")
 	qt.Check(t, h.p.OrderValid("t00", b.Orders[0].Orders[0]), qt.IsFalse)
 }
+
+// Guards against work that waits for headroom beside free workers, because another worker runs
+// more than its capacity holds since that has shrunk.
+func TestHeadroomAfterCapacityShrinks(t *testing.T) {
+	h := newHarness(t, 2)
+	h.addJob(newJob("first", "urgent", job.Step{Tasks: 1, Accelerators: 8, EstimateMillis: 60_000}))
+	qt.Assert(t, h.targetOf("first.0.0.0"), qt.Equals, "t00")
+	h.setAccelerators(0)
+	h.advance(time.Second)
+	h.addJob(newJob("second", "long", job.Step{Tasks: 1, Accelerators: 1}))
+	qt.Check(t, h.targetOf("second.0.0.0"), qt.Equals, "t01")
+}
