--- a/cmd/medlargrade/client.go
+++ b/cmd/medlargrade/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/outcome"
@@ -19,7 +20,7 @@
 
 // entryFlags are the flags of commands that call an entry.
 type entryFlags struct {
-	Entry string `long:"entry" default:"http://127.0.0.1:8080" description:"URL of an entry's callers' API"`
+	Entry string `long:"entry" env:"MEDLARGRADE_ENTRY" default:"http://127.0.0.1:8080" description:"URL of an entry's callers' API"`
 }
 
 // callTimeoutMargin is how much longer than its wait at the entry a call may take.
@@ -53,6 +54,8 @@
 	Key          string `long:"key" description:"idempotency key; random if missing"`
 	Payload      string `long:"payload" description:"JSON value for the tasks, or @FILE"`
 	AtMostOnce   bool   `long:"at-most-once" description:"run at most once, even if the kind is idempotent"`
+
+	Retry process.Duration `long:"retry" default:"0s" description:"how long to submit the job again while it certainly has not run and the answer says when to come back, or the entry does not listen"`
 }
 
 // Execute submits the job and prints the response.
@@ -70,12 +73,34 @@
 		idempotent := false
 		req.Idempotent = &idempotent
 	}
-	ctx, cancel := c.callContext(c.duration())
-	defer cancel()
-	resp, err := c.client().Submit(ctx, req, c.duration())
+	resp, err := c.submit(req)
 	return printResponse(os.Stdout, resp, err)
 }
 
+// retryPause is the time between two attempts to reach a process that does not answer.
+const retryPause = 200 * time.Millisecond
+
+// submit submits a request, and repeats it as long as c.Retry allows.
+func (c *submitCommand) submit(req callerapi.Request) (callerapi.Response, error) {
+	end := time.Now().Add(time.Duration(c.Retry))
+	for {
+		ctx, cancel := c.callContext(c.duration())
+		resp, err := c.client().Submit(ctx, req, c.duration())
+		cancel()
+		wait := time.Duration(0)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			wait = retryPause
+		case err == nil && resp.Outcome == callerapi.NotRun:
+			wait = time.Duration(resp.RetryAfter)
+		}
+		if wait == 0 || time.Now().Add(wait).After(end) {
+			return resp, err
+		}
+		time.Sleep(wait)
+	}
+}
+
 // readPayload returns the JSON value in s, or in the file that s names as @FILE.
 func readPayload(s string) (json.RawMessage, error) {
 	if s == "" {
--- a/cmd/medlargrade/command_test.go
+++ b/cmd/medlargrade/command_test.go
@@ -198,3 +198,39 @@
 j/1  ws         k     running  9      3     2        16            1
 `)
 }
+
+// Guards against a submission that isn't repeated although it has not run, against one that is
+// repeated although it may have run, and against one that is repeated for ever.
+func TestSubmitRetries(t *testing.T) {
+	const notYet = `{"Outcome":"NotRun","Reason":"NotReady","RetryAfter":"10ms"}`
+	tests := []struct {
+		name    string
+		retry   string
+		answers []string // the last one is repeated
+		calls   int
+		code    int
+	}{
+		{"no retry", "0s", []string{notYet}, 1, ExitNotRun},
+		{"served later", "1m", []string{notYet, notYet, `{"Outcome":"Ran","Answer":{"Parts":[1]}}`}, 3, ExitOK},
+		{"never to be served", "1m", []string{`{"Outcome":"NotRun","Reason":"NeverFits"}`}, 1, ExitNotRun},
+		{"may have run", "1m", []string{`{"Outcome":"Unknown","RetryAfter":"10ms"}`}, 1, ExitUnknown},
+		{"until the time is over", "35ms", []string{notYet}, 4, ExitNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			calls := 0
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, tt.answers[min(calls, len(tt.answers)-1)]) // The client reports a lost answer.
+				calls++
+			}))
+			defer srv.Close()
+			code, _, _ := runCommand(t, "submit", "--entry", srv.URL, "--retry", tt.retry, "--workspace", "w", "--kind", "k")
+			qt.Check(t, code, qt.Equals, tt.code)
+			if tt.retry == "35ms" { // on a busy machine a call takes longer
+				qt.Check(t, calls >= 1 && calls <= tt.calls, qt.IsTrue, qt.Commentf("%d calls", calls))
+				return
+			}
+			qt.Check(t, calls, qt.Equals, tt.calls)
+		})
+	}
+}
--- a/cmd/medlargrade/config.go
+++ b/cmd/medlargrade/config.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/pause"
 	"github.com/medlargrade/medlargrade/operator"
+	"github.com/medlargrade/medlargrade/process"
 	"github.com/medlargrade/medlargrade/state/table"
 )
 
@@ -180,8 +182,9 @@
 // ConfigApply is the subcommand config apply.
 type ConfigApply struct {
 	storeFlags
-	Expect *uint64 `long:"expect" value-name:"N" description:"apply only if the accepted generation is N, as shown by diff (default: the generation at the start)"`
-	Args   fileArg `positional-args:"yes" required:"yes"`
+	Wait   process.Duration `long:"wait" default:"0s" description:"how long to wait until the platform answers, at most 1m"`
+	Expect *uint64          `long:"expect" value-name:"N" description:"apply only if the accepted generation is N, as shown by diff (default: the generation at the start)"`
+	Args   fileArg          `positional-args:"yes" required:"yes"`
 }
 
 // Execute applies a file.
@@ -198,7 +201,7 @@
 		return err
 	}
 	defer cancel()
-	current, err := configuration.Read(ctx, store)
+	current, err := readWithin(ctx, store, time.Duration(c.Wait))
 	if err != nil {
 		return failure(err)
 	}
@@ -228,6 +231,18 @@
 	return failure(err)
 }
 
+// readWithin reads the accepted configuration. It repeats the read for up to wait while the
+// platform does not answer.
+func readWithin(ctx context.Context, store table.Store, wait time.Duration) (*configuration.Snapshot, error) {
+	end := time.Now().Add(wait)
+	for {
+		current, err := configuration.Read(ctx, store)
+		if err == nil || time.Now().Add(retryPause).After(end) || !pause.For(ctx, retryPause) {
+			return current, err
+		}
+	}
+}
+
 // ConfigShow is the subcommand config show.
 type ConfigShow struct {
 	storeFlags
--- a/cmd/medlargrade/status.go
+++ b/cmd/medlargrade/status.go
@@ -16,7 +16,7 @@
 
 // operatorFlags are the flags of commands that query a process.
 type operatorFlags struct {
-	Process string `long:"process" default:"http://127.0.0.1:8081" description:"URL of the process's operators' API"`
+	Process string `long:"process" env:"MEDLARGRADE_PROCESS" default:"http://127.0.0.1:8081" description:"URL of the process's operators' API"`
 }
 
 // queryTimeout bounds a request to the operators' API, and all reads of the store for
@@ -62,7 +62,7 @@
 
 // statusCommand shows the state of the site as recorded in the store.
 type statusCommand struct {
-	Platform string `long:"platform" default:"http://127.0.0.1:8400" description:"URL of the platform's store"`
+	Platform string `long:"platform" env:"MEDLARGRADE_PLATFORM" default:"http://127.0.0.1:8400" description:"URL of the platform's store"`
 	Config   string `long:"config" default:"applied" choice:"applied" choice:"platform" description:"source of the configuration"`
 	JSON     bool   `long:"json" description:"print JSON"`
 }
