--- a/cmd/medlargrade/command_test.go
+++ b/cmd/medlargrade/command_test.go
@@ -180,8 +180,9 @@
 		},
 		Workspaces: []overview.Workspace{{Name: "ws", Guaranteed: 20, InUse: 5, Waiting: 4}},
 		Jobs: []overview.Job{{
-			ID: "j", Occurrence: 1, Workspace: "ws", Kind: "k", State: "running", Tasks: 9, Done: 3, Running: 2, Accelerators: 16, Failures: 1,
+			ID: "j", Occurrence: 1, Workspace: "ws", Kind: "k", State: "running", Tasks: 9, Done: 3, Running: 2, Accelerators: 16, Failures: 1, Crashes: 2,
 		}},
+		Malformed: []string{"Jobs/x", "Targets/y"},
 	}
 	var out strings.Builder
 	qt.Assert(t, writeStatus(&out, o), qt.IsNil)
@@ -194,8 +195,10 @@
 WORKSPACE  GUARANTEED  IN USE  WAITING
 ws         20          5       4
 
-JOB  WORKSPACE  KIND  STATE    TASKS  DONE  RUNNING  ACCELERATORS  FAILURES
-j/1  ws         k     running  9      3     2        16            1
+JOB  WORKSPACE  KIND  STATE    TASKS  DONE  RUNNING  ACCELERATORS  FAILURES  CRASHES
+j/1  ws         k     running  9      3     2        16            1         2
+
+rows that can't be decoded and are left out: Jobs/x, Targets/y
 `)
 }
 
--- a/cmd/medlargrade/status.go
+++ b/cmd/medlargrade/status.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -117,9 +118,12 @@
 	for _, x := range o.Workspaces {
 		t.writeRow("%s\t%d\t%d\t%d", x.Name, x.Guaranteed, x.InUse, x.Waiting)
 	}
-	t.writeRow("\nJOB\tWORKSPACE\tKIND\tSTATE\tTASKS\tDONE\tRUNNING\tACCELERATORS\tFAILURES")
+	t.writeRow("\nJOB\tWORKSPACE\tKIND\tSTATE\tTASKS\tDONE\tRUNNING\tACCELERATORS\tFAILURES\tCRASHES")
 	for _, x := range o.Jobs {
-		t.writeRow("%s/%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d", x.ID, x.Occurrence, x.Workspace, x.Kind, x.State, x.Tasks, x.Done, x.Running, x.Accelerators, x.Failures)
+		t.writeRow("%s/%d\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d", x.ID, x.Occurrence, x.Workspace, x.Kind, x.State, x.Tasks, x.Done, x.Running, x.Accelerators, x.Failures, x.Crashes)
+	}
+	if len(o.Malformed) > 0 {
+		t.writeRow("\nrows that can't be decoded and are left out: %s", strings.Join(o.Malformed, ", "))
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if _, err := t.WriteTo(w); err != nil {
--- a/coordination/overview/overview.go
+++ b/coordination/overview/overview.go
@@ -21,6 +21,9 @@
 	Workspaces    []Workspace
 	Jobs          []Job // that have not ended
 	Ended         int   // number of ended occurrences that are still recorded
+	// Malformed names the rows that can't be decoded, as TABLE/KEY. The rest of the overview
+	// says nothing of them.
+	Malformed []string `json:",omitempty"`
 }
 
 // Planner is the owner of the shard.
@@ -59,6 +62,7 @@
 	Running      int
 	Accelerators int // in use
 	Failures     int // number of failed runs
+	Crashes      int // number of recent crashes of workers that ran a task
 }
 
 // Read reads the state of a shard. If snap is nil, the overview has no
@@ -83,9 +87,13 @@
 		o.Workspaces = append(o.Workspaces, *w)
 	}
 	slices.SortFunc(o.Workspaces, func(x, y Workspace) int { return cmp.Compare(x.Name, y.Name) })
+	slices.Sort(o.Malformed)
 	return o, nil
 }
 
+// addMalformed records a row that can't be decoded.
+func (o *Overview) addMalformed(r table.Row) { o.Malformed = append(o.Malformed, r.Table+"/"+r.Key) }
+
 // readShard reads the owner and the targets.
 func (o *Overview) readShard(ctx context.Context, s table.Store, part string, runsByTarget map[string]int) error {
 	owner, err := s.Read(ctx, table.Range{Table: shard.TableShard, Part: part})
@@ -94,13 +102,13 @@
 	}
 	silentTargets := make(map[string]int64)
 	if len(owner.Rows) > 0 {
-		row, err := shard.DecodeOwner(owner.Rows[0].Value)
-		if err != nil {
-			return err
+		if row, err := shard.DecodeOwner(owner.Rows[0].Value); err != nil {
+			o.addMalformed(owner.Rows[0])
+		} else {
+			age := owner.Now - time.Duration(row.BeatMillis)*time.Millisecond
+			o.Planner = Planner{Name: row.Name, Address: row.Address, Epoch: row.Epoch, Age: age.String()}
+			silentTargets = row.Silent
 		}
-		age := owner.Now - time.Duration(row.BeatMillis)*time.Millisecond
-		o.Planner = Planner{Name: row.Name, Address: row.Address, Epoch: row.Epoch, Age: age.String()}
-		silentTargets = row.Silent
 	}
 	targets, err := table.ReadAll(ctx, s, table.Range{Table: shard.TableTargets, Part: part})
 	if err != nil {
@@ -109,7 +117,8 @@
 	for _, r := range targets.Rows {
 		t, err := shard.DecodeTarget(r.Value)
 		if err != nil {
-			return err
+			o.addMalformed(r)
+			continue
 		}
 		_, silent := silentTargets[r.Key]
 		o.Targets = append(o.Targets, Target{Name: r.Key, Address: t.Address, Silent: silent, Runs: runsByTarget[r.Key]})
@@ -127,7 +136,8 @@
 	for _, r := range progress.Rows {
 		p, err := job.DecodeProgress(r.Value)
 		if err != nil {
-			return err
+			o.addMalformed(r)
+			continue
 		}
 		byJob[p.Job] = append(byJob[p.Job], p)
 	}
@@ -141,7 +151,8 @@
 		}
 		j, err := job.Decode(r.Value)
 		if err != nil {
-			return err
+			o.addMalformed(r)
+			continue
 		}
 		w := usage[j.Workspace]
 		if w == nil {
@@ -167,6 +178,7 @@
 		for _, t := range s.Tasks {
 			occ.Tasks++
 			occ.Failures += t.Failures
+			occ.Crashes += len(t.Crashes)
 			if t.Done {
 				occ.Done++
 			}
