Record the ends of a job's tasks together

Change: such an end may wait 200 ms to be recorded. What completes an occurrence, starts, failures and other ends are recorded at once, as before, and so are ends of at-most-once jobs. A worker keeps an end until its row is written: ends are acknowledged by target up to the first that isn't recorded yet; before, one deferred row held back the acknowledgements of all targets.

Ruled out: smaller rows (places named once, or a row for each few tasks).

--- a/coordination/planner/crashes.go
+++ b/coordination/planner/crashes.go
@@ -84,7 +84,7 @@
 	if x.atStart {
 		p.suspects[k] = struct{}{}
 	}
-	p.dirty[k.step.occ] = struct{}{}
+	p.markDirty(k.step.occ)
 	return true
 }
 
@@ -143,7 +143,7 @@
 	for i, x := range k.crashes {
 		if x.atStart && slices.ContainsFunc(explained, func(y crash) bool { return sameCrash(x, y) }) {
 			k.crashes[i].atStart = false
-			p.dirty[k.step.occ] = struct{}{}
+			p.markDirty(k.step.occ)
 		}
 	}
 	if k.startCrashes() == 0 {
@@ -158,7 +158,7 @@
 		for _, k := range s.tasks {
 			n := len(k.crashes)
 			if k.crashes = slices.DeleteFunc(k.crashes, func(x crash) bool { return !x.atStart }); len(k.crashes) < n {
-				p.dirty[o] = struct{}{}
+				p.markDirty(o)
 			}
 		}
 	}
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -34,7 +34,14 @@
 		r.task.setCheckpoint(c, now)
 	}
 	p.recordRunEnd(t, r, e.GetHow(), now)
-	p.removeRun(r)
+	o := r.task.step.occ
+	p.detachRun(r)
+	if t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{e.GetNumber(), o}); e.GetHow() == endDone && !o.job.job.AtMostOnce {
+		// The end that completes the occurrence is recorded at once.
+		p.markDirtyBy(o, now.Add(endRecordDelay))
+	} else {
+		p.markDirty(o)
+	}
 	switch e.GetHow() {
 	case endDone:
 		r.task.result, r.task.resultObject = e.GetResult(), e.GetResultObject()
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -308,7 +308,7 @@
 	if !o.startedAt.IsZero() {
 		o.elapsed = now.Sub(o.startedAt)
 	}
-	p.dirty[o] = struct{}{}
+	p.markDirty(o)
 	p.log.Info().Int("Event", EventJobEnded).Str("Job", o.job.job.ID).Int("Occurrence", o.ordinal).Str("State", string(state)).
 		Dur("Since", now.Sub(o.releaseTime())).Dur("Objective", p.objective(o.job, p.kindOf(o.job))).Msg("occurrence ended")
 	p.measureEnd(o, now)
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -201,7 +201,7 @@
 	}
 	r.confirmedAt, r.progressedAt = now, now
 	if o := r.task.step.occ; o.job.job.LimitMillis > 0 {
-		p.dirty[o] = struct{}{}
+		p.markDirty(o)
 	}
 }
 
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -63,7 +62,7 @@
 		// Stopping a run sets needsPass, but frees no capacity before the run ends.
 		p.needsPass = false
 	}
-	return p.takeBatch()
+	return p.takeBatch(now)
 }
 
 // maxPassInterval is the time after which Plan makes a pass although no change has been
@@ -87,7 +86,7 @@
 			}
 			o := p.addOccurrence(js, now)
 			if js.job.Times > 0 {
-				p.dirty[o] = struct{}{}
+				p.markDirty(o)
 			}
 		}
 	}
@@ -205,17 +204,19 @@
 	if o.startedAt.IsZero() {
 		o.startedAt = now
 	}
-	p.dirty[o] = struct{}{}
+	p.markDirty(o)
 }
 
-// takeBatch returns the decisions that are in no earlier batch, up to the limits of a
-// transaction. The rest stays pending.
-func (p *Planner) takeBatch() Batch {
+// takeBatch returns the decisions that are in no earlier batch and are due, up to the limits of
+// a transaction. The rest stays pending.
+func (p *Planner) takeBatch(now time.Time) Batch {
 	b := Batch{EndAcks: make(map[string]EndAck)}
 	bytes := 0
 	occurrences := make([]*occurrence, 0, len(p.dirty))
-	for o := range p.dirty {
-		occurrences = append(occurrences, o)
+	for o, due := range p.dirty {
+		if !due.After(now) {
+			occurrences = append(occurrences, o)
+		}
 	}
 	slices.SortFunc(occurrences, func(x, y *occurrence) int { return cmp.Compare(x.key, y.key) })
 	deferred := make(map[*occurrence]struct{})
@@ -243,15 +244,32 @@
 		p.toDelete = p.toDelete[1:]
 	}
 	p.batchOrders(&b, deferred)
-	if len(deferred) > 0 {
-		// The run ends may be part of the deferred rows, so none is acknowledged yet.
-		return b
-	}
-	maps.Copy(b.EndAcks, p.endAcks)
-	clear(p.endAcks)
+	p.batchEndAcks(&b)
 	return b
 }
 
+// batchEndAcks moves the run ends that are recorded by the batch, or before, to it. Ends are
+// acknowledged by the highest number, so that one which isn't recorded yet holds back those after
+// it on the same target.
+func (p *Planner) batchEndAcks(b *Batch) {
+	for t := range p.unackedEnds {
+		recorded := 0
+		for recorded < len(t.unrecordedEnds) {
+			if _, dirty := p.dirty[t.unrecordedEnds[recorded].occ]; dirty {
+				break
+			}
+			recorded++
+		}
+		end := t.lastEnd
+		if t.unrecordedEnds = t.unrecordedEnds[recorded:]; len(t.unrecordedEnds) > 0 {
+			end = t.unrecordedEnds[0].number - 1
+		} else {
+			delete(p.unackedEnds, t)
+		}
+		b.EndAcks[t.name] = EndAck{Incarnation: t.worker.GetLife(), End: end}
+	}
+}
+
 // batchOrders moves the pending orders to the batch, except those whose rows are
 // deferred. Orders that are out of date are dropped.
 func (p *Planner) batchOrders(b *Batch, deferred map[*occurrence]struct{}) {
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -57,9 +57,9 @@
 	lastPass      time.Time                        // when the last pass was made
 	eligibleCache map[requirement]*eligibleTargets // valid within a pass
 
-	dirty         map[*occurrence]struct{} // occurrences whose rows must be written
-	orders        map[string][]Order       // by target, not yet in a batch
-	endAcks       map[string]EndAck        // by target, run ends that may be acknowledged
+	dirty         map[*occurrence]time.Time // occurrences whose rows must be written, and by when; zero for at once
+	orders        map[string][]Order        // by target, not yet in a batch
+	unackedEnds   map[*target]struct{}      // targets with run ends that have been handled since the last batch
 	runTimeRatios runTimeRatios
 	toDelete      []*jobState          // removed jobs whose rows must be deleted
 	tombstones    map[string]tombstone // by job ID
@@ -72,7 +72,7 @@
 	}
 	return &Planner{
 		settings: settings, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
-		dirty: make(map[*occurrence]struct{}), orders: make(map[string][]Order), endAcks: make(map[string]EndAck),
+		dirty: make(map[*occurrence]time.Time), orders: make(map[string][]Order), unackedEnds: make(map[*target]struct{}),
 		runTimeRatios: make(runTimeRatios), suspects: make(map[*task]struct{}), isolated: make(map[*target]*jobState), tombstones: make(map[string]tombstone),
 	}
 }
@@ -82,6 +82,22 @@
 // acknowledged and lost.
 func (p *Planner) SetLoaded() { p.jobsLoaded = true }
 
+// endRecordDelay is how long the end of a run that doesn't complete its occurrence may wait to be
+// recorded. The tasks of a large step end at about the same time, and each row has the state of
+// all of them. A worker keeps an end until it is recorded; if the worker and the planner are both
+// lost before, the task runs again.
+const endRecordDelay = 200 * time.Millisecond
+
+// markDirty marks the row of an occurrence to be written with the next batch.
+func (p *Planner) markDirty(o *occurrence) { p.dirty[o] = time.Time{} }
+
+// markDirtyBy marks the row of an occurrence to be written by a time at the latest.
+func (p *Planner) markDirtyBy(o *occurrence, by time.Time) {
+	if earlier, ok := p.dirty[o]; !ok || by.Before(earlier) {
+		p.dirty[o] = by
+	}
+}
+
 // SetConfig sets the current configuration.
 func (p *Planner) SetConfig(s *configuration.Snapshot) {
 	if s != p.config {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -20,10 +20,12 @@
 	leavesAt  time.Time     // when a draining worker may be gone; zero if unknown
 	poll      int64         // number of the poll that the last list is from; 0 if the list lacks ends
 	lastEnd   int64         // highest run end that has been handled
-	runs      map[*run]struct{}
-	used      resources // of all runs
-	stopping  resources // of the runs that are being stopped
-	reserved  resources // of claims
+	// unrecordedEnds are the handled ends that may not be recorded yet, in order.
+	unrecordedEnds []unrecordedEnd
+	runs           map[*run]struct{}
+	used           resources // of all runs
+	stopping       resources // of the runs that are being stopped
+	reserved       resources // of claims
 	// foreign are runs that the worker lists and no row names. They use an unknown part
 	// of its capacity until they have been stopped.
 	foreign map[runKey]time.Time // when the stop was last queued
@@ -37,6 +39,12 @@
 	crashes []job.Incarnation
 }
 
+// unrecordedEnd is the end of a run that is part of the row of an occurrence.
+type unrecordedEnd struct {
+	number int64
+	occ    *occurrence
+}
+
 // runKey identifies a run in the lists of a worker.
 type runKey struct {
 	task string
@@ -152,7 +160,7 @@
 			t.lastEnd = e.GetNumber()
 		}
 	}
-	p.endAcks[name] = EndAck{Incarnation: w.GetLife(), End: t.lastEnd}
+	p.unackedEnds[t] = struct{}{}
 	p.reconcile(t, in.GetRunning(), newPoll, now)
 }
 
@@ -174,7 +182,8 @@
 	if t.worker != nil {
 		t.health = health{}
 	}
-	t.worker, t.lastEnd, t.leavesAt = w, 0, time.Time{}
+	t.worker, t.lastEnd, t.unrecordedEnds, t.leavesAt = w, 0, nil, time.Time{}
+	delete(p.unackedEnds, t)
 	t.resetPolls()
 	clear(t.foreign)
 }
@@ -199,7 +208,7 @@
 			p.log.Info().Int("Event", EventRunFollowed).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
 				Int64("Born", current.Born).Msg("run was started in the next incarnation of its worker")
 			r.incarnation = current
-			p.dirty[r.task.step.occ] = struct{}{}
+			p.markDirty(r.task.step.occ)
 		default:
 			p.loseRun(r, "worker started again under its ID", now)
 		}
@@ -244,8 +253,14 @@
 	p.stopGang(r, "another member of the gang is lost")
 }
 
-// removeRun removes a run from its task and target.
+// removeRun removes a run from its task and target, and marks its row to be written at once.
 func (p *Planner) removeRun(r *run) {
+	p.detachRun(r)
+	p.markDirty(r.task.step.occ)
+}
+
+// detachRun removes a run from its task and target.
+func (p *Planner) detachRun(r *run) {
 	t := r.task
 	for i, other := range t.runs {
 		if other == r {
@@ -262,7 +277,6 @@
 		}
 	}
 	p.usageByWorkspace, p.needsPass = nil, true
-	p.dirty[t.step.occ] = struct{}{}
 }
 
 // reconcile compares the runs on a target with those that its worker lists as running.
