Move a task that stands still wherever it runs three times at most

Callers of other jobs found workers without new work, one after the other.

Cause: the class of fault of docs/incidents/crash-loop.md: a run that makes no progress is moved, however often that has happened to its task, and each of its workers gets no new work meanwhile. What a faulty worker does can't be told from what a faulty task does by one run, but by four.

Change: after three moves the task stays where it is, and its worker gets new work.

--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -80,9 +80,10 @@
 	// avoidedTargets holds the names of targets on which a run failed or stalled.
 	avoidedTargets map[string]struct{}
 	// retryAt delays the next start after a refusal.
-	retryAt time.Time
-	claimed bool    // part of a claim
-	crashes []crash // recent ones of workers that ran the task, or may have run it
+	retryAt    time.Time
+	stallMoves int     // how often a run was moved because it stood still; not recorded
+	claimed    bool    // part of a claim
+	crashes    []crash // recent ones of workers that ran the task, or may have run it
 }
 
 // run is a run that is recorded and not known to have ended.
--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -14,6 +14,9 @@
 	// run is moved. A run is expected to stay stalled for as long as it has been already,
 	// and the work that a move discards has to be done again in place of other work.
 	moveDelayFactor = 2
+	// maxStallMoves bounds the moves of one task because its runs stand still. A task that has
+	// been moved so often is more likely the cause than its workers.
+	maxStallMoves = 3
 )
 
 // stalledFor returns how long a run had made no progress when its worker was last polled,
@@ -46,17 +49,21 @@
 }
 
 // handleStalledRuns keeps new work away from workers with stalled runs, and moves the runs
-// that have been stalled for too long.
+// that have been stalled for too long. Tasks that have been moved maxStallMoves times stay where
+// they are, and their workers get new work.
 func (p *Planner) handleStalledRuns(now time.Time) {
 	for _, t := range p.sortedTargets {
 		for r := range t.runs {
 			stallTime := p.stalledFor(r)
-			if stallTime == 0 {
+			if stallTime == 0 || r.task.stallMoves >= maxStallMoves {
 				continue
 			}
 			t.health.recordStall(now)
 			if stallTime > moveDelayFactor*p.moveDelay(r) && p.fitsElsewhere(r, t, now) {
 				r.task.avoidTarget(t.name)
+				for _, k := range r.task.withGang() {
+					k.stallMoves++
+				}
 				p.stopGang(r, "it stands still")
 			}
 		}
--- a/coordination/planner/stalls_test.go
+++ b/coordination/planner/stalls_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -117,3 +118,33 @@
 		})
 	}
 }
+
+// Guards against a task that stands still wherever it runs, is moved for ever, and keeps new work
+// away from one worker after another.
+func TestTaskThatStandsStillEverywhere(t *testing.T) {
+	for _, tasks := range []int{1, 3} { // alone, and in a gang
+		t.Run(strconv.Itoa(tasks), func(t *testing.T) { testStandsStillEverywhere(t, tasks) })
+	}
+}
+
+func testStandsStillEverywhere(t *testing.T, tasks int) {
+	h := newHarness(t, 6)
+	h.addJob(newJob("j", "long", job.Step{Tasks: tasks, Accelerators: 1, EstimateMillis: 20_000, Gang: tasks > 1}))
+	h.addJob(newJob("other", "long", job.Step{Tasks: 1, Accelerators: 1, EstimateMillis: 600_000}))
+	h.advance(0)
+	for i := range 400 {
+		for _, w := range h.workers { // Workers report progress, but not of this task.
+			if r := w.running["other.0.0.0"]; r != nil {
+				r.Percent = int64(i / 8)
+			}
+		}
+		h.advance(pollInterval)
+	}
+	qt.Check(t, h.startsOf(stalledTask), qt.Equals, 1+maxStallMoves)
+	h.addJob(newJob("wide", "urgent", job.Step{Tasks: 6, Accelerators: 5}))
+	h.advance(pollInterval)
+	for k := range 6 {
+		name := job.TaskName{Job: "wide", Index: k}.String()
+		qt.Check(t, h.targetOf(name), qt.Not(qt.Equals), "", qt.Commentf("%s", name))
+	}
+}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -347,11 +347,15 @@
 	if t.checkpoint == c {
 		return
 	}
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	for _, o := range members {
+	for _, o := range t.withGang() {
 		o.checkpoint, o.checkpointAt = c, now
 	}
 }
+
+// withGang returns the tasks that start and stop together with t, and t itself.
+func (t *task) withGang() []*task {
+	if t.step.spec.Gang {
+		return t.step.tasks
+	}
+	return []*task{t}
+}
