Fuzz reports of crashes and rows with them

Change: seeds for FuzzReport and FuzzRows with crashes, also of unknown tasks, with negative and extreme times.

--- a/coordination/planner/fuzz_test.go
+++ b/coordination/planner/fuzz_test.go
@@ -19,6 +19,7 @@
 	f.Add([]byte(`{"ID":"j","Times":1000000000,"Steps":[{"Tasks":1}]}`), []byte(`{"Occurrence":999999999}`))
 	f.Add([]byte(`{"ID":"j","Steps":[{"Tasks":1}]}`), []byte(`{"Occurrence":-1,"State":"odd","Steps":[{"Tasks":[{"Active":[{"Number":-1}]},{}]},{}]}`))
 	f.Add([]byte(`{"ID":"j","Times":3,"Steps":[{"Tasks":1000000}]}`), []byte(`{"Steps":[{"Tasks":[{"LastRun":9223372036854775807}]}]}`))
+	f.Add([]byte(`{"ID":"j","Steps":[{"Tasks":1}]}`), []byte(`{"State":"failed","Steps":[{"Tasks":[{"Crashes":[{"AtStart":true},{"Born":-1,"AfterMillis":-9223372036854775808,"AtStart":true}]}]}]}`))
 	f.Fuzz(func(t *testing.T, jobRow, progressRow []byte) {
 		j, err := job.Decode(jobRow)
 		if err != nil {
@@ -48,6 +49,10 @@
 		{Listed: true, Look: 9, Worker: &agentrpc.Worker{Life: &agentrpc.Life{Worker: "t00-1", Born: 1}, Pool: testPool, Accelerators: 8}, Running: []*agentrpc.RunStatus{
 			{Task: "j1.0.0.0", Run: 1, Percent: -5}, {Task: "j1.0.0.0", Run: 1}, {Task: "x", Run: -1}, {},
 		}, Ended: []*agentrpc.RunEnd{{Number: -1, Task: "j1.0.0.1", Run: 1, How: "odd"}, {}}},
+		{Listed: true, Worker: &agentrpc.Worker{Life: &agentrpc.Life{Worker: "t00-2", Born: 2}, Pool: testPool, Accelerators: 8}, Crashes: []*agentrpc.Crash{
+			{Life: &agentrpc.Life{Worker: "t00-1", Born: 1}, AgoMillis: -1 << 62, Runs: []*agentrpc.CrashedRun{{Task: "j1.0.0.0", Run: 1, AgeMillis: -1, Confirmed: true}, {Task: "j1.0.0.9"}, {Task: "x"}, {}}},
+			{Life: &agentrpc.Life{Worker: "t00-0"}, Runs: []*agentrpc.CrashedRun{{Task: "j1.0.0.0", Run: 1, Confirmed: true}, {Task: "j1.0.0.0", Run: 1}}}, {},
+		}},
 	} {
 		b, err := proto.Marshal(r)
 		if err != nil {
