Say in handleEnd when the end that completes an occurrence is recorded

Cause: read as a newcomer would, the comment named what another function does.

Result: no statement changes but for one that is split; the tests of the planner pass.

--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -36,8 +36,9 @@
 	p.recordRunEnd(t, r, e.GetHow(), now)
 	o := r.task.step.occ
 	p.detachRun(r)
-	if t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{e.GetNumber(), o}); e.GetHow() == endDone && !o.job.job.AtMostOnce {
-		// The end that completes the occurrence is recorded at once.
+	t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{e.GetNumber(), o})
+	if e.GetHow() == endDone && !o.job.job.AtMostOnce {
+		// If this end completes the occurrence, handleDone marks the row to be written at once.
 		p.markDirtyBy(o, now.Add(endRecordDelay))
 	} else {
 		p.markDirty(o)
--- a/coordination/planner/fuzz_test.go
+++ b/coordination/planner/fuzz_test.go
@@ -51,7 +51,8 @@
 		}, Ended: []*agentrpc.RunEnd{{Number: -1, Task: "j1.0.0.1", Run: 1, How: "odd"}, {}}},
 		{Listed: true, Worker: &agentrpc.Worker{Life: &agentrpc.Life{Worker: "t00-2", Born: 2}, Pool: testPool, Accelerators: 8}, Crashes: []*agentrpc.Crash{
 			{Life: &agentrpc.Life{Worker: "t00-1", Born: 1}, AgoMillis: -1 << 62, Runs: []*agentrpc.CrashedRun{{Task: "j1.0.0.0", Run: 1, AgeMillis: -1, Confirmed: true}, {Task: "j1.0.0.9"}, {Task: "x"}, {}}},
-			{Life: &agentrpc.Life{Worker: "t00-0"}, Runs: []*agentrpc.CrashedRun{{Task: "j1.0.0.0", Run: 1, Confirmed: true}, {Task: "j1.0.0.0", Run: 1}}}, {},
+			{Life: &agentrpc.Life{Worker: "t00-0"}, Runs: []*agentrpc.CrashedRun{{Task: "j1.0.0.0", Run: 1, Confirmed: true}, {Task: "j1.0.0.0", Run: 1}}},
+			{},
 		}},
 	} {
 		b, err := proto.Marshal(r)
