Know a worker that starts again with an earlier time of day

Callers would lose a worker for good: if the time of day of its machine jumps back and the worker starts again, its start time is lower than that of the incarnation before, and all its heartbeats are taken for late ones of a former incarnation.

Cause: the order of incarnations is that of their start times alone.

Change: a heartbeat with an earlier start time is accepted if the last answer to a call for the known incarnation was that of another one. As long as the known one answers, or nobody does, late heartbeats are ignored as before.

Result: TestWorkerThatStartsAgainWithEarlierTime fails before; TestOldHeartbeatsAreIgnored passes.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -99,6 +99,7 @@
 	runStarts    map[runKey]time.Time
 	failingSince time.Time // when the first hold since the last answer failed; zero if none has
 	notListening bool      // the worker's address has had no listener since the last answer
+	otherAnswers bool      // the last answer to a hold was that of another incarnation
 	// crashedRuns is what the worker may have run, as of when notListening was set.
 	crashedRuns []*agentrpc.CrashedRun
 }
@@ -122,13 +123,14 @@
 
 // RecordHeartbeat records a heartbeat of the worker. It ignores a heartbeat that is
 // not newer than the recorded one and returns false: heartbeats can arrive late, even
-// after the worker has been restarted.
+// after the worker has been restarted. An incarnation with an earlier start time is newer if
+// the worker's last answer was not that of the known one: the time of day may have jumped.
 func (a *Agent) RecordHeartbeat(heartbeat WorkerHeartbeat) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old := a.heartbeat
 	if old.Incarnation != nil {
-		if heartbeat.Incarnation.GetBorn() < old.Incarnation.GetBorn() {
+		if heartbeat.Incarnation.GetBorn() < old.Incarnation.GetBorn() && !a.state.otherAnswers {
 			return false
 		}
 		if agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) && heartbeat.Sequence <= old.Sequence {
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -29,6 +29,7 @@
 	mu           sync.Mutex
 	unresponsive bool
 	notListening bool // calls are not sent
+	other        bool // another incarnation answers
 	born         int64
 	ended        []*agentrpc.RunEnd
 	running      []*agentrpc.RunStatus
@@ -60,6 +61,10 @@
 		defer w.mu.Unlock()
 		return agent.HoldReply{}, errNotListening
 	}
+	if w.other {
+		defer w.mu.Unlock()
+		return agent.HoldReply{}, agent.ErrOtherIncarnation
+	}
 	ended := make([]*agentrpc.RunEnd, 0, len(w.ended))
 	for _, e := range w.ended {
 		if e.GetNumber() > r.RecordedEnd {
@@ -316,6 +321,22 @@
 	}
 }
 
+// Guards against a worker that is ignored for ever, because the time of day of its machine had
+// jumped back before it started again.
+func TestWorkerThatStartsAgainWithEarlierTime(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 60_000})
+		time.Sleep(2 * time.Second)
+		next := agent.WorkerHeartbeat{Incarnation: &agentrpc.Life{Worker: "w-2", Born: 6}, Clock: 1, Sequence: 1}
+		r.c.Assert(r.agent.RecordHeartbeat(next), qt.IsFalse, qt.Commentf("a late heartbeat, as long as the known incarnation answers"))
+		r.worker.withLock(func(w *fakeWorker) { w.other = true })
+		time.Sleep(2 * time.Second)
+		next.Sequence++
+		r.c.Check(r.agent.RecordHeartbeat(next), qt.IsTrue)
+		r.c.Check(r.watch(&agentrpc.WatchRequest{}).GetWorker().GetLife().GetWorker(), qt.Equals, "w-2")
+	})
+}
+
 // Guards against a planner that keeps waiting for a worker that has deregistered and ended,
 // and against one that takes a worker for gone which only does not answer for a while: its
 // runs would be started elsewhere while they go on.
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -116,6 +116,7 @@
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
 		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
+		a.state.otherAnswers = a.state.otherAnswers || errors.Is(err, ErrOtherIncarnation)
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) || a.leasesLapsedLocked()) {
 			a.gone = true
 			a.log.Info().Int("Event", EventWorkerGone).Str("Worker", inc.GetWorker()).Err(err).Msg("deregistered worker no longer answers")
@@ -126,11 +127,11 @@
 	if reply.Born != 0 && reply.Born != inc.GetBorn() {
 		// The worker has been restarted under the same ID. Its next heartbeat
 		// registers the new incarnation.
-		a.state.holdFailed = true
+		a.state.holdFailed, a.state.otherAnswers = true, true
 		a.recordFailedHoldLocked(false)
 		return false
 	}
-	a.state.failingSince, a.state.notListening, a.state.crashedRuns = time.Time{}, false, nil
+	a.state.failingSince, a.state.notListening, a.state.otherAnswers, a.state.crashedRuns = time.Time{}, false, false, nil
 	a.state.clock = max(a.state.clock, reply.Clock)
 	if seq < a.state.answeredHoldSeq {
 		// The lists may be older than those of the later hold that was answered before.
