Know the runs that a list shows before handling the ends in it

Callers' tasks could run twice at the same time.

A new planner's first list of a worker had the failed end of one member of a gang, and the other two as running. The planner handles ends before it looks at what runs; the failure stopped the other members, which counted as never started, because this planner had not ordered them and no earlier list had shown them. So they were removed, and the gang started again 130 ms before they ended.

Change: what a list shows as running is confirmed before its ends are handled.

Ruled out: looking at what runs first altogether; a run that is over would count as stopped before it started, and its end would be lost.

Result: TestFirstListWithFailedMember fails before (2 starts, 1 wanted).

--- a/coordination/planner/stop_test.go
+++ b/coordination/planner/stop_test.go
@@ -75,3 +75,28 @@
 	h.advance(time.Second)
 	qt.Assert(t, h.stateOf("j1"), qt.Equals, job.Completed)
 }
+
+// Guards against a member of a gang that runs twice at the same time: the first list that a new
+// planner gets shows it as running, together with the failed end of another member.
+func TestFirstListWithFailedMember(t *testing.T) {
+	h := newHarness(t, 2)
+	j := newJob("j", "urgent", job.Step{Tasks: 3, Accelerators: 2, Gang: true})
+	h.addJob(j)
+	h.advance(100 * time.Millisecond)
+	w := h.workers[h.targetOf("j.0.0.1")]
+	qt.Assert(t, w.running, qt.HasLen, 3)
+	w.endRun("j.0.0.0", endFailed)
+	h.takeOver(j)
+	qt.Assert(t, w.running, qt.HasLen, 2)
+	w.dropsOrders = true // The stops have not arrived yet.
+	for range 3 {
+		h.runPass()
+		h.advance(100 * time.Millisecond)
+	}
+	qt.Check(t, h.startsOf("j.0.0.1"), qt.Equals, 1)
+	w.dropsOrders = false
+	for range 20 {
+		h.advance(200 * time.Millisecond)
+	}
+	qt.Check(t, h.startsOf("j.0.0.1"), qt.Equals, 2)
+}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -154,6 +154,9 @@
 	}
 	newPoll := in.GetLook() != t.poll
 	t.poll = in.GetLook()
+	// The end of one member of a gang stops the others, and a run that is not known to run may
+	// count as never started then.
+	p.confirmListed(t, in.GetRunning(), now)
 	for _, e := range in.GetEnded() {
 		if e.GetNumber() > t.lastEnd {
 			p.handleEnd(t, e, now)
@@ -279,6 +282,18 @@
 	p.usageByWorkspace, p.needsPass = nil, true
 }
 
+// confirmListed confirms the runs that the worker of a target lists as running.
+func (p *Planner) confirmListed(t *target, running []*agentrpc.RunStatus, now time.Time) {
+	current := t.incarnation()
+	for r := range t.runs {
+		if r.confirmedAt.IsZero() && r.incarnation == current && slices.ContainsFunc(running, func(s *agentrpc.RunStatus) bool {
+			return s.GetTask() == r.task.name && int(s.GetRun()) == r.number
+		}) {
+			p.confirm(r, now)
+		}
+	}
+}
+
 // reconcile compares the runs on a target with those that its worker lists as running.
 // newPoll is set unless the list is from the same poll as the last one.
 func (p *Planner) reconcile(t *target, running []*agentrpc.RunStatus, newPoll bool, now time.Time) {
