Add the settings that switch new policies on

Cause: each new part is off unless a deployment's settings ask for it. Change: TargetSettings.Policy and EntrySettings.Policy with one flag for each part; no part reads them yet.

--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -28,7 +28,19 @@
 // Policy selects between scheduling policies. The zero value is the default policy.
 type Policy struct {
 	// NoHeadroom lets work that is not urgent use all accelerators.
-	NoHeadroom bool
+	NoHeadroom bool `json:",omitempty"`
+	// LearnSpeeds learns how fast each worker is, and uses it for predictions and placement.
+	LearnSpeeds bool `json:",omitempty"`
+	// FairShares orders the units of a priority by the use of their workspaces.
+	FairShares bool `json:",omitempty"`
+	// AdaptiveRoom keeps as much capacity free for urgent work as recently arrived.
+	AdaptiveRoom bool `json:",omitempty"`
+	// Backfill reserves capacity for units that have waited long.
+	Backfill bool `json:",omitempty"`
+	// PublishLoad writes a summary of the queues for the entries.
+	PublishLoad bool `json:",omitempty"`
+	// Interference keeps tasks apart that slow each other down.
+	Interference bool `json:",omitempty"`
 }
 
 // Planner schedules the jobs of one shard. It is not safe for concurrent use.
--- a/process/settings.go
+++ b/process/settings.go
@@ -62,43 +62,52 @@
 	}
 }
 
-func (b Bounds) plannerSettings() planner.Settings {
+func (b Bounds) plannerSettings(policy planner.Policy) planner.Settings {
 	return planner.Settings{
-		StopTime: time.Duration(b.StopTime), GangWait: time.Duration(b.GangWait), FarFactor: b.FarFactor,
+		Policy: policy, StopTime: time.Duration(b.StopTime), GangWait: time.Duration(b.GangWait), FarFactor: b.FarFactor,
 		RestoreTime: time.Duration(b.Restore), Retention: time.Duration(b.Retention),
 	}
 }
 
 // EntrySettings are the settings of an entry process.
 type EntrySettings struct {
-	Name            string   `long:"name" description:"name of the entry, unique among all processes"`
-	DataCentre      string   `long:"data-centre" description:"data centre of the entry's VM"`
-	CallerAddress   string   `long:"caller-address" description:"IP:port to serve the callers' API"`
-	RouteAddress    string   `long:"route-address" description:"IP:port to serve calls that the platform forwards by host and path; none if missing"`
-	ReadyAddress    string   `long:"ready-address" description:"IP:port to serve the platform's readiness check; none if missing"`
-	OperatorAddress string   `long:"operator-address" description:"IP:port to serve operators"`
-	Platform        string   `long:"platform" description:"URL of the platform's store"`
-	Config          string   `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
-	DrainTime       Duration `long:"drain-time" description:"how long a shutdown waits for requests in progress; 1m if missing"`
-	LogLevel        string   `long:"log-level" description:"debug, info, warn or error; info if missing"`
-	LogLines        int      `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
-	Bounds          Bounds   `no-flag:"true"`
+	Name            string      `long:"name" description:"name of the entry, unique among all processes"`
+	DataCentre      string      `long:"data-centre" description:"data centre of the entry's VM"`
+	CallerAddress   string      `long:"caller-address" description:"IP:port to serve the callers' API"`
+	RouteAddress    string      `long:"route-address" description:"IP:port to serve calls that the platform forwards by host and path; none if missing"`
+	ReadyAddress    string      `long:"ready-address" description:"IP:port to serve the platform's readiness check; none if missing"`
+	OperatorAddress string      `long:"operator-address" description:"IP:port to serve operators"`
+	Platform        string      `long:"platform" description:"URL of the platform's store"`
+	Config          string      `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
+	DrainTime       Duration    `long:"drain-time" description:"how long a shutdown waits for requests in progress; 1m if missing"`
+	LogLevel        string      `long:"log-level" description:"debug, info, warn or error; info if missing"`
+	LogLines        int         `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
+	Bounds          Bounds      `no-flag:"true"`
+	Policy          EntryPolicy `no-flag:"true"`
+}
+
+// EntryPolicy selects between policies of an entry. The zero value is the default policy.
+type EntryPolicy struct {
+	// Admission refuses submissions that certainly can't be served in time, by what the
+	// planner publishes of its queues.
+	Admission bool `json:",omitempty"`
 }
 
 // TargetSettings are the settings of a target process.
 type TargetSettings struct {
-	Name            string `long:"name" description:"name of the target, unique among all processes"`
-	DataCentre      string `long:"data-centre" description:"data centre of the target's VM"`
-	Address         string `long:"address" description:"IP:port to serve planners"`
-	ReachedAt       string `long:"reached-at" description:"IP:port at which planners reach the target, if different from its address"`
-	ReportAddress   string `long:"report-address" description:"IP:port to which the worker sends its heartbeats"`
-	OperatorAddress string `long:"operator-address" description:"IP:port to serve operators"`
-	Worker          string `long:"worker" description:"URL of the worker's interface"`
-	Platform        string `long:"platform" description:"URL of the platform's store"`
-	Config          string `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
-	LogLevel        string `long:"log-level" description:"debug, info, warn or error; info if missing"`
-	LogLines        int    `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
-	Bounds          Bounds `no-flag:"true"`
+	Name            string         `long:"name" description:"name of the target, unique among all processes"`
+	DataCentre      string         `long:"data-centre" description:"data centre of the target's VM"`
+	Address         string         `long:"address" description:"IP:port to serve planners"`
+	ReachedAt       string         `long:"reached-at" description:"IP:port at which planners reach the target, if different from its address"`
+	ReportAddress   string         `long:"report-address" description:"IP:port to which the worker sends its heartbeats"`
+	OperatorAddress string         `long:"operator-address" description:"IP:port to serve operators"`
+	Worker          string         `long:"worker" description:"URL of the worker's interface"`
+	Platform        string         `long:"platform" description:"URL of the platform's store"`
+	Config          string         `long:"config" description:"source of the configuration: applied or platform; applied if missing"`
+	LogLevel        string         `long:"log-level" description:"debug, info, warn or error; info if missing"`
+	LogLines        int            `long:"log-lines" description:"maximum number of log lines per second, not counting events that end a request; warnings and errors have a separate limit of the same size; 600 if missing"`
+	Bounds          Bounds         `no-flag:"true"`
+	Policy          planner.Policy `no-flag:"true"`
 }
 
 // defaultLogLinesPerSecond is enough for a planner at the size that the design is for,
--- a/process/target.go
+++ b/process/target.go
@@ -54,7 +54,7 @@
 		func(s table.Store, c *table.Clock, agents *agent.Clients, a *coordagent.Agent, m *metrics.Set, log zerolog.Logger) *shard.Candidate {
 			return shard.NewCandidate(shard.Settings{
 				Part: ShardPart, Name: settings.Name, Address: cmp.Or(settings.ReachedAt, settings.Address), LeaseMax: time.Duration(settings.Bounds.LeaseMax),
-				Planner: settings.Bounds.plannerSettings(),
+				Planner: settings.Bounds.plannerSettings(settings.Policy),
 			}, shard.Deps{
 				Store: s, Clock: c, Agents: agents, Agent: a, Log: log, Metrics: m,
 				NewConfig: func() (*configuration.Holder, func(context.Context)) {
