Compare policies of the planner with one command

Cause: the experiment could only be used from tests, so that operators could not see what a policy changes for their own load. The drawing stays out of the daemons' program. Ruled out: a page from the command itself, since the drawing library adds to the memory of each daemon.

--- a/cmd/medlargrade-report/main.go
+++ b/cmd/medlargrade-report/main.go
@@ -7,11 +7,14 @@
 // # Usage
 //
 //	medlargrade-report --log entry.log --log target.log --out report.html
+//	medlargrade experiment LOAD.json --json > comparison.json
+//	medlargrade-report --experiment comparison.json --out comparison.html
 //
 // Exit codes: 0 success, 1 failure, 2 invalid flags or unreadable logs.
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -22,6 +25,8 @@
 
 	"github.com/medlargrade/medlargrade/eventlog"
 	"github.com/medlargrade/medlargrade/eventlog/dayreport"
+	"github.com/medlargrade/medlargrade/experiment"
+	"github.com/medlargrade/medlargrade/experiment/comparisonpage"
 )
 
 // Exit codes.
@@ -31,8 +36,9 @@
 )
 
 type options struct {
-	Logs []string `long:"log" description:"file with the log lines of one or more processes, in any order; may be given several times; standard input if missing"`
-	Out  string   `long:"out" description:"file to write the page to" default:"report.html"`
+	Logs       []string `long:"log" description:"file with the log lines of one or more processes, in any order; may be given several times; standard input if missing"`
+	Experiment string   `long:"experiment" description:"file with the JSON output of medlargrade experiment, to draw that instead of logs"`
+	Out        string   `long:"out" description:"file to write the page to" default:"report.html"`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stderr)) }
@@ -50,6 +56,9 @@
 	case len(rest) > 0:
 		return fail(stderr, exitInvalid, fmt.Errorf("unexpected argument %q", rest[0]))
 	}
+	if opts.Experiment != "" {
+		return drawExperiment(opts, stderr)
+	}
 	lines, err := eventlog.ReadFiles(opts.Logs, stdin)
 	if err != nil {
 		return fail(stderr, exitInvalid, err)
@@ -57,19 +66,41 @@
 	if len(lines) == 0 {
 		return fail(stderr, exitInvalid, errors.New("the logs have no events"))
 	}
-	if err := write(opts.Out, dayreport.New(lines)); err != nil {
+	if err := write(opts.Out, dayreport.New(lines).WriteHTML); err != nil {
+		return fail(stderr, exitFailed, err)
+	}
+	return 0
+}
+
+// drawExperiment draws the output of medlargrade experiment.
+func drawExperiment(opts options, stderr io.Writer) int {
+	if len(opts.Logs) > 0 {
+		return fail(stderr, exitInvalid, errors.New("--experiment and --log exclude each other"))
+	}
+	text, err := os.ReadFile(opts.Experiment)
+	if err != nil {
+		return fail(stderr, exitInvalid, fmt.Errorf("read experiment: %w", err))
+	}
+	var c experiment.Comparison
+	if err := json.Unmarshal(text, &c); err != nil {
+		return fail(stderr, exitInvalid, fmt.Errorf("experiment %s: %w", opts.Experiment, err))
+	}
+	if len(c.Policies) == 0 {
+		return fail(stderr, exitInvalid, fmt.Errorf("experiment %s: no policies", opts.Experiment))
+	}
+	if err := write(opts.Out, func(w io.Writer) error { return comparisonpage.Write(w, c) }); err != nil {
 		return fail(stderr, exitFailed, err)
 	}
 	return 0
 }
 
 // write writes the page to a file, which it leaves as it was if the page can't be drawn.
-func write(path string, r *dayreport.Report) error {
+func write(path string, page func(io.Writer) error) error {
 	f, err := os.CreateTemp(filepath.Dir(path), ".report-*")
 	if err != nil {
 		return fmt.Errorf("create page: %w", err)
 	}
-	err = errors.Join(r.WriteHTML(f), f.Chmod(0o644), f.Close())
+	err = errors.Join(page(f), f.Chmod(0o644), f.Close())
 	if err == nil {
 		err = os.Rename(f.Name(), path)
 	}
--- a/cmd/medlargrade/commands.go
+++ b/cmd/medlargrade/commands.go
@@ -42,6 +42,7 @@
 		{"status", "Show targets, guarantees and jobs", "Shows the site as recorded in the store, as tables or as JSON. It changes nothing.", &statusCommand{}},
 		{"dump", "Dump the state of a process", "Prints the whole state of an entry or target process as JSON.", &dumpCommand{}},
 		{"explain", "Tell what happened to a job", "Reads log lines of any number of processes and prints those about one job in order of time, with the gaps between them.", &explainCommand{}},
+		{"experiment", "Play a load against the planner", "Plays the jobs of a load against the planner in simulated time, under one or more policies, and prints what callers get.", &experimentCommand{}},
 		{"standin", "Run a stand-in for the platform", "Serves the platform's store and any number of workers from memory, for tests and demonstrations.", &standinCommand{}},
 	}
 }
--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -8,6 +8,7 @@
 //	medlargrade submit|job|cancel|list           act as a caller
 //	medlargrade status|dump                      show the state of the site or of a process
 //	medlargrade explain ID --log FILE            tell what happened to a job
+//	medlargrade experiment LOAD.json             play a load against the planner in simulated time
 //	medlargrade standin                          run a stand-in for the platform and its workers
 //
 // Exit codes: 0 success, 1 failure, 2 invalid input or settings, 3 a conflict
