--- a/cmd/medlargrade/pages_test.go
+++ b/cmd/medlargrade/pages_test.go
@@ -266,10 +266,20 @@
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, string(b), qt.Contains, "cut-check")
 		}},
+		{"echo", func(*testing.T, string) {}},
+		{"echo", func(*testing.T, string) {}},
+		{"medlargrade experiment", contains("5 runs of each policy, seeds from 1", "default", "other", "cut-check", "largest tenth")},
+		{"medlargrade experiment", func(*testing.T, string) {}},
+		{"medlargrade-report", func(t *testing.T, _ string) {
+			b, err := os.ReadFile(filepath.Join(tr.dir, "comparison.html"))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(b), qt.Contains, "5 runs of each policy")
+		}},
 	}
 	placeholders := strings.NewReplacer(
 		"--platform URL", "--platform "+tr.url("8400"), "--process URL", "--process "+tr.url("8091"),
 		"explain ID", "explain "+job, "--expect 41", "--expect 1", "--at 40", "--at 1",
+		"experiment load.json", "experiment "+filepath.Join(repoRoot(t), "examples/quillfold/load.json"),
 		"go run ./site > site.json", "cd "+repoRoot(t)+" && go run ./examples/quillfold > "+tr.dir+"/site.json",
 	)
 	for _, block := range codeBlocks(page) {
--- a/experiment/comparison_test.go
+++ b/experiment/comparison_test.go
@@ -1,52 +1,58 @@
 package experiment_test
 
 import (
-	"context"
+	"os"
+	"slices"
+	"strconv"
 	"testing"
 
-	qt "github.com/frankban/quicktest"
-
 	"github.com/medlargrade/medlargrade/coordination/planner"
 	"github.com/medlargrade/medlargrade/experiment"
 )
 
-// Guards against a comparison whose policies are played with different jobs, or whose groups
-// lose or repeat jobs.
-func TestCompare(t *testing.T) {
-	l := readLoad(t, loads[0])
-	policies := []experiment.NamedPolicy{{Name: "default"}, {Name: "no headroom", Policy: planner.Policy{NoHeadroom: true}}, {Name: "default again"}}
-	last := 0
-	c, err := experiment.Compare(t.Context(), l, policies, 7, 4, func(done, total int) {
-		qt.Check(t, done, qt.Equals, last+1)
-		qt.Check(t, total, qt.Equals, 12)
-		last = done
-	})
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, last, qt.Equals, 12)
-	again := c.Policies[2]
-	again.Name = "default"
-	qt.Check(t, again, qt.DeepEquals, c.Policies[0])
-	qt.Check(t, c.Policies[1].Stops == c.Policies[0].Stops, qt.IsFalse)
-	jobs := func(groups []experiment.Group) int {
-		n := 0
-		for _, g := range groups {
-			n += g.Jobs
-			qt.Check(t, g.OnTime+g.Late+g.Unearned, qt.Equals, g.Jobs)
-		}
-		return n
+// overload is the factor of the rate of submissions in the busy variant of a load.
+const overload = 1.6
+
+// variants returns variants of a load: unchanged, with a higher rate of submissions,
+// and with faults of workers.
+func variants(l experiment.Load) map[string]experiment.Load {
+	variant := func(list ...experiment.Trouble) experiment.Load {
+		x := l
+		x.Troubles = list
+		return x
+	}
+	busy := l
+	busy.Kinds = slices.Clone(l.Kinds)
+	for i := range busy.Kinds {
+		busy.Kinds[i].PerSecond *= overload
 	}
-	for _, p := range c.Policies {
-		qt.Check(t, jobs(p.Kinds) > 0, qt.IsTrue)
-		qt.Check(t, jobs(p.Sizes), qt.Equals, jobs(p.Kinds))
-		qt.Check(t, jobs(p.Workspaces), qt.Equals, jobs(p.Kinds))
-		qt.Check(t, jobs(p.Kinds), qt.Equals, jobs(c.Policies[0].Kinds))
+	return map[string]experiment.Load{
+		"calm": l, "busy": busy,
+		"fail": variant(experiment.Trouble{What: experiment.TroubleFail, AtSeconds: 8, ForSeconds: 8, Workers: 1}),
+		"slow": variant(experiment.Trouble{What: experiment.TroubleSlow, AtSeconds: 8, ForSeconds: 8, Workers: 2, Factor: 6.5}),
+		"hang": variant(experiment.Trouble{What: experiment.TroubleHang, AtSeconds: 8, ForSeconds: 6, Workers: 1}),
+		"crash": variant(experiment.Trouble{What: experiment.TroubleCrash, AtSeconds: 8, ForSeconds: 4, Workers: 2},
+			experiment.Trouble{What: experiment.TroubleDrain, AtSeconds: 14, ForSeconds: 6, Workers: 2}),
 	}
 }
 
-// Guards against a comparison that goes on after it has been cancelled.
-func TestCompareCancelled(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	_, err := experiment.Compare(ctx, readLoad(t, loads[0]), []experiment.NamedPolicy{{Name: "default"}}, 1, 100, nil)
-	qt.Assert(t, err, qt.ErrorIs, context.Canceled)
+// TestComparison logs the results of the loads. EXPERIMENT_SEEDS is the number of runs
+// of each variant. Headroom is disabled if NO_HEADROOM is not empty.
+func TestComparison(t *testing.T) {
+	n, err := strconv.ParseUint(os.Getenv("EXPERIMENT_SEEDS"), 10, 32)
+	if err != nil {
+		t.Skip("EXPERIMENT_SEEDS is not set")
+	}
+	for _, name := range slices.Concat(loads, grown, large) {
+		for variant, l := range variants(readLoad(t, name)) {
+			t.Run(name+"/"+variant, func(t *testing.T) {
+				t.Parallel()
+				var sum experiment.Summary
+				for seed := range n {
+					sum.Add(experiment.Run(l, experiment.Options{Seed: seed, Policy: planner.Policy{NoHeadroom: os.Getenv("NO_HEADROOM") != ""}}))
+				}
+				t.Logf("%s %s %s", name, variant, sum.String())
+			})
+		}
+	}
 }
