Start nothing in an evacuated data centre

Cause: an operator has no means to stop new starts in a data centre that is about to be shut down.

The planner treats evacuated targets as not eligible, drops claims on them, sends and repeats no start there, and stops starts without a confirmation. With Bounds.Evacuation set, nothing is started anywhere while the copy of the rows is older than half of the bound, and the planner's watch of the rows waits at most a tenth of it.

Ruled out: stopping active runs (the request concerns starts), and telling the agents (the planner checks again when it sends an order).

--- a/coordination/configuration/apply.go
+++ b/coordination/configuration/apply.go
@@ -25,6 +25,9 @@
 	Table = "Config"
 	// CurrentKey is the key of the accepted configuration.
 	CurrentKey = "Current"
+	// EvacuationPrefix and the name of a data centre form the key in Table of the request to
+	// start nothing more in that data centre.
+	EvacuationPrefix = "Evacuation/"
 
 	// maxCommitAttempts bounds the attempts to commit a change whose answer was lost.
 	// The backoff between them is 7 s in total. With the timeouts of the calls, 1.2 s
--- a/coordination/configuration/events.go
+++ b/coordination/configuration/events.go
@@ -9,4 +9,8 @@
 	// EventStale occurs when calls are refused because the configuration may be out of
 	// date and can't be read.
 	EventStale = 632
+	// EventEvacuated occurs when a process learns of a request to evacuate a data centre.
+	EventEvacuated = 633
+	// EventEvacuationWithdrawn occurs when a process learns that such a request is withdrawn.
+	EventEvacuationWithdrawn = 634
 )
--- a/coordination/configuration/holder_test.go
+++ b/coordination/configuration/holder_test.go
@@ -52,3 +52,41 @@
 		})
 	}
 }
+
+// Guards against an evacuation that is lost with a new configuration, that begins before a
+// configuration is known, or that outlives its row.
+func TestHolderFollowsEvacuations(t *testing.T) {
+	decode := func(value []byte) (uint64, operator.Config, error) {
+		return uint64(value[0]), operator.NewConfig(operator.NewSite("")), nil
+	}
+	h := configuration.NewHolder("c", decode, zerolog.Nop()).WithEvacuations("e/")
+	config := func(version byte) table.Row { return table.Row{Key: "c", Value: []byte{version}, Version: uint64(version)} }
+	evacuated := table.Row{Key: "e/dc1", Version: 2}
+	withdrawn := table.Row{Key: "e/dc1", Version: 5, Deleted: true}
+	h.Reset([]table.Row{evacuated})
+	qt.Assert(t, h.Snapshot(), qt.IsNil)
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"configuration", func() { h.Apply([]table.Row{config(3)}) }, true},
+		{"newer configuration", func() { h.Apply([]table.Row{config(4)}) }, true},
+		{"withdrawn", func() { h.Apply([]table.Row{withdrawn}) }, false},
+		{"older row", func() { h.Apply([]table.Row{evacuated}) }, false},
+		{"full read with the row", func() { h.Reset([]table.Row{config(4), {Key: "e/dc1", Version: 7}}) }, true},
+		{"full read without it", func() { h.Reset([]table.Row{config(4)}) }, false},
+	}
+	for _, s := range steps {
+		changed := h.Changed()
+		before := h.Snapshot()
+		s.do()
+		qt.Assert(t, h.Snapshot().Evacuations().Contains("dc1"), qt.Equals, s.want, qt.Commentf("%s", s.name))
+		select {
+		case <-changed:
+			qt.Assert(t, h.Snapshot(), qt.Not(qt.Equals), before, qt.Commentf("%s", s.name))
+		default:
+			qt.Assert(t, h.Snapshot(), qt.Equals, before, qt.Commentf("%s", s.name))
+		}
+	}
+}
--- a/coordination/configuration/snapshot.go
+++ b/coordination/configuration/snapshot.go
@@ -5,10 +5,13 @@
 	"slices"
 	"strings"
 
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
 	"github.com/medlargrade/medlargrade/operator"
 )
 
-// Snapshot is one version of the configuration. It is immutable.
+// Snapshot is one version of the configuration, with the data centres that are evacuated. It is
+// immutable. Several snapshots of one version can follow each other, because evacuations have no
+// version.
 type Snapshot struct {
 	Version uint64
 	Config  operator.Config
@@ -18,6 +21,7 @@
 	workspaces     map[string]operator.Workspace
 	workspaceByKey map[string]string // workspace names by API key
 	pools          map[string]operator.Pool
+	evacuations    evacuation.Set
 }
 
 // NewSnapshot returns the snapshot of a configuration.
@@ -50,6 +54,16 @@
 	return s
 }
 
+// WithEvacuations returns a copy of the snapshot with other evacuated data centres.
+func (s *Snapshot) WithEvacuations(e evacuation.Set) *Snapshot {
+	c := *s
+	c.evacuations = e
+	return &c
+}
+
+// Evacuations returns the evacuated data centres.
+func (s *Snapshot) Evacuations() evacuation.Set { return s.evacuations }
+
 func kindKey(workspace, name string) string { return workspace + "/" + name }
 
 // Kind returns the kind with the given name that a workspace may use: its own, or
--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -56,7 +56,7 @@
 	if s == nil {
 		var targets []*target
 		for _, t := range p.sortedTargets {
-			if t.acceptsWork(now) && q.isMetBy(t) {
+			if t.acceptsWork(now) && p.mayStartOn(t) && q.isMetBy(t) {
 				targets = append(targets, t)
 			}
 		}
@@ -85,7 +85,7 @@
 // now or after a pause.
 func (p *Planner) hasAlternative(u unit) bool {
 	for _, t := range p.sortedTargets {
-		if t.connected && t.runsKnown && !t.worker.GetDraining() && p.meetsRequirement(t, u) && t.capacity.holds(u.resources) && !u.avoids(t) {
+		if t.connected && t.runsKnown && !t.worker.GetDraining() && !p.isEvacuated(t) && p.meetsRequirement(t, u) && t.capacity.holds(u.resources) && !u.avoids(t) {
 			return true
 		}
 	}
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, t := range c.targets {
-		if !t.acceptsWork(now) || !p.meetsRequirement(t, c.unit) {
+		if !t.acceptsWork(now) || !p.mayStartOn(t) || !p.meetsRequirement(t, c.unit) {
 			return false
 		}
 	}
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -9,6 +9,8 @@
 // State is a dump of the state of a planner.
 type State struct {
 	ConfigVersion uint64
+	Evacuated     []string   // data centres
+	Withheld      bool       `json:",omitempty"` // nothing is started, because Evacuated may be out of date
 	Jobs          []JobState // occurrences that are not final or still have runs
 	Ended         int        // number of other occurrences that are still kept
 	Targets       []TargetState
@@ -44,6 +46,7 @@
 	Worker       string
 	Pool         string
 	Rack         string
+	DataCentre   string
 	Connected    bool
 	Listed       bool // the runs of the worker's current incarnation are known
 	Draining     bool
@@ -68,7 +71,10 @@
 func (p *Planner) State(now time.Time) State {
 	var st State
 	if p.config != nil {
-		st.ConfigVersion = p.config.Version
+		st.ConfigVersion, st.Withheld = p.config.Version, p.startsWithheld()
+		for _, r := range p.centres.view.Set().Requests() {
+			st.Evacuated = append(st.Evacuated, r.DataCentre)
+		}
 	}
 	for _, js := range p.jobs {
 		for _, o := range js.occurrences {
@@ -84,7 +90,7 @@
 	})
 	for _, t := range p.sortedTargets {
 		st.Targets = append(st.Targets, TargetState{
-			Name: t.name, Worker: t.worker.GetLife().GetWorker(), Pool: t.worker.GetPool(), Rack: t.worker.GetRack(),
+			Name: t.name, Worker: t.worker.GetLife().GetWorker(), Pool: t.worker.GetPool(), Rack: t.worker.GetRack(), DataCentre: t.worker.GetDataCentre(),
 			Connected: t.connected, Listed: t.runsKnown, Draining: t.worker.GetDraining(), Suspect: t.health.isPaused(now),
 			Runs: len(t.runs), CPU: t.used.cpu, MemoryMB: t.used.memory, Accelerators: t.used.accelerators, Foreign: len(t.foreign),
 		})
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -40,6 +40,15 @@
 	EventRunCrashed = 566
 	// EventJobGivenUp occurs when a job ends because workers crash that run a task of it.
 	EventJobGivenUp = 567
+	// EventDataCentreEvacuated occurs when the planner starts nothing more in a data centre.
+	EventDataCentreEvacuated = 570
+	// EventDataCentreReleased occurs when the planner uses a data centre again.
+	EventDataCentreReleased = 571
+	// EventStartsWithheld occurs when the planner starts nothing anywhere, because its copy of
+	// the requests to evacuate data centres is too old.
+	EventStartsWithheld = 572
+	// EventStartsResumed occurs when the copy is fresh again.
+	EventStartsResumed = 573
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -131,6 +131,8 @@
 // run is then stopped, if the stops in progress don't free enough capacity for it.
 func (p *Planner) repeatStart(t *target, r *run, now time.Time) {
 	switch {
+	case !p.mayStartOn(t):
+		// withdrawStarts stops the run, or the start waits until the requests to evacuate are known.
 	case !t.unused().isNegative():
 		p.orderStart(r, now)
 	case t.unused().plus(t.stopping).isNegative():
@@ -150,15 +152,15 @@
 }
 
 // OrderValid reports whether an order must still be carried out. Its run may have
-// been removed or stopped while its row was being committed, and the capacity of the worker may
-// have shrunk.
+// been removed or stopped while its row was being committed, the capacity of the worker may
+// have shrunk, and its data centre may be evacuated.
 func (p *Planner) OrderValid(target string, o Order) bool {
 	if o.run == nil {
 		return true
 	}
 	t := p.targetNamed(target)
 	_, ok := t.runs[o.run]
-	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "" && !t.unused().isNegative())
+	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "" && p.mayStartOn(t) && !t.unused().isNegative())
 }
 
 // HandleOrderResult handles the result of an order; res is nil if there was no
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -51,12 +51,15 @@
 		p.expireJobs(now)
 		p.removeOldJobs(now)
 		p.evacuate(now)
+		p.withdrawStarts()
 		p.handleStalledRuns(now)
 		p.checkSuspects(now)
 		p.eligibleCache = make(map[requirement]*eligibleTargets)
-		p.processClaims(now)
-		for _, u := range p.units(now) {
-			p.placeTasks(u, now)
+		if !p.startsWithheld() {
+			p.processClaims(now)
+			for _, u := range p.units(now) {
+				p.placeTasks(u, now)
+			}
 		}
 		p.checkRuns(now)
 		// Stopping a run sets needsPass, but frees no capacity before the run ends.
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -95,6 +95,9 @@
 	if len(s.targets) == 0 {
 		reason = "no worker may run it"
 	}
+	if p.needsEvacuated(u) {
+		reason = reasonEvacuated
+	}
 	if u.step.waitReason == reason {
 		return
 	}
@@ -203,7 +206,7 @@
 func (p *Planner) anyRackCouldHold(u unit) bool {
 	n := make(map[string]int)
 	for _, t := range p.sortedTargets {
-		if t.worker == nil || t.worker.GetDraining() || !t.connected || !p.meetsRequirement(t, u) {
+		if t.worker == nil || t.worker.GetDraining() || !t.connected || p.isEvacuated(t) || !p.meetsRequirement(t, u) {
 			continue
 		}
 		n[t.worker.GetRack()] += t.capacity.maxCount(u.resources, u.maxPerWorker())
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -21,8 +21,11 @@
 	// Retention is how long the rows of a job are kept after its end; 0 keeps them
 	// forever.
 	Retention time.Duration
-	Policy    Policy
-	Metrics   *metrics.Set // nil for none
+	// Evacuation is the time within which a request to evacuate a data centre must be in force;
+	// 0 for no limit on the age of the requests.
+	Evacuation time.Duration
+	Policy     Policy
+	Metrics    *metrics.Set // nil for none
 }
 
 // Policy selects between scheduling policies. The zero value is the default policy.
@@ -48,6 +51,7 @@
 	settings Settings
 	log      zerolog.Logger
 	config   *configuration.Snapshot
+	centres  dataCentres
 
 	jobs          map[string]*jobState
 	jobsLoaded    bool // all recorded jobs have been added
@@ -114,6 +118,7 @@
 func (p *Planner) SetConfig(s *configuration.Snapshot) {
 	if s != p.config {
 		p.config, p.usageByWorkspace, p.needsPass = s, nil, true
+		p.SetConfigAge(0, p.settings.Evacuation == 0)
 	}
 }
 
--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -85,7 +85,7 @@
 	js := r.task.step.occ.job
 	u := unit{step: r.task.step, tasks: []*task{r.task}, kind: p.kindOf(js), resources: r.resources}
 	for _, t := range p.sortedTargets {
-		if t != from && t.acceptsWork(now) && p.meetsRequirement(t, u) && t.available().holds(r.resources) {
+		if t != from && t.acceptsWork(now) && !p.isEvacuated(t) && p.meetsRequirement(t, u) && t.available().holds(r.resources) {
 			return true
 		}
 	}
--- a/coordination/planner/summary.go
+++ b/coordination/planner/summary.go
@@ -23,6 +23,7 @@
 	Targets      int // all known targets
 	Accepting    int // targets that get new work
 	Disconnected int // targets whose agent can't be reached
+	Evacuated    int // connected targets in evacuated data centres
 	Paused       int // targets that get no new work for a while because of failures or refusals
 }
 
@@ -68,6 +69,8 @@
 		switch {
 		case !t.connected:
 			s.Disconnected++
+		case p.isEvacuated(t):
+			s.Evacuated++
 		case t.acceptsWork(now):
 			s.Accepting++
 			s.Accelerators += t.capacity.accelerators
--- a/coordination/shard/load.go
+++ b/coordination/shard/load.go
@@ -49,7 +49,7 @@
 	}
 	o.deps.Log.Info().Int("Event", EventShardState).Ints("Waiting", s.Waiting[:]).Ints("Late", s.Late[:]).Int("Running", s.Running).Int("Stops", s.Stops).
 		Int("Claims", s.Claims).Int("Accelerators", s.Accelerators).Int("Free", s.Free).Int("Stopping", s.Stopping).Int("Claimed", s.Claimed).
-		Int("Targets", s.Targets).Int("Accepting", s.Accepting).Int("Disconnected", s.Disconnected).Int("Paused", s.Paused).
+		Int("Targets", s.Targets).Int("Accepting", s.Accepting).Int("Disconnected", s.Disconnected).Int("Evacuated", s.Evacuated).Int("Paused", s.Paused).
 		Int("Passes", l.passes).Dur("PassTime", l.passTime).Dur("LongestPass", l.longestPass).Int("Commits", l.commits).Dur("LongestCommit", l.longest).
 		Dur("OldestAnswer", oldest).Dur("Period", now.Sub(l.since)).Send()
 }
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -235,14 +235,20 @@
 func (o *owner) planOnce() (b planner.Batch, heartbeatDue bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if s := o.config.Snapshot(); s != nil {
-		o.plan.SetConfig(s)
-	}
+	o.updateConfigLocked()
 	b = o.plan.Plan(time.Now())
 	period := min(max(heartbeatPeriod, slowHeartbeatFactor*o.commitDuration), maxHeartbeatPeriod)
 	return b, time.Since(o.confirmedSentAt) >= period
 }
 
+// updateConfigLocked passes the configuration in force and its age to the planner.
+func (o *owner) updateConfigLocked() {
+	if s := o.config.Snapshot(); s != nil {
+		o.plan.SetConfig(s)
+	}
+	o.plan.SetConfigAge(o.config.Age())
+}
+
 // commit writes rows together with the owner's row. It retries until they are known
 // to be written, ctx has ended or another process owns the shard.
 func (o *owner) commit(ctx context.Context, tx table.Tx) error {
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -380,6 +380,7 @@
 	if w == nil {
 		return planner.TargetOrders{}, nil, ""
 	}
+	o.updateConfigLocked()
 	t.Orders = slices.DeleteFunc(t.Orders, func(ord planner.Order) bool { return !o.plan.OrderValid(t.Target, ord) })
 	req := &agentrpc.OrderRequest{Epoch: o.row.Epoch, Fence: w.fence, Life: t.Incarnation}
 	for _, ord := range t.Orders {
--- a/process/config.go
+++ b/process/config.go
@@ -9,6 +9,7 @@
 	"go.uber.org/dig"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
 	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/intake"
 	"github.com/medlargrade/medlargrade/operator"
@@ -30,9 +31,9 @@
 // newConfigHolder returns a holder for the configuration from source.
 func newConfigHolder(source string, log zerolog.Logger) *configuration.Holder {
 	if source == SourcePlatform {
-		return configuration.NewHolder(platform.ConfigKey, platform.DecodeConfig, log)
+		return configuration.NewHolder(platform.ConfigKey, platform.DecodeConfig, log).WithEvacuations(platform.EvacuationPrefix)
 	}
-	return configuration.NewHolder(configuration.CurrentKey, configuration.DecodeStored, log)
+	return configuration.NewHolder(configuration.CurrentKey, configuration.DecodeStored, log).WithEvacuations(configuration.EvacuationPrefix)
 }
 
 // newConfigFollower returns a follower that keeps h up to date from source.
@@ -41,7 +42,10 @@
 	if source == SourcePlatform {
 		tableName = platform.OperatorTable
 	}
-	return follow.New(s, follow.Settings{Table: tableName, Wait: configWatchWait(b), Clock: c}, h, log)
+	wait := evacuation.WatchWait(time.Duration(b.Evacuation), configWatchWait(b))
+	f := follow.New(s, follow.Settings{Table: tableName, Wait: wait, Clock: c}, h, log)
+	h.WithAge(f.MaxAge)
+	return f
 }
 
 // newConfigGate returns the source of the configuration from source for calls. Its reads fail
--- a/process/settings.go
+++ b/process/settings.go
@@ -51,6 +51,9 @@
 	Restore       Duration // time taken by a start from a checkpoint
 	FarFactor     float64  // slowdown of work far from its data or its peers
 	Retention     Duration // how long an ended job can be looked up
+	// Evacuation is the longest time from the request to evacuate a data centre until nothing is
+	// started there; 0 for no limit. Requests are followed in either case.
+	Evacuation Duration
 }
 
 // DefaultBounds returns the bounds used where the settings have none.
@@ -65,7 +68,7 @@
 func (b Bounds) plannerSettings(policy planner.Policy) planner.Settings {
 	return planner.Settings{
 		Policy: policy, StopTime: time.Duration(b.StopTime), GangWait: time.Duration(b.GangWait), FarFactor: b.FarFactor,
-		RestoreTime: time.Duration(b.Restore), Retention: time.Duration(b.Retention),
+		RestoreTime: time.Duration(b.Restore), Retention: time.Duration(b.Retention), Evacuation: time.Duration(b.Evacuation),
 	}
 }
 
@@ -192,6 +195,10 @@
 	)
 }
 
+// minEvacuation is the shortest bound that can be kept without withholding starts while the store
+// answers: an order takes up to 1.2 s, and so does a watch whose answer is lost.
+const minEvacuation = 3 * time.Second
+
 func (b Bounds) check() error {
 	errs := []error{
 		checkPositive("Bounds.ConfigInForce", int64(b.ConfigInForce)),
@@ -201,6 +208,9 @@
 		checkPositive("Bounds.Restore", int64(b.Restore)),
 		checkPositive("Bounds.Retention", int64(b.Retention)),
 	}
+	if b.Evacuation != 0 && time.Duration(b.Evacuation) < minEvacuation {
+		errs = append(errs, fmt.Errorf("%s: must be 0 or at least %v", "Bounds.Evacuation", minEvacuation))
+	}
 	if b.FarFactor < 1 {
 		errs = append(errs, fmt.Errorf("%s: must be at least 1", "Bounds.FarFactor"))
 	}
