Don't take a gang member that has done its work for a stalled run

Cause: members of a gang report their own progress and stay at 100 % until the slowest has ended. A member that stayed there for 0.9 s counted as stalled, so that the whole gang was stopped and begun anew, and its worker got no new work for 2 s. Change: such members are not stalled. The test fails without the change.

--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -17,12 +17,18 @@
 	// maxStallMoves bounds the moves of one task because its runs stand still. A task that has
 	// been moved so often is more likely the cause than its workers.
 	maxStallMoves = 3
+	// percentDone is the percentage of a run that has done its work.
+	percentDone = 100
 )
 
 // stalledFor returns how long a run had made no progress when its worker was last polled,
 // or 0 if it is not stalled. Runs do not count as stalled before any worker has reported
-// progress, because some workers never report it.
+// progress, because some workers never report it. Neither do members of a gang that have done
+// their work: they wait for slower members.
 func (p *Planner) stalledFor(r *run) time.Duration {
+	if r.task.step.spec.Gang && r.percent >= percentDone {
+		return 0
+	}
 	if !p.percentReported || r.stopReason != "" || r.firstListedAt.IsZero() || r.task.step.spec.LongRunning {
 		return 0
 	}
--- a/coordination/planner/stalls_test.go
+++ b/coordination/planner/stalls_test.go
@@ -148,3 +148,27 @@
 		qt.Check(t, h.targetOf(name), qt.Not(qt.Equals), "", qt.Commentf("%s", name))
 	}
 }
+
+// Guards against a gang that is stopped because a member that has done its work waits for slower
+// members, and against new work being kept away from the worker of such a member.
+func TestMembersThatWaitForTheGangDoNotStandStill(t *testing.T) {
+	h := newHarness(t, 3)
+	step := job.Step{Tasks: 2, Accelerators: 4, EstimateMillis: 4000, Gang: true, MaxPerWorker: 1, Checkpointable: true}
+	h.addJob(newJob("j", "long", step))
+	h.advance(0)
+	fast, slow := h.targetOf(stalledTask), h.targetOf("j.0.0.1")
+	for range 20 {
+		run := h.workers[fast].running[stalledTask]
+		qt.Assert(t, run, qt.IsNotNil)
+		run.Percent = min(run.Percent+25, 100)
+		h.workers[slow].running["j.0.0.1"].Percent += 4
+		h.advance(pollInterval)
+	}
+	qt.Assert(t, h.starts, qt.HasLen, 2)
+	qt.Check(t, h.p.targets[fast].acceptsWork(h.now), qt.IsTrue)
+	// The gang moves if the member that still works stands still.
+	for range 10 {
+		h.advance(pollInterval)
+	}
+	qt.Check(t, h.targetOf("j.0.0.1"), qt.Not(qt.Equals), slow)
+}
