Rule out starts after their runs were given up

Cause: the lapse of all leases on a target does not rule out a start that has not happened yet. A delayed order reached its agent after the next lease cap and was sent with the new lease end; a call that was carried out late counted its lease from then. The task ran twice.

Change: the owner raises the target's fencing token whenever it gives up the target's runs, and disregards lists that were confirmed under an older token. The agent refuses lower tokens under the lock at which it reads the lease end, and before each attempt. The simulated worker, the matrix and the soak carry out orders 2 to 12 s late, with leases that count from then, while their sender is isolated.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -62,6 +62,9 @@
 	// unconfirmed is for how long, at its last Watch, the planner had not been
 	// confirmed by the store.
 	unconfirmed time.Duration
+	// answerSeenAt is when the last Watch arrived that shows that its planner has received the
+	// answer of this agent to the one before.
+	answerSeenAt time.Time
 	// takeOverAskedAt is when a planner with epoch takeOverEpoch last asked this
 	// process to take over.
 	takeOverAskedAt time.Time
@@ -78,6 +81,7 @@
 	confirmedFence     int64      // fencing token of the last answered hold
 	leaseCap           WorkerTime // set by the planner
 	clock              WorkerTime // of the worker, in its last answer or in the heartbeat that registered it
+	clockAt            time.Time  // when clock was received
 	answeredHoldSentAt time.Time  // when the last answered hold was sent; until the first answer, when the incarnation registered or its first fencing token arrived
 	lastGrantSentAt    time.Time  // when the last call that can extend a lease was sent; initially as answeredHoldSentAt
 	holdFailed         bool       // the last hold got no answer from this incarnation
@@ -95,6 +99,8 @@
 	notifyAtHoldSeq    int64 // watchers are notified when listHoldSeq reaches it, even if the lists are unchanged
 	// unknownStarts holds the starts whose outcome is unknown.
 	unknownStarts map[runKey]struct{}
+	// ownStops holds the runs for which the agent itself sends stops.
+	ownStops map[runKey]*ownStop
 	// runStarts holds the runs that the worker is known to run, and since when.
 	runStarts    map[runKey]time.Time
 	failingSince time.Time // when the first hold since the last answer failed; zero if none has
@@ -140,7 +146,7 @@
 	if !agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) {
 		a.recordCrashLocked()
 		a.reportedDraining, a.deregistered, a.gone = false, false, false
-		a.state = workerState{unknownStarts: make(map[runKey]struct{}), revision: a.state.revision, clock: heartbeat.Clock, answeredHoldSentAt: time.Now(), lastGrantSentAt: time.Now()}
+		a.state = workerState{unknownStarts: make(map[runKey]struct{}), revision: a.state.revision, clock: heartbeat.Clock, clockAt: time.Now(), answeredHoldSentAt: time.Now(), lastGrantSentAt: time.Now()}
 		a.log.Info().Int("Event", EventWorkerLife).Str("Worker", heartbeat.Incarnation.GetWorker()).Int64("Born", heartbeat.Incarnation.GetBorn()).
 			Str("Pool", heartbeat.Pool).Msg("worker registered")
 	}
@@ -255,8 +261,11 @@
 }
 
 // Run renews the leases of the worker's runs and updates their state until ctx is
-// done.
+// done. While no planner is in contact it stops what may outlive the leases.
 func (a *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { a.stopUnattendedRuns(ctx) })
 	for ctx.Err() == nil {
 		a.holdOnce(ctx)
 	}
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -24,6 +24,14 @@
 	// EventWorkerCrashed occurs when a new incarnation of the worker registers although the
 	// former one has not announced its end.
 	EventWorkerCrashed = 512
+	// EventOrdersOutdated occurs when orders are refused because their fencing token is lower
+	// than the highest received.
+	EventOrdersOutdated = 513
+	// EventOwnStop occurs when the agent begins to stop a run itself, because no planner is in
+	// contact.
+	EventOwnStop = 514
+	// EventOwnStopAcknowledged occurs when the worker has acknowledged such a stop.
+	EventOwnStopAcknowledged = 515
 	// EventPlannerChanged occurs at the first call of a planner with a higher epoch or
 	// another name.
 	EventPlannerChanged = 503
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -132,7 +132,7 @@
 		return false
 	}
 	a.state.failingSince, a.state.notListening, a.state.otherAnswers, a.state.crashedRuns = time.Time{}, false, false, nil
-	a.state.clock = max(a.state.clock, reply.Clock)
+	a.state.recordClock(reply.Clock)
 	if seq < a.state.answeredHoldSeq {
 		// The lists may be older than those of the later hold that was answered before.
 		return true
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -23,6 +23,11 @@
 	a.mu.Lock()
 	refused := !a.acceptEpochLocked(in.GetEpoch(), a.planner) || !agentrpc.SameLife(in.GetLife(), a.heartbeat.Incarnation)
 	epoch := a.epoch
+	if fence := a.state.fence; !refused && in.GetFence() < fence {
+		// The planner may have given up the runs that orders with a lower token start.
+		a.log.Info().Int("Event", EventOrdersOutdated).Int64("Fence", in.GetFence()).Int64("Newest", fence).Int("Orders", len(in.GetOrders())).Send()
+		refused = true
+	}
 	if !refused && in.GetFence() > a.state.fence {
 		a.state.fence = in.GetFence()
 		a.wakeHoldLocked()
@@ -59,7 +64,7 @@
 			Str("Outcome", res.GetOutcome().String()).Str("Reason", res.GetReason()).Send()
 	case *agentrpc.Order_Pace:
 		r := PaceRequest{CallHeader: call, Task: o.Pace.GetTask(), Run: o.Pace.GetRun(), Percent: o.Pace.GetPercent()}
-		res = a.callWithRetry(ctx, in.GetLife(), func(ctx context.Context) (WorkerTime, error) { return a.worker.Pace(ctx, r) })
+		res = a.callWithRetry(ctx, in, func(ctx context.Context) (WorkerTime, error) { return a.worker.Pace(ctx, r) })
 		a.log.Info().Int("Event", EventPaceOrder).Str("Task", o.Pace.GetTask()).Int64("Run", o.Pace.GetRun()).
 			Str("Outcome", res.GetOutcome().String()).Str("Reason", res.GetReason()).Send()
 	default:
@@ -98,7 +103,7 @@
 		Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket(), Until: until,
 	}
 	allAnswered, sent := true, false
-	res := a.callWithRetry(ctx, in.GetLife(), func(ctx context.Context) (WorkerTime, error) {
+	res := a.callWithRetry(ctx, in, func(ctx context.Context) (WorkerTime, error) {
 		a.recordGrantSent(in.GetLife())
 		clock, err := a.worker.Start(ctx, r)
 		var refused *RefusedError
@@ -172,6 +177,10 @@
 		return ReasonOtherIncarnation
 	case a.heartbeat.Draining:
 		return ReasonDraining
+	case in.GetFence() < a.state.fence:
+		return ReasonFence
+	case a.isUnattendedLocked() && a.leaseLeftLocked() <= unknownStartMargin:
+		return ReasonNoLease
 	case a.state.confirmedFence < in.GetFence() || a.leaseUntilLocked() <= a.state.clock:
 		return ReasonNoLease
 	}
@@ -180,7 +189,7 @@
 
 func (a *Agent) stop(ctx context.Context, in *agentrpc.OrderRequest, call CallHeader, s *agentrpc.Stop) *agentrpc.OrderResult {
 	r := StopRequest{CallHeader: call, Task: s.GetTask(), Run: s.GetRun()}
-	res := a.callWithRetry(ctx, in.GetLife(), func(ctx context.Context) (WorkerTime, error) { return a.worker.Stop(ctx, r) })
+	res := a.callWithRetry(ctx, in, func(ctx context.Context) (WorkerTime, error) { return a.worker.Stop(ctx, r) })
 	if res.GetOutcome() != agentrpc.Outcome_DONE {
 		return res
 	}
@@ -195,10 +204,32 @@
 	return res
 }
 
+// attemptRefusal returns the reason why no further attempt may be made at the orders of a
+// request, or "": a Watch may have raised the fencing token since they were accepted.
+func (a *Agent) attemptRefusal(in *agentrpc.OrderRequest) string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case !agentrpc.SameLife(in.GetLife(), a.heartbeat.Incarnation):
+		return ReasonOtherIncarnation
+	case in.GetFence() < a.state.fence:
+		return ReasonFence
+	}
+	return ""
+}
+
 // callWithRetry makes a call until the worker answers, at most maxOrderAttempts times.
-func (a *Agent) callWithRetry(ctx context.Context, inc *agentrpc.Life, call func(context.Context) (WorkerTime, error)) *agentrpc.OrderResult {
+func (a *Agent) callWithRetry(ctx context.Context, in *agentrpc.OrderRequest, call func(context.Context) (WorkerTime, error)) *agentrpc.OrderResult {
+	inc := in.GetLife()
 	res := &agentrpc.OrderResult{Outcome: agentrpc.Outcome_UNKNOWN}
-	for range maxOrderAttempts {
+	for attempt := range maxOrderAttempts {
+		if reason := a.attemptRefusal(in); reason != "" {
+			res.Reason = reason
+			if attempt == 0 {
+				res.Outcome = agentrpc.Outcome_REFUSED
+			}
+			return res
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		clock, err := call(callCtx)
 		cancel()
@@ -229,6 +260,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if agentrpc.SameLife(a.heartbeat.Incarnation, inc) {
-		a.state.clock = max(a.state.clock, clock)
+		a.state.recordClock(clock)
 	}
 }
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -19,6 +19,9 @@
 	}
 	a.unconfirmed = time.Duration(in.GetUnconfirmedMillis()) * time.Millisecond
 	a.applyWatchLocked(in)
+	if in.GetBoot() == a.boot && in.GetRevision() != 0 {
+		a.answerSeenAt = time.Now()
+	}
 	a.activeWatches++
 	defer func() {
 		a.mu.Lock()
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -1,6 +1,6 @@
 package shard
 
-// Numbers of the log events of shards, from 640 to 659.
+// Numbers of the log events of shards, from 640 to 659, and 568.
 const (
 	// EventAnnounced occurs when a target has written its row.
 	EventAnnounced = 640
@@ -42,4 +42,7 @@
 	EventPanicked = 654
 	// EventShardState occurs once a second while work waits or runs.
 	EventShardState = 655
+	// EventFenceRaised occurs when the fencing token of a target is raised, because its runs are
+	// given up.
+	EventFenceRaised = 568
 )
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -616,3 +616,51 @@
 		s.c.Check(takeOvers < targets/3, qt.IsTrue, qt.Commentf("%d transactions", takeOvers))
 	})
 }
+
+// Guards against a start order that is carried out after its run was given up: it was delayed, and
+// reaches the agent after the next lease cap. The fencing token must rise with the runs given up,
+// and only then.
+func TestFenceRisesWithGivenUpRuns(t *testing.T) {
+	tests := []struct {
+		name   string
+		fault  func(s *testSite, x *fakeAgent)
+		raised bool
+	}{
+		{"short silence of the target", func(_ *testSite, x *fakeAgent) {
+			x.update(func(x *fakeAgent) { x.unreachable = true })
+			time.Sleep(5 * time.Second)
+			x.update(func(x *fakeAgent) { x.unreachable = false })
+		}, false},
+		{"lapse", func(_ *testSite, x *fakeAgent) {
+			x.update(func(x *fakeAgent) { x.unreachable = true })
+			time.Sleep(lapseBound + settleTime)
+			x.update(func(x *fakeAgent) { x.unreachable = false })
+		}, true},
+		{"short silence of the worker", func(_ *testSite, x *fakeAgent) {
+			x.update(func(x *fakeAgent) { x.workerSilence = 5 * time.Second })
+		}, false},
+		{"silence of the worker", func(_ *testSite, x *fakeAgent) {
+			x.update(func(x *fakeAgent) { x.workerSilence = lapseBound })
+		}, true},
+		{"deleted row", func(s *testSite, x *fakeAgent) {
+			s.store.Delete(shard.TableTargets, part, x.name, false)
+			time.Sleep(settleTime)
+			_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, x.name, []byte(`{"Address":"`+x.name+`"}`)))
+			s.c.Assert(err, qt.IsNil)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runSite(t, 3, func(s *testSite) {
+				_, x := s.startOwnerWithRun()
+				var before, after int64
+				x.view(func(x *fakeAgent) { before = x.fence })
+				tt.fault(s, x)
+				time.Sleep(2 * settleTime)
+				x.view(func(x *fakeAgent) { after = x.fence })
+				s.c.Check(after > before, qt.Equals, tt.raised, qt.Commentf("token %d after %d", after, before))
+				s.c.Check(after-before <= 1, qt.IsTrue, qt.Commentf("token %d after %d", after, before))
+			})
+		})
+	}
+}
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -76,6 +76,7 @@
 	lastErr      error          // of the last call that failed
 	refusedBy    uint64         // epoch with which the agent refused that call; 0 if it did not
 	lapsed       bool           // the leases have lapsed since the last answer
+	silentLapsed bool           // the leases have lapsed while the agent answers and the worker does not
 	rowDeleted   bool           // the target's row has been deleted
 	boot         uint64         // of the agent
 	incarnation  *agentrpc.Life // of the worker
@@ -177,6 +178,7 @@
 			return
 		}
 		w.rowDeleted = true
+		w.raiseFenceLocked("the target has left")
 	}
 	o.deps.Log.Info().Int("Event", EventTargetRetired).Str("Target", name).Msg("row of a target has been deleted")
 	o.plan.LoseRuns(name, "the target has left", time.Now())
@@ -213,7 +215,7 @@
 		}
 		if err == nil && !reply.GetRefused() {
 			delay = watchRetryPause
-			w.handleReply(reply)
+			w.handleReply(req.GetFence(), reply)
 			continue
 		}
 		// A call that exceeded its timeout by far did so because this process was
@@ -258,8 +260,18 @@
 	return r, w.address
 }
 
-// handleReply stores the state in an answer and reports it to the planner.
-func (w *watch) handleReply(reply *agentrpc.WatchReply) {
+// raiseFenceLocked raises the fencing token of the target, because its runs are given up. A start
+// that the planner has ordered before, and that has not been carried out yet, has the old token:
+// the agent refuses it, since it gets the new token with or before the next lease cap, and the
+// worker does once the agent has called it with the new one.
+func (w *watch) raiseFenceLocked(reason string) {
+	w.fence++
+	w.o.deps.Log.Info().Int("Event", EventFenceRaised).Str("Target", w.name).Int64("Fence", w.fence).Str("Reason", reason).Send()
+}
+
+// handleReply stores the state in the answer to a request with the given fencing token and
+// reports it to the planner.
+func (w *watch) handleReply(sentFence int64, reply *agentrpc.WatchReply) {
 	o := w.o
 	now := time.Now()
 	o.mu.Lock()
@@ -283,8 +295,8 @@
 			w.leaseCap = max(w.leaseCap, clock+leaseSpan.Milliseconds())
 		}
 	}
-	if restarted {
-		// The lists were confirmed under the old token. The planner must wait for lists
+	if sentFence != w.fence {
+		// The lists may have been confirmed under an old token. The planner must wait for lists
 		// under the new one.
 		reply.Listed = false
 	}
@@ -293,7 +305,13 @@
 	// answer of the worker and the last call that could extend a lease must be older
 	// than that.
 	if since := min(reply.GetSilentMillis(), reply.GetUngrantedMillis()); time.Duration(since)*time.Millisecond > lapseAfter(min(o.cfg.LeaseMax, leaseSpan)) {
+		if !w.silentLapsed {
+			w.silentLapsed = true
+			w.raiseFenceLocked("the worker does not answer")
+		}
 		o.plan.LoseRuns(w.name, "the worker does not answer", now)
+	} else {
+		w.silentLapsed = false
 	}
 	o.requestPass()
 }
@@ -327,6 +345,7 @@
 		return
 	}
 	w.lapsed = true
+	w.raiseFenceLocked("lease lapsed")
 	o.deps.Log.Warn().Int("Event", EventTargetLapsed).Str("Target", w.name).Dur("Silent", now.Sub(w.lastAnswerAt)).Err(w.lastErr).
 		Uint64("RefusedBy", w.refusedBy).Msg("the leases on an unreachable target have lapsed; its runs are lost")
 	o.deps.Metrics.GetOrCreateCounter(`medlargrade_targets_lapsed_total`).Inc()
--- a/matrix/faults_test.go
+++ b/matrix/faults_test.go
@@ -20,6 +20,10 @@
 	pauseDelay = 12 * time.Second
 )
 
+// lateOrders delays 40 % of the calls that change something, and lets their leases count from the
+// time when they are carried out.
+var lateOrders = worker.Faults{LateShare: 0.4, LateMillis: 2000, LateMaxMillis: 12_000, LeaseFromArrival: true}
+
 // fault is one kind of fault. inject starts it at a hit and returns a function that
 // ends it, or nil if the fault has no duration; it must not block. run makes the
 // whole fault in a goroutine of its own and may block. Each may be nil.
@@ -77,6 +81,11 @@
 	{name: "worker-unhealthy", inject: workerFault(worker.Faults{Unhealthy: true})},
 	{name: "worker-loses-orders", inject: workerFault(worker.Faults{LoseOrders: 3})},
 	{name: "worker-orders-late", inject: workerFault(worker.Faults{LoseOrders: 3, LateMillis: 4000})},
+	{name: "isolated-orders-late", inject: func(s *Site, h hit) func() {
+		p := s.targetFor(h)
+		endLate, endIsolation := workerFault(lateOrders)(s, hit{to: p.host}), s.isolate(p)
+		return func() { endIsolation(); endLate() }
+	}},
 	{name: "worker-shrinks", inject: workerFault(worker.Faults{LostCapacity: 0.5})},
 	{name: "worker-cut-off", inject: func(s *Site, h hit) func() {
 		p := s.targetFor(h)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -35,6 +35,7 @@
 	faultWorkerFaulty       faultKind = "worker bad"     // fails all runs, hangs, is slow, or is unhealthy
 	faultWorkerShrink       faultKind = "worker shrinks" // a worker loses a part of its capacity until the end
 	faultLostOrderResponses faultKind = "late orders"    // the responses to orders are lost; the orders may take effect later
+	faultIsolateLateOrders  faultKind = "late alone"     // the links of a target to the planner and the store change as above; its orders take effect later
 	faultConfig             faultKind = "config"         // several versions in quick succession
 )
 
@@ -42,6 +43,7 @@
 	faultKill, faultKillAll, faultTerm, faultRollingTerm, faultPause, faultReload, faultStoreLink, faultAgentLink, faultWorkerLink,
 	faultReportLink, faultCallerLink, faultOpenConns, faultIsolate, faultStoreDown, faultStoreSlow, faultStoreLostResponses,
 	faultStoreHistoryLost, faultWorkerCrash, faultWorkerDrain, faultWorkerFaulty, faultLostOrderResponses, faultConfig, faultWorkerShrink,
+	faultIsolateLateOrders,
 }
 
 // fault is one fault of a run.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -14,6 +14,11 @@
 	lostResponses = 4
 	// lateDelay is the delay after which a write or order without a response takes effect.
 	lateDelay = 1500 * time.Millisecond
+	// lateShare is the share of orders that an isolated target's worker carries out from lateMin
+	// to lateMax late.
+	lateShare = 0.4
+	lateMin   = 2 * time.Second
+	lateMax   = 12 * time.Second
 	// storeSlowdown multiplies the latency of the store, workSlowdown the duration of
 	// work on a worker.
 	storeSlowdown = 40
@@ -113,6 +118,13 @@
 	case faultLostOrderResponses:
 		w.SetFaults(worker.Faults{LoseOrders: lostResponses, LateMillis: int64(f.variant%2) * lateDelay.Milliseconds()})
 		return func() { w.SetFaults(worker.Faults{}) }
+	case faultIsolateLateOrders:
+		i := f.selector % len(s.workers)
+		w.SetFaults(worker.Faults{
+			LateShare: lateShare, LateMillis: lateMin.Milliseconds(), LateMaxMillis: lateMax.Milliseconds(), LeaseFromArrival: true, LateHolds: f.variant%3 == 0,
+		})
+		connect := callAll([]func(){setLink(s.targets[i].store, 0), setLink(s.targets[i].agent, f.variant%2)})
+		return func() { connect(); w.SetFaults(worker.Faults{}) }
 	case faultConfig:
 		for range 1 + f.variant%4 {
 			s.writeNextVersion()
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -27,10 +27,51 @@
 	Unhealthy  bool    // starts and health checks get status 503; the starts are not executed
 	LoseOrders int     // number of next orders that get no response but are executed
 	LateMillis int64   // delay before orders without a response are executed
+	// LateShare is the share of orders, from 0 to 1, that get no response and are executed after
+	// a random delay from LateMillis to LateMaxMillis. It adds to LoseOrders.
+	LateShare     float64
+	LateMaxMillis int64
+	// LateHolds applies LateShare to holds too.
+	LateHolds bool
+	// LeaseFromArrival makes the lease in a late call as long as it was when the call was sent,
+	// counted from its execution.
+	LeaseFromArrival bool
 	// LostCapacity is the share of the capacity that is gone, from 0 to 1.
 	LostCapacity float64
 }
 
+// lateDelayLocked decides whether a call gets no response, and after which delay it is executed
+// in that case. Each lost response of LoseOrders decrements it.
+func (w *Worker) lateDelayLocked(hold bool) (delay time.Duration, lost bool) {
+	f := &w.faults
+	switch {
+	case f.LoseOrders > 0 && !hold:
+		f.LoseOrders--
+		return time.Duration(f.LateMillis) * time.Millisecond, true
+	case hold && !f.LateHolds || w.random.Float64() >= f.LateShare:
+		return 0, false
+	}
+	spread := float64(f.LateMaxMillis-f.LateMillis) * w.random.Float64()
+	return time.Duration((float64(f.LateMillis) + spread) * float64(time.Millisecond)), true
+}
+
+// executeLateLocked calls do after a delay, unless the incarnation has ended by then.
+func (w *Worker) executeLateLocked(o order, delay time.Duration, do func(o order)) {
+	inc, left := w.incarnation, o.Until-w.incarnation.clockLocked()
+	fromArrival := w.faults.LeaseFromArrival && o.Until > 0
+	time.AfterFunc(delay, func() {
+		w.site.mu.Lock()
+		defer w.site.mu.Unlock()
+		if w.incarnation != inc || w.down {
+			return
+		}
+		if fromArrival {
+			o.Until = inc.clockLocked() + left
+		}
+		do(o)
+	})
+}
+
 // Faults returns the current faults. Each lost response decrements LoseOrders.
 func (w *Worker) Faults() Faults {
 	w.site.mu.Lock()
--- a/standin/worker/handlers.go
+++ b/standin/worker/handlers.go
@@ -83,17 +83,8 @@
 // executes the order after the delay of the fault, unless the incarnation has ended.
 func (w *Worker) executeOrder(rw http.ResponseWriter, o order, do func(o order) string) {
 	w.lockIncarnation(rw)
-	if w.faults.LoseOrders > 0 {
-		w.faults.LoseOrders--
-		delay := time.Duration(w.faults.LateMillis) * time.Millisecond
-		incarnation := w.incarnation
-		time.AfterFunc(delay, func() {
-			w.site.mu.Lock()
-			defer w.site.mu.Unlock()
-			if w.incarnation == incarnation && !w.down {
-				w.executeFencedLocked(o, do)
-			}
-		})
+	if delay, lost := w.lateDelayLocked(false); lost {
+		w.executeLateLocked(o, delay, func(o order) { w.executeFencedLocked(o, do) })
 		w.site.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
@@ -273,6 +264,16 @@
 	}
 	w.lockIncarnation(rw)
 	inc := w.incarnation
+	if delay, lost := w.lateDelayLocked(true); lost {
+		w.executeLateLocked(o, delay, func(o order) {
+			w.executeFencedLocked(o, func(o order) string {
+				w.extendLeaseLocked(o.Until)
+				return ""
+			})
+		})
+		w.site.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	if o.Fence < inc.fence {
 		out := reply{Clock: inc.clockLocked(), Born: inc.born, Reason: "fence"}
 		w.site.mu.Unlock()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -99,8 +101,9 @@
 
 	// The site's lock guards the fields below.
 	faults       Faults
-	capacityAt   time.Time // when the present capacity was first reported; zero if it was not
-	idCount      int       // number of IDs used
+	random       *rand.Rand // of the injected faults
+	capacityAt   time.Time  // when the present capacity was first reported; zero if it was not
+	idCount      int        // number of IDs used
 	incarnation  *incarnation
 	down         bool
 	drainEnd     time.Time     // when the worker leaves; zero unless it is draining
@@ -134,6 +137,9 @@
 // New returns a worker without runs.
 func New(site *Site, cfg Settings, client *http.Client, log zerolog.Logger) *Worker {
 	w := &Worker{site: site, cfg: cfg.withDefaults(), client: client, log: log, heartbeatNow: make(chan struct{})}
+	seed := fnv.New64()
+	_, _ = seed.Write([]byte(cfg.Name))
+	w.random = rand.New(rand.NewPCG(seed.Sum64(), 0)) //nolint:gosec // the injected faults are to be repeatable
 	site.mu.Lock()
 	w.startLocked(true)
 	site.mu.Unlock()
