Test the bound on starts in an evacuated data centre

Cause: nothing showed that the bound of 5 s holds across changes of the planner and failures of the store.

The fake agent numbers ends with a counter; it derived the number from the ends that were not acknowledged, so that later ends of one worker counted as known.

--- a/coordination/configuration/holder_test.go
+++ b/coordination/configuration/holder_test.go
@@ -60,7 +60,9 @@
 		return uint64(value[0]), operator.NewConfig(operator.NewSite("")), nil
 	}
 	h := configuration.NewHolder("c", decode, zerolog.Nop()).WithEvacuations("e/")
-	config := func(version byte) table.Row { return table.Row{Key: "c", Value: []byte{version}, Version: uint64(version)} }
+	config := func(version byte) table.Row {
+		return table.Row{Key: "c", Value: []byte{version}, Version: uint64(version)}
+	}
 	evacuated := table.Row{Key: "e/dc1", Version: 2}
 	withdrawn := table.Row{Key: "e/dc1", Version: 5, Deleted: true}
 	h.Reset([]table.Row{evacuated})
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/medlargrade/medlargrade/coordination/agent"
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
+	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/planner"
 	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/operator"
@@ -50,7 +52,10 @@
 	startedAt      time.Time // of the incarnation
 	running        map[string]int64
 	ended          []*agentrpc.RunEnd
+	lastEnd        int64    // number of the last end
 	starts         []string // "task run"
+	startTimes     []time.Time
+	dataCentre     string
 	revision       uint64
 	changed        chan struct{}
 	process        *process // beside the worker; nil if none has been started
@@ -81,7 +86,8 @@
 // finish ends the run of a task as done.
 func (a *fakeAgent) finish(task string) {
 	a.update(func(a *fakeAgent) {
-		a.ended = append(a.ended, &agentrpc.RunEnd{Number: int64(len(a.ended) + 1), Task: task, Run: a.running[task], How: "done"})
+		a.lastEnd++
+		a.ended = append(a.ended, &agentrpc.RunEnd{Number: a.lastEnd, Task: task, Run: a.running[task], How: "done"})
 		delete(a.running, task)
 	})
 }
@@ -154,7 +160,7 @@
 	out := &agentrpc.WatchReply{
 		Epoch: a.epoch, Boot: a.boot, Revision: a.revision, Listed: true, Ended: a.ended, Look: int64(a.revision), //nolint:gosec // small
 		Worker: &agentrpc.Worker{
-			Life: a.incarnation, Pool: "pool", Cpu: 64_000, MemoryMb: 1 << 18, Accelerators: 8, Rack: "r1",
+			Life: a.incarnation, Pool: "pool", Cpu: 64_000, MemoryMb: 1 << 18, Accelerators: 8, Rack: "r1", DataCentre: a.dataCentre,
 			ClockMillis: time.Since(a.startedAt).Milliseconds() + 1,
 		},
 		SilentMillis: a.workerSilence.Milliseconds(), UngrantedMillis: a.workerSilence.Milliseconds(),
@@ -184,6 +190,7 @@
 		for _, o := range in.GetOrders() {
 			if s := o.GetStart(); s != nil {
 				a.starts = append(a.starts, fmt.Sprintf("%s %d", s.GetTask(), s.GetRun()))
+				a.startTimes = append(a.startTimes, time.Now())
 				a.running[s.GetTask()] = s.GetRun()
 			}
 			if s := o.GetStop(); s != nil {
@@ -212,7 +219,10 @@
 	store    *tabletest.Store
 	targets  map[string]*fakeAgent // by address
 	refusing map[string]bool       // addresses of processes that have ended
-	mu       sync.Mutex            // guards refusing
+	// evacuation is the bound on evacuations, which processes follow in evacuationTable if it is
+	// set.
+	evacuation time.Duration
+	mu         sync.Mutex // guards refusing
 }
 
 // Agent implements shard.Agents.
@@ -270,11 +280,15 @@
 	a := agent.New(agent.Settings{Name: name, LeaseMax: leaseMax}, nil, s.store, zerolog.Nop())
 	cand := shard.NewCandidate(shard.Settings{
 		Part: part, Name: name, Address: name, LeaseMax: leaseMax,
-		Planner: planner.Settings{StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 3},
+		Planner: planner.Settings{StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 3, Evacuation: s.evacuation},
 	}, shard.Deps{
 		Store: store, Clock: &table.Clock{}, Agents: s, Agent: a, Log: zerolog.Nop(),
 		NewConfig: func() (*configuration.Holder, func(context.Context)) {
-			h := configuration.NewHolder("c", func([]byte) (uint64, operator.Config, error) { return 1, snapshot().Config, nil }, zerolog.Nop())
+			h := configuration.NewHolder("c", func([]byte) (uint64, operator.Config, error) { return 1, snapshot().Config, nil }, zerolog.Nop()).WithEvacuations(evacuationPrefix)
+			if s.evacuation > 0 {
+				f := follow.New(store, follow.Settings{Table: evacuationTable, Wait: evacuation.WatchWait(s.evacuation, time.Minute)}, h, zerolog.Nop())
+				return h.WithAge(f.MaxAge), f.Run
+			}
 			h.Apply([]table.Row{{Key: "c", Version: 1}})
 			return h, func(ctx context.Context) { <-ctx.Done() }
 		},
