Add the command evacuate and show evacuations

Cause: sites with their own configuration had no means to request an evacuation, and operators could not see one.

Ruled out: a versioned write as in config apply; a request has no content that two operators could merge.

The overview test expects the new field; the config command test also registers evacuate.

--- a/cmd/medlargrade/commands.go
+++ b/cmd/medlargrade/commands.go
@@ -35,6 +35,7 @@
 		{"entry", "Run an entry process", "Serves callers and records their jobs.", &entryCommand{}},
 		{"target", "Run a target process", "Runs the agent of one worker, and plans the site while no other target process does.", &targetCommand{}},
 		{"config", "Review and apply the configuration", "Checks, compares, applies and shows the configuration of the site.", NewConfig(newEnv())},
+		{"evacuate", "Evacuate a data centre", "Requests that nothing more be started in a data centre until the request is withdrawn with --release. Without a data centre it lists the requests. Exit codes: 0 recorded or listed, 2 an unknown data centre or the platform is the source of the configuration, 5 the change may or may not be recorded, 1 other errors.", &Evacuate{Env: newEnv()}},
 		{"submit", "Submit a job", "Submits a job and waits for its outcome.", &submitCommand{}},
 		{"job", "Look up a job", "Shows what is known of a job, and waits for its end if asked.", &jobCommand{}},
 		{"cancel", "Cancel a job", "Requests the cancellation of a job.", &cancelCommand{}},
--- a/cmd/medlargrade/config_test.go
+++ b/cmd/medlargrade/config_test.go
@@ -37,6 +37,8 @@
 	parser := flags.NewNamedParser("medlargrade", flags.HelpFlag|flags.PassDoubleDash)
 	_, err := parser.AddCommand("config", "Configuration", "", NewConfig(env))
 	qt.Assert(t, err, qt.IsNil)
+	_, err = parser.AddCommand("evacuate", "Evacuate", "", &Evacuate{Env: env})
+	qt.Assert(t, err, qt.IsNil)
 	_, err = parser.ParseArgs(strings.Fields(line))
 	if err != nil {
 		errOut.WriteString(err.Error())
--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -5,6 +5,7 @@
 //	medlargrade entry --settings entry.json      serve callers and record their jobs
 //	medlargrade target --settings target.json    run the agent of one worker, and plan the site
 //	medlargrade config check|diff|apply|show     review and apply the configuration
+//	medlargrade evacuate DATACENTRE              start nothing more in a data centre
 //	medlargrade submit|job|cancel|list           act as a caller
 //	medlargrade status|dump                      show the state of the site or of a process
 //	medlargrade explain ID --log FILE            tell what happened to a job
--- a/cmd/medlargrade/status.go
+++ b/cmd/medlargrade/status.go
@@ -106,6 +106,9 @@
 		planner = o.Planner.Name
 	}
 	t.writeRow("configuration %d  planner %s  epoch %d  last write %s ago  ended %d\n", o.ConfigVersion, planner, o.Planner.Epoch, o.Planner.Age, o.Ended)
+	for _, r := range o.Evacuated {
+		t.writeRow("evacuated: %s\n", describeEvacuation(r))
+	}
 	t.writeRow("TARGET\tADDRESS\tRUNS\tSTATE")
 	for _, x := range o.Targets {
 		state := "answers"
--- a/coordination/overview/overview.go
+++ b/coordination/overview/overview.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
 	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -16,6 +17,7 @@
 // Overview is the state of a shard.
 type Overview struct {
 	ConfigVersion uint64
+	Evacuated     []evacuation.Request `json:",omitempty"` // data centres in which nothing more is started
 	Planner       Planner
 	Targets       []Target
 	Workspaces    []Workspace
@@ -71,7 +73,7 @@
 	var o Overview
 	usage := make(map[string]*Workspace)
 	if snap != nil {
-		o.ConfigVersion = snap.Version
+		o.ConfigVersion, o.Evacuated = snap.Version, snap.Evacuations().Requests()
 		for _, w := range snap.Config.Workspaces() {
 			usage[w.Name()] = &Workspace{Name: w.Name(), Guaranteed: w.GuaranteedSlots()}
 		}
--- a/coordination/overview/overview_test.go
+++ b/coordination/overview/overview_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
 	"github.com/medlargrade/medlargrade/coordination/overview"
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/state/job"
@@ -44,13 +45,14 @@
 
 func snapshot() *configuration.Snapshot {
 	return configuration.NewSnapshot(7, operator.NewConfig(operator.NewSite("s")).
-		WithWorkspace(operator.NewWorkspace("w1").WithExtraGuaranteedAccelerators(8)).WithWorkspace(operator.NewWorkspace("idle")))
+		WithWorkspace(operator.NewWorkspace("w1").WithExtraGuaranteedAccelerators(8)).WithWorkspace(operator.NewWorkspace("idle"))).
+		WithEvacuations(evacuation.NewSet(evacuation.Request{DataCentre: "dc2", Reason: "power"}))
 }
 
 // wantSite is the overview of siteStore but for the age of the owner's row.
 func wantSite() overview.Overview {
 	return overview.Overview{
-		ConfigVersion: 7, Ended: 1,
+		ConfigVersion: 7, Ended: 1, Evacuated: []evacuation.Request{{DataCentre: "dc2", Reason: "power"}},
 		Planner:    overview.Planner{Name: "t1", Address: "10.0.0.1:7000", Epoch: 3},
 		Targets:    []overview.Target{{Name: "t1", Address: "10.0.0.1:7000"}, {Name: "t2", Address: "10.0.0.2:7000", Silent: true, Runs: 1}},
 		Workspaces: []overview.Workspace{{Name: "idle"}, {Name: "w1", Guaranteed: 8, InUse: 4, Waiting: 1}},
--- a/process/config.go
+++ b/process/config.go
@@ -101,6 +101,26 @@
 // ReadConfig reads the configuration from source once. If there is none, it returns
 // nil for SourcePlatform and a snapshot with version 0 for SourceApplied.
 func ReadConfig(ctx context.Context, s table.Store, source string) (*configuration.Snapshot, error) {
+	snapshot, err := readConfigRow(ctx, s, source)
+	if err != nil || snapshot == nil {
+		return nil, err
+	}
+	set, err := ReadEvacuations(ctx, s, source)
+	if err != nil {
+		return nil, err
+	}
+	return snapshot.WithEvacuations(set), nil
+}
+
+// ReadEvacuations reads the evacuated data centres from source once.
+func ReadEvacuations(ctx context.Context, s table.Store, source string) (evacuation.Set, error) {
+	if source == SourcePlatform {
+		return configuration.ReadEvacuations(ctx, s, platform.OperatorTable, platform.EvacuationPrefix)
+	}
+	return configuration.ReadEvacuations(ctx, s, configuration.Table, configuration.EvacuationPrefix)
+}
+
+func readConfigRow(ctx context.Context, s table.Store, source string) (*configuration.Snapshot, error) {
 	if source != SourcePlatform {
 		return configuration.Read(ctx, s)
 	}
