Evacuate data centres in the matrix and the soak

Cause: the bound on starts in an evacuated data centre was not checked with the real processes and under their faults.

Change: the matrix gets the scenario evacuation, a checker with the bound of 5 s and a planted violation; its processes run with Bounds.Evacuation.

--- a/matrix/check_test.go
+++ b/matrix/check_test.go
@@ -31,6 +31,7 @@
 	{"liveness", checkLiveness},
 	{"keys-linearizable", checkKeys},
 	{"crash-budget", func(h *history) []string { return worker.CheckCrashBudget(h.records()) }},
+	{"evacuation", checkEvacuation},
 	{"capacity", func(h *history) []string { return worker.CheckCapacity(h.records(), capacityBound) }},
 }
 
@@ -52,6 +53,9 @@
 	takeoverBound     = 5 * time.Second
 	leavingBound      = 2 * time.Second
 	configChangeBound = 5 * time.Second
+	// evacuationBound is the time from the acknowledged request to evacuate a data centre to
+	// the last start there.
+	evacuationBound = 5 * time.Second
 	// capacityBound is how long a worker may have reported a smaller capacity when a start
 	// brings it over that.
 	capacityBound = 3 * time.Second
@@ -238,6 +242,21 @@
 	return bad
 }
 
+// checkEvacuation checks that nothing starts in an evacuated data centre later than the
+// bound.
+func checkEvacuation(h *history) []string {
+	var bad []string
+	for _, e := range h.evacuations {
+		limit := e.requested.Add(evacuationBound)
+		for _, x := range h.executions {
+			if x.dataCentre == e.dataCentre && x.Start.After(limit) && (e.released.IsZero() || x.Start.Before(e.released)) {
+				bad = append(bad, fmt.Sprintf("%s started on %s %v after the request to evacuate %s", x.TaskID, x.worker, x.Start.Sub(e.requested), e.dataCentre))
+			}
+		}
+	}
+	return bad
+}
+
 // checkGraceful checks that a graceful shutdown without a fault at the hosts involved
 // leaves no call without a response and stops no task.
 func checkGraceful(h *history) []string {
--- a/matrix/history_test.go
+++ b/matrix/history_test.go
@@ -42,6 +42,7 @@
 // execution is one run of a task on a worker.
 type execution struct {
 	worker      string
+	dataCentre  string
 	target      string
 	label       string
 	TaskID      string // name of the task, which begins with the job's ID
@@ -81,6 +82,13 @@
 	requested   time.Time
 }
 
+// evacuationRecord is the time in which a data centre was evacuated.
+type evacuationRecord struct {
+	dataCentre string
+	requested  time.Time // when the request was acknowledged
+	released   time.Time // when the withdrawal was first sent; zero if it was not
+}
+
 // history records what was observed of one run of a scenario.
 type history struct {
 	mu                sync.Mutex
@@ -91,6 +99,7 @@
 	acceptedConfigs   []configRecord // when the row of the current configuration was written
 	shutdowns         []shutdown
 	drains            []drain
+	evacuations       []evacuationRecord
 	affected          map[string]bool // hosts affected by a fault; a graceful shutdown is none
 	faultStarts       []time.Time     // when each fault began
 	faultDescriptions []string        // one for each fault
--- a/matrix/planted_test.go
+++ b/matrix/planted_test.go
@@ -150,6 +150,11 @@
 		{"start over a capacity that has shrunk", "capacity", func(h *history) {
 			find(h, "claim").Excess, find(h, "claim").CapacityAge = true, 4*time.Second
 		}},
+		{"start in an evacuated data centre", "evacuation", func(h *history) {
+			x := find(h, "claim")
+			x.dataCentre = "dc1"
+			h.evacuations = []evacuationRecord{{dataCentre: "dc1", requested: x.Start.Add(-evacuationBound - time.Millisecond)}}
+		}},
 		{"two jobs under a key", "keys-linearizable", func(h *history) {
 			other := ranCall(orderRequest("order", 0), 14, 15, "order")
 			other.resp.Job = "other"
--- a/matrix/scenarios_test.go
+++ b/matrix/scenarios_test.go
@@ -1,14 +1,17 @@
 package matrix
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/evacuation"
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/standin/worker"
+	"github.com/medlargrade/medlargrade/state/table"
 )
 
 // scenario is a kind of work. Faults are injected at its steps.
@@ -160,6 +163,17 @@
 		s.startRequest(askRequest("short", 300*time.Millisecond))
 		time.Sleep(4 * time.Second)
 	}},
+	{name: "evacuation", prepare: func(s *Site) {
+		s.startRequest(planRequest("held-gang", 3, 2, 2*time.Second))
+		time.Sleep(500 * time.Millisecond)
+	}, start: func(s *Site) {
+		s.wg.Go(func() { s.evacuateFor("dc1", evacuationTime) })
+		s.startRequest(planRequest("wide-gang", 4, 3, time.Second)) // fits only with both data centres
+		for i := range 8 {
+			s.startRequest(askRequest(fmt.Sprintf("during-%d", i), 300*time.Millisecond))
+			time.Sleep(time.Second)
+		}
+	}},
 	{name: "large", start: func(s *Site) {
 		r := planRequest("large-1", 1, 1, 500*time.Millisecond)
 		r.minPartBytes = 40 << 10
@@ -241,6 +255,39 @@
 	})
 }
 
+// evacuationTime is how long a data centre is evacuated. Work is submitted until about the end,
+// and 3 s remain after the bound.
+const evacuationTime = 8 * time.Second
+
+// evacuateFor evacuates a data centre for some time. Like an operator, it retries until its
+// changes are recorded.
+func (s *Site) evacuateFor(name string, d time.Duration) {
+	retry := func(change func(ctx context.Context, store table.Store) error) bool {
+		store, done := s.operatorStore()
+		defer done()
+		for began := time.Now(); !s.overdue(request{}, began); time.Sleep(time.Second) {
+			if change(s.t.Context(), store) == nil {
+				return true
+			}
+		}
+		s.hist.update(func(h *history) { h.pending = append(h.pending, "evacuation of "+name) })
+		return false
+	}
+	if !retry(func(ctx context.Context, store table.Store) error {
+		return configuration.Evacuate(ctx, store, evacuation.Request{DataCentre: name, Reason: "test"})
+	}) {
+		return
+	}
+	i := 0
+	s.hist.update(func(h *history) {
+		i = len(h.evacuations)
+		h.evacuations = append(h.evacuations, evacuationRecord{dataCentre: name, requested: time.Now()})
+	})
+	time.Sleep(d)
+	s.hist.update(func(h *history) { h.evacuations[i].released = time.Now() })
+	retry(func(ctx context.Context, store table.Store) error { return configuration.Release(ctx, store, name) })
+}
+
 // startChange starts changeWithRetry in a goroutine of the site.
 func (s *Site) startChange(kind string) {
 	s.wg.Go(func() { s.changeWithRetry(kind) })
--- a/matrix/site_test.go
+++ b/matrix/site_test.go
@@ -111,7 +111,7 @@
 func (s *Site) addWorker(i int) {
 	client := s.net.Host(workerHost(i)).HTTPClient()
 	w := worker.New(s.workerSite, worker.Settings{
-		Name: fmt.Sprintf("w%d", i+1), Pool: "workers", DataCentre: fmt.Sprintf("dc%d", i/rackSize+1), Rack: rackName(i),
+		Name: fmt.Sprintf("w%d", i+1), Pool: "workers", DataCentre: dataCentreName(i), Rack: rackName(i),
 		Accelerators: slotCount, Address: workerHost(i) + ":80", ReportAddress: targetHost(i) + ":3", StopTime: stopTime,
 		LeaseMax: leaseMax, NoAdmissionCheck: i%2 == 1,
 	}, client, zerolog.Nop())
@@ -145,6 +145,8 @@
 // that of a worker.
 func targetHostOf(worker string) string { return strings.Replace(worker, "10.2.", "10.1.", 1) }
 
+func dataCentreName(i int) string { return fmt.Sprintf("dc%d", i/rackSize+1) }
+
 func rackName(i int) string { return fmt.Sprintf("dc%d-r1", i/rackSize+1) }
 
 func (s *Site) serve(host string, h http.Handler, onRequest func(string, []byte, int)) {
@@ -157,7 +159,7 @@
 
 func processBounds() process.Bounds {
 	b := process.DefaultBounds()
-	b.LeaseMax, b.StopTime = process.Duration(leaseMax), process.Duration(stopTime)
+	b.LeaseMax, b.StopTime, b.Evacuation = process.Duration(leaseMax), process.Duration(stopTime), process.Duration(evacuationBound)
 	return b
 }
 
@@ -310,7 +312,7 @@
 		for _, r := range s.workerSite.Records() {
 			i := slices.IndexFunc(s.targets, func(p *proc) bool { return p.name[1:] == r.Target[1:] })
 			h.executions = append(h.executions, execution{
-				worker: workerHost(i), target: targetHost(i), label: labelOf([]byte(r.Payload)), TaskID: r.Task, Run: r.Run, Incarnation: incarnationID(r.Worker, r.Born),
+				worker: workerHost(i), dataCentre: dataCentreName(i), target: targetHost(i), label: labelOf([]byte(r.Payload)), TaskID: r.Task, Run: r.Run, Incarnation: incarnationID(r.Worker, r.Born),
 				Start: r.Arrived, Began: r.Began, End: r.Ended, EndReason: r.How, VoidAt: r.Void,
 				CrashesWorker: r.CrashesWorker, Excess: r.Excess, CapacityAge: r.CapacityAge,
 			})
--- a/soak/check.go
+++ b/soak/check.go
@@ -26,6 +26,9 @@
 	// capacityBound is how long a worker may have reported a smaller capacity when a start
 	// brings it over that.
 	capacityBound = 3 * time.Second
+	// evacuationBound is from the request to evacuate a data centre to the last start there, also
+	// while faults are active.
+	evacuationBound = 5 * time.Second
 	// memoryBoundMB is the memory of the smallest machine that runs a process.
 	memoryBoundMB = 152
 )
@@ -41,6 +44,7 @@
 //   - order: a run started before the steps it depends on were done
 //   - cancelled: a run of a cancelled job started or went on too late
 //   - drain: a run started on a draining worker
+//   - evacuation: a run started in an evacuated data centre
 //   - mixed: a reported state contradicts the runs, or a final state changed
 //   - reclaim: a job within a guarantee started late
 //   - configuration: a version took effect late or not at all, or an older one returned
@@ -68,6 +72,7 @@
 	addViolations("order", checkStepOrder(jobs, records))
 	addViolations("cancelled", h.checkCancelled(records, now))
 	addViolations("drain", h.checkDrains(records))
+	addViolations("evacuation", h.checkEvacuations(records))
 	addViolations("mixed", checkStates(jobs, records))
 	addViolations("reclaim", h.checkClaims(records))
 	addViolations("configuration", h.checkProbes(versions))
@@ -182,6 +187,20 @@
 	return bad
 }
 
+// checkEvacuations reports runs that start in an evacuated data centre later than
+// evacuationBound after the request, whatever faults are active.
+func (h *history) checkEvacuations(records []worker.Record) []string {
+	var bad []string
+	for _, e := range h.evacuations {
+		for _, x := range records {
+			if slices.Contains(e.workers, x.Target) && x.Arrived.After(e.from.Add(evacuationBound+schedulingSlack)) && (e.to.IsZero() || x.Arrived.Before(e.to)) {
+				bad = append(bad, fmt.Sprintf("%s started on %s %v after the request to evacuate %s", x.Task, x.Incarnation(), x.Arrived.Sub(e.from), e.dataCentre))
+			}
+		}
+	}
+	return bad
+}
+
 // checkStates reports jobs whose last state is contradicted by the runs: completed
 // before all steps were done, failed without a failed run, two crashes under a task or a
 // cancellation, or cancelled without a cancellation.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -103,6 +103,10 @@
 		{"cancelled job runs on", "cancelled", func(s *observations) { s.records[4].Ended = at(30) }},
 		{"cancelled job starts later", "cancelled", func(s *observations) { s.records[4] = record("gone.0.0.0", "w2", 20, 21, worker.EndStopped) }},
 		{"starts on a leaving worker", "drain", func(s *observations) { s.records[5] = record("claim.0.0.0", "w1", 24, 25, worker.EndDone) }},
+		{"starts in an evacuated data centre", "evacuation", func(s *observations) {
+			s.records[5].Target = "w2"
+			s.h.evacuations = []evacuation{{dataCentre: "dc1", workers: []string{"w2"}, from: s.records[5].Arrived.Add(-evacuationBound - schedulingSlack - time.Millisecond)}}
+		}},
 		{"completed before it was done", "mixed", func(s *observations) { s.h.jobs["steps"].stateSeenAt = at(7.5) }},
 		{"failed without a failure", "mixed", func(s *observations) { s.h.jobs["steps"].state = "failed" }},
 		{"cancelled without a cancellation", "mixed", func(s *observations) { s.h.jobs["steps"].state = "cancelled" }},
--- a/soak/history.go
+++ b/soak/history.go
@@ -11,13 +11,14 @@
 // history records what callers observed and which faults were injected. Its methods
 // are safe for concurrent use.
 type history struct {
-	mu         sync.Mutex
-	violations []string
-	jobs       map[string]*jobRecord
-	faults     []faultInterval
-	probes     []probe
-	drains     []drainNotice
-	callCount  int
+	mu          sync.Mutex
+	violations  []string
+	jobs        map[string]*jobRecord
+	faults      []faultInterval
+	probes      []probe
+	drains      []drainNotice
+	evacuations []evacuation
+	callCount   int
 }
 
 // faultInterval is a fault with the time during which it was active.
@@ -33,6 +34,14 @@
 	at     time.Time
 }
 
+// evacuation is the time in which a data centre was evacuated.
+type evacuation struct {
+	dataCentre string
+	workers    []string  // names of its workers
+	from       time.Time // when the store acknowledged the request
+	to         time.Time // when the withdrawal began; zero before
+}
+
 // jobRecord is what a caller knows about one job.
 type jobRecord struct {
 	job            caller.Job
@@ -103,6 +112,20 @@
 	h.drains = append(h.drains, d)
 }
 
+// recordEvacuation records the request to evacuate a data centre and returns a function that
+// records its withdrawal.
+func (h *history) recordEvacuation(e evacuation) (end func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	i := len(h.evacuations)
+	h.evacuations = append(h.evacuations, e)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.evacuations[i].to = time.Now()
+	}
+}
+
 // update changes the record of a job with f and counts a call.
 func (h *history) update(r *jobRecord, f func(r *jobRecord)) {
 	h.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -9,6 +9,9 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/pause"
+	adapter "github.com/medlargrade/medlargrade/platform"
 )
 
 const sigCont = syscall.SIGCONT
@@ -83,6 +86,7 @@
 	}
 	prober := s.newClient(rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Callers)+1)), false) //nolint:gosec // reproducible draws
 	wg.Go(func() { prober.probeConfig(loadCtx) })
+	wg.Go(func() { s.evacuateInTurn(loadCtx) })
 	peakMemory := 0
 	wg.Go(func() { peakMemory = s.monitorMemory(loadCtx) })
 	s.injectFaults(loadCtx, faults)
@@ -154,6 +158,33 @@
 	}
 }
 
+const (
+	// evacuationTime is how long each data centre is evacuated: the bound, its slack and some
+	// seconds that are checked.
+	evacuationTime = evacuationBound + schedulingSlack + 4*time.Second
+	// releasedTime is the time between two evacuations, in which all workers are used.
+	releasedTime = 2 * time.Second
+)
+
+// evacuateInTurn evacuates one data centre after another until ctx ends. The other data centre
+// has enough accelerators for all guarantees.
+func (s *site) evacuateInTurn(ctx context.Context) {
+	for first := 0; ctx.Err() == nil; first = (first + workersPerRack) % s.cfg.Targets {
+		e := evacuation{dataCentre: dataCentreName(first)}
+		for i := first; i < min(first+workersPerRack, s.cfg.Targets); i++ {
+			e.workers = append(e.workers, workerName(i))
+		}
+		key := adapter.EvacuationPrefix + e.dataCentre
+		s.platform.Put(adapter.OperatorTable, key, []byte("soak"))
+		e.from = time.Now()
+		end := s.history.recordEvacuation(e)
+		pause.For(ctx, evacuationTime)
+		end()
+		s.platform.Remove(adapter.OperatorTable, key)
+		pause.For(ctx, releasedTime)
+	}
+}
+
 // memorySampleInterval is the time between two readings of the memory in use.
 const memorySampleInterval = time.Second
 
--- a/soak/site.go
+++ b/soak/site.go
@@ -158,10 +158,15 @@
 func bounds() process.Bounds {
 	b := process.DefaultBounds()
 	b.LeaseMax, b.StopTime, b.GangWait = process.Duration(leaseMax), process.Duration(stopTime), process.Duration(gangWait)
-	b.ConfigInForce = process.Duration(configInForce)
+	b.ConfigInForce, b.Evacuation = process.Duration(configInForce), process.Duration(evacuationBound)
 	return b
 }
 
+func workerName(i int) string { return fmt.Sprintf("w%d", i+1) }
+
+// dataCentreName returns the name of the data centre of a worker. Each has one rack.
+func dataCentreName(i int) string { return fmt.Sprintf("dc%d", i/workersPerRack+1) }
+
 // addTarget starts a worker and its target process.
 func (s *site) addTarget(ctx context.Context, i int) error {
 	var addresses [3]string // for reports, planners and operators
@@ -177,9 +182,8 @@
 	if m.report, err = s.newLink(ctx, addresses[0]); err != nil {
 		return err
 	}
-	rack := i / workersPerRack
 	settings := worker.Settings{
-		Name: fmt.Sprintf("w%d", i+1), Pool: poolName, DataCentre: fmt.Sprintf("dc%d", rack+1), Rack: fmt.Sprintf("r%d", rack+1),
+		Name: workerName(i), Pool: poolName, DataCentre: dataCentreName(i), Rack: fmt.Sprintf("r%d", i/workersPerRack+1),
 		// Address is not used: the target reaches its worker through a link.
 		Accelerators: accelerators, Address: "127.0.0.1:1", ReportAddress: m.report.Address(), HeartbeatInterval: heartbeatInterval, LeaseMax: leaseMax,
 		StopTime: stopTime, GangWait: gangWait, NoAdmissionCheck: i%2 == 1,
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -115,6 +115,13 @@
 	s.applyLocked(transaction{Writes: []write{{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(value)}}})
 }
 
+// Remove removes a row of part "", like Put.
+func (s *Server) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyLocked(transaction{Deletions: []deletion{{Table: table, Key: key}}})
+}
+
 // Rows returns the rows of a table and part in key order, regardless of faults.
 func (s *Server) Rows(table, part string) []Row {
 	s.mu.Lock()
