Learn the speeds of workers and place work by them

Cause: at sites whose workers differ in speed, short gangs that run on a slow worker miss their objective, because a gang ends with its slowest member.

Change: package coordination/speed fits the speeds of workers to the progress and run times of tasks, by comparing the tasks of a step on different workers. With Policy.LearnSpeeds the planner places urgent units on fast workers, also by preemption, and other units on the slowest workers with which they meet their objective. It uses speeds in predictions, keeps them in a row, and no longer takes a gang member that has done its work for stalled. The experiment has workers of different speeds, and its gangs end with the slowest member.

Ruled out: judging single runs by declared run times, which are off by more than the speeds differ.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -172,6 +172,7 @@
 // so that whole workers stay free. For suspects it is the one with the most, where a crash
 // does the least harm. It returns nil if not all tasks fit.
 func (p *Planner) bestFit(u unit, targets []*target) []*target {
+	targets = p.preferredBySpeed(u, targets)
 	total := 0
 	for _, t := range targets {
 		total += t.available().maxCount(u.resources, p.remainingPerWorker(u, t))
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -95,7 +95,12 @@
 // unit must be guaranteed, or urgent and not worthless. If preempt does nothing, it returns
 // the reason, otherwise "".
 func (p *Planner) preempt(u unit, s *eligibleTargets, now time.Time) string {
-	preempting := &preemptor{unit: u, guaranteed: p.isGuaranteed(u)}
+	return p.preemptFor(&preemptor{unit: u, guaranteed: p.isGuaranteed(u)}, s, now)
+}
+
+// preemptFor is preempt for a unit of which it is known whether it is guaranteed.
+func (p *Planner) preemptFor(preempting *preemptor, s *eligibleTargets, now time.Time) string {
+	u := preempting.unit
 	if !preempting.guaranteed && (!isUrgent(u.kind) || u.tier == tierWorthless) {
 		return "too little room, and the job is neither guaranteed nor urgent and still of use"
 	}
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -49,10 +49,11 @@
 	Draining     bool
 	Suspect      bool // gets no new work because of failures or stalled runs
 	Runs         int
-	CPU          int // in use, in thousandths of a core
-	MemoryMB     int // in use
-	Accelerators int // in use
-	Foreign      int // runs that the worker lists and no row names
+	CPU          int     // in use, in thousandths of a core
+	MemoryMB     int     // in use
+	Accelerators int     // in use
+	Foreign      int     // runs that the worker lists and no row names
+	Speed        float64 `json:",omitempty"` // learned, relative to the other workers; 0 if speeds are not learned
 }
 
 // ClaimState is the state of a placement that waits until other runs have ended.
@@ -86,7 +87,7 @@
 		st.Targets = append(st.Targets, TargetState{
 			Name: t.name, Worker: t.worker.GetLife().GetWorker(), Pool: t.worker.GetPool(), Rack: t.worker.GetRack(),
 			Connected: t.connected, Listed: t.runsKnown, Draining: t.worker.GetDraining(), Suspect: t.health.isPaused(now),
-			Runs: len(t.runs), CPU: t.used.cpu, MemoryMB: t.used.memory, Accelerators: t.used.accelerators, Foreign: len(t.foreign),
+			Runs: len(t.runs), CPU: t.used.cpu, MemoryMB: t.used.memory, Accelerators: t.used.accelerators, Foreign: len(t.foreign), Speed: p.dumpSpeed(t),
 		})
 	}
 	for _, c := range p.claims {
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -194,9 +194,10 @@
 	switch how {
 	case endDone:
 		t.health.recordSuccess()
+		p.observeEnd(r, now)
 		// Only a first run without a checkpoint does the whole task.
 		if !r.confirmedAt.IsZero() && r.task.lastRun == 1 && r.task.checkpoint == "" {
-			p.runTimeRatios.observe(r.task.step.occ.job.job.Kind, r.task.step.spec.Estimate(), now.Sub(r.confirmedAt))
+			p.runTimeRatios.observe(r.task.step.occ.job.job.Kind, r.task.step.spec.Estimate(), p.nominalTime(r, now.Sub(r.confirmedAt)))
 		}
 	case endFailed:
 		t.health.recordFailure(r.task.name, now)
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -40,6 +40,14 @@
 	EventRunCrashed = 566
 	// EventJobGivenUp occurs when a job ends because workers crash that run a task of it.
 	EventJobGivenUp = 567
+	// EventSpeedsDiffer occurs when the planner finds that the workers differ in speed, or that
+	// they no longer do.
+	EventSpeedsDiffer = 575
+	// EventSpeedChanged occurs when the learned speed of a worker has changed by more than a
+	// class.
+	EventSpeedChanged = 576
+	// EventSpeedsIgnored occurs when the row of the learned speeds can't be decoded.
+	EventSpeedsIgnored = 577
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -61,6 +62,11 @@
 	// lastFailedRun is the last run of the gang that was counted as failed. The ends of
 	// several members count as one failure.
 	lastFailedRun int
+	speedStep     *speed.Step // nil until the first observation
+	// gangSpeed is the speed of the slowest worker of the gang's run gangSpeedRun, once a member
+	// of it has ended.
+	gangSpeed    float64
+	gangSpeedRun int
 }
 
 // task is the state of one task.
@@ -108,6 +114,7 @@
 	firstListedAt time.Time
 	lastListedAt  time.Time // when a new poll of the worker last listed the run
 	load          int64     // as last listed; not used by the planner
+	pace          speed.Pace
 
 	stopReason   string    // why it is being stopped; empty if it is not
 	stopQueuedAt time.Time // when the stop order was last queued; zero if it must be queued now
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -47,6 +47,7 @@
 func (p *Planner) Plan(now time.Time) Batch {
 	if p.config != nil && (p.needsPass || now.Sub(p.lastPass) >= maxPassInterval) {
 		p.lastPass = now
+		p.learnSpeeds(now)
 		p.addDueOccurrences(now)
 		p.expireJobs(now)
 		p.removeOldJobs(now)
@@ -164,7 +165,7 @@
 	start := s.occ.releaseTime()
 	objective := p.objective(js, k)
 	objectiveEnd := start.Add(objective)
-	end := now.Add(p.runTime(js.job.Kind, s.spec))
+	end := now.Add(p.bestRunTime(js.job.Kind, s.spec))
 	switch {
 	case !end.After(objectiveEnd):
 		return objectiveEnd, tierOnTime
@@ -243,6 +244,7 @@
 		b.Deletions = append(b.Deletions, d...)
 		p.toDelete = p.toDelete[1:]
 	}
+	p.batchSpeeds(&b, now)
 	p.batchOrders(&b, deferred)
 	p.batchEndAcks(&b)
 	return b
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -38,7 +39,19 @@
 		s = p.withoutIsolated(u, s)
 	}
 	targets := p.chooseTargets(u, s, now)
+	if p.isTooSlow(u, targets) {
+		if p.preemptFast(u, s, now) {
+			return true
+		}
+		if p.waitsForFast(u, now) {
+			p.logWait(u, s, "only slow workers have room")
+			return false
+		}
+	}
 	if targets == nil {
+		if p.preemptFast(u, s, now) {
+			return true
+		}
 		reason := p.preempt(u, s, now)
 		if reason != "" {
 			p.logWait(u, s, reason)
@@ -175,14 +188,15 @@
 		return p.bestFit(u, s.targetsInRack(name))
 	}
 	var best []*target
-	bestLeft := 0
+	bestLeft, bestRank := 0, 0
 	for _, r := range s.racks {
 		chosen := p.bestFit(u, r.targets)
 		if chosen == nil {
 			continue
 		}
-		if left := availableAccelerators(r.targets); best == nil || left < bestLeft {
-			best, bestLeft = chosen, left
+		rank, left := p.speedRank(u, chosen), availableAccelerators(r.targets)
+		if best == nil || cmp.Or(cmp.Compare(rank, bestRank), cmp.Compare(left, bestLeft)) < 0 {
+			best, bestRank, bestLeft = chosen, rank, left
 		}
 	}
 	return best
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -75,6 +76,10 @@
 	runTimeRatios runTimeRatios
 	toDelete      []*jobState          // removed jobs whose rows must be deleted
 	tombstones    map[string]tombstone // by job ID
+
+	speeds          *speed.Learner // nil unless Policy.LearnSpeeds is set
+	speedsRow       []byte         // as last written or read
+	speedsWrittenAt time.Time
 }
 
 // New returns a planner without jobs and targets.
@@ -82,11 +87,15 @@
 	if settings.Metrics == nil {
 		settings.Metrics = metrics.NewSet()
 	}
-	return &Planner{
+	p := &Planner{
 		settings: settings, log: log, jobs: make(map[string]*jobState), targets: make(map[string]*target),
 		dirty: make(map[*occurrence]time.Time), orders: make(map[string][]Order), unackedEnds: make(map[*target]struct{}),
 		runTimeRatios: make(runTimeRatios), suspects: make(map[*task]struct{}), isolated: make(map[*target]*jobState), tombstones: make(map[string]tombstone),
 	}
+	if settings.Policy.LearnSpeeds {
+		p.speeds = speed.New()
+	}
+	return p
 }
 
 // SetLoaded tells the planner that all recorded jobs have been added. Until then it
--- a/coordination/planner/remaining.go
+++ b/coordination/planner/remaining.go
@@ -38,5 +38,5 @@
 	if !r.confirmedAt.IsZero() {
 		elapsed = now.Sub(r.confirmedAt)
 	}
-	return max(p.runTime(r.task.step.occ.job.job.Kind, r.task.step.spec)-elapsed, 0)
+	return max(p.runTimeOn(r)-elapsed, 0)
 }
--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -26,6 +26,10 @@
 	if !p.percentReported || r.stopReason != "" || r.firstListedAt.IsZero() || r.task.step.spec.LongRunning {
 		return 0
 	}
+	if p.speeds != nil && r.percent >= 100 && r.task.step.spec.Gang {
+		// It waits for slower members of its gang.
+		return 0
+	}
 	stallTime := r.lastListedAt.Sub(r.progressedAt)
 	limit := max(minStallTime, stallFactor*p.timePerPercent(r))
 	if r.percent == r.firstPercent {
@@ -45,7 +49,7 @@
 	if done := r.percent - r.firstPercent; done > 0 {
 		return r.progressedAt.Sub(r.firstListedAt) / time.Duration(done)
 	}
-	return p.runTime(r.task.step.occ.job.job.Kind, r.task.step.spec) / 100
+	return p.runTimeOn(r) / 100
 }
 
 // handleStalledRuns keeps new work away from workers with stalled runs, and moves the runs
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 )
@@ -37,6 +38,9 @@
 	agentBoot         uint64 // identifies the start of the agent that last reported
 	// crashes are the latest incarnations of the worker that ended without an announcement.
 	crashes []job.Incarnation
+
+	speed       *speed.Worker // nil unless speeds are learned
+	loggedClass int           // class of the speed as last logged
 }
 
 // unrecordedEnd is the end of a run that is part of the row of an occurrence.
@@ -55,7 +59,7 @@
 func (p *Planner) targetNamed(name string) *target {
 	t := p.targets[name]
 	if t == nil {
-		t = &target{name: name, runs: make(map[*run]struct{}), foreign: make(map[runKey]time.Time)}
+		t = &target{name: name, runs: make(map[*run]struct{}), foreign: make(map[runKey]time.Time), speed: p.speedWorker(name)}
 		p.targets[name] = t
 		i, _ := slices.BinarySearchFunc(p.sortedTargets, name, func(t *target, name string) int { return cmp.Compare(t.name, name) })
 		p.sortedTargets = slices.Insert(p.sortedTargets, i, t)
@@ -350,6 +354,7 @@
 		r.percent, r.progressedAt = s.GetPercent(), now
 		p.percentReported = true
 	}
+	p.observePace(r, s.GetPercent(), now)
 	r.load = s.GetLoad()
 	if c := s.GetCheckpoint(); c != "" {
 		r.task.setCheckpoint(c, now)
--- a/experiment/draw.go
+++ b/experiment/draw.go
@@ -150,6 +150,25 @@
 	return l.Workspaces[len(l.Workspaces)-1].Name
 }
 
+// speeds draws the speeds of the workers. A stream of random numbers of its own keeps the other
+// draws of a seed the same with and without speeds.
+func (s Site) speeds(seed uint64) []float64 {
+	const stream = 1 << 32
+	r := rand.New(rand.NewPCG(seed, stream)) //nolint:gosec // reproducible draws
+	out := make([]float64, s.Workers)
+	for i := range out {
+		out[i] = 1
+		x := r.Float64()
+		for _, v := range s.Speeds {
+			out[i] = v.Speed
+			if x -= v.Share; x < 0 {
+				break
+			}
+		}
+	}
+	return out
+}
+
 // Sizes of the largest gangs, and of the largest gangs that must be in one rack, as
 // shares of the capacity of the site or rack. Callers do not submit larger gangs.
 const (
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/medlargrade/medlargrade/operator"
@@ -42,6 +43,19 @@
 	CommitMillis     int64   // duration of a transaction of the store
 	OrderMillis      int64   // delay from the planner to a worker
 	WastePrice       float64 // worth of a core-second of wasted work
+
+	// Speeds are the speeds of workers, relative to the nominal one; all have speed 1 if it is
+	// empty. The speed of each worker is drawn.
+	Speeds []SpeedShare `json:",omitempty"`
+	// GangsReportTogether makes the members of a gang report the progress of the gang, which is
+	// that of its slowest member, instead of their own.
+	GangsReportTogether bool `json:",omitempty"`
+}
+
+// SpeedShare is a speed that a share of the workers has.
+type SpeedShare struct {
+	Speed float64
+	Share float64
 }
 
 // Workspace is a workspace whose callers submit jobs.
@@ -149,6 +163,13 @@
 	require(s.Workers > 0 && s.PerRack > 0, "Site: Workers and PerRack must be positive")
 	require(s.CPU > 0 && s.MemoryMB > 0 && s.Accelerators > 0, "Site: CPU, MemoryMB and Accelerators must be positive")
 	require(s.FarFactor >= 1, "Site.FarFactor is %g, must be at least 1", s.FarFactor)
+	shares := 0.0
+	for i, x := range s.Speeds {
+		require(x.Speed >= minSpeed && x.Speed <= maxSpeed, "Site.Speeds[%d]: Speed is %g, must be between %g and %g", i, x.Speed, minSpeed, maxSpeed)
+		require(x.Share > 0, "Site.Speeds[%d]: Share must be positive", i)
+		shares += x.Share
+	}
+	require(len(s.Speeds) == 0 || math.Abs(shares-1) < 1e-6, "Site.Speeds: the shares add up to %g, not 1", shares)
 	require(l.LengthSeconds > 0, "LengthSeconds must be positive")
 	require(l.Swing >= 0 && l.Swing <= 1, "Swing is %g, must be between 0 and 1", l.Swing)
 	require(l.Swing == 0 || l.PeriodSeconds > 0, "PeriodSeconds must be positive")
@@ -177,6 +198,12 @@
 	return errors.Join(errs...)
 }
 
+// minSpeed and maxSpeed bound the speeds of workers.
+const (
+	minSpeed = 0.1
+	maxSpeed = 10.0
+)
+
 // pool is the name of the only pool of simulated sites.
 const pool = "pool"
 
--- a/experiment/run.go
+++ b/experiment/run.go
@@ -68,8 +68,8 @@
 	}
 	sim.planner.SetConfig(configuration.NewSnapshot(1, l.config()))
 	sim.planner.SetLoaded()
-	for i := range s.Workers {
-		w := &worker{sim: sim, name: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%03d", i/s.PerRack), born: 1, runs: make(map[string]*run)}
+	for i, speed := range s.speeds(o.Seed) {
+		w := &worker{sim: sim, speed: speed, name: fmt.Sprintf("w%03d", i), rack: fmt.Sprintf("r%03d", i/s.PerRack), born: 1, runs: make(map[string]*run)}
 		sim.workers[w.name] = w
 		sim.workerNames = append(sim.workerNames, w.name)
 	}
@@ -153,6 +153,9 @@
 // recordProgress passes the job states that a batch writes to the result.
 func (sim *simulation) recordProgress(b planner.Batch) {
 	for _, w := range b.Writes {
+		if w.Table != job.TableProgress {
+			continue
+		}
 		pr, err := job.DecodeProgress(w.Value)
 		if err != nil {
 			panic(fmt.Sprintf("experiment: decode progress row %s: %v", w.Key, err))
--- a/experiment/worker.go
+++ b/experiment/worker.go
@@ -30,6 +30,7 @@
 	down          bool
 	draining      bool
 	goneAt        time.Duration // when it is lost, if it drains
+	speed         float64       // relative to the nominal one
 	slowdown      float64       // factor of the duration of work; 0 for none
 	hanging       bool
 	failsRuns     bool
@@ -59,7 +60,8 @@
 	fails         bool
 	failAfterWork time.Duration // the work after which it fails, if fails is set
 	ended         bool
-	endVersion    int // incremented to cancel the scheduled end
+	endVersion    int  // incremented to cancel the scheduled end
+	waits         bool // it is done and waits for slower members of its gang
 }
 
 // workPoint is the work that a run had done at a time.
@@ -154,7 +156,8 @@
 	}
 }
 
-// begin starts the work of a gang. Its members end together, when the longest is done.
+// begin starts the work of a gang. Its members have the work of the longest and end together,
+// when the slowest is done.
 func (g *gang) begin() {
 	longest, apart := time.Duration(0), false
 	for _, m := range g.members {
@@ -170,6 +173,23 @@
 	}
 }
 
+// done reports whether all members have done their work.
+func (g *gang) done() bool {
+	return !slices.ContainsFunc(g.members, func(m *run) bool { return !m.waits })
+}
+
+// reportedProgress returns the progress that a run reports.
+func (r *run) reportedProgress() time.Duration {
+	if r.gang == nil || !r.worker.sim.load.Site.GangsReportTogether {
+		return r.progress()
+	}
+	least := r.progress()
+	for _, m := range r.gang.members {
+		least = min(least, m.progress())
+	}
+	return least
+}
+
 func (r *run) begin() {
 	if r.ended {
 		return
@@ -184,7 +204,7 @@
 	if r.worker.hanging {
 		return 0
 	}
-	return 1 / (r.placeFactor * max(r.worker.slowdown, 1))
+	return r.worker.speed / (r.placeFactor * max(r.worker.slowdown, 1))
 }
 
 // progress returns the work done so far.
@@ -201,7 +221,7 @@
 	r.endVersion++
 	endVersion := r.endVersion
 	speed := r.speed()
-	if r.beganAt < 0 || speed == 0 {
+	if r.beganAt < 0 || speed == 0 || r.waits {
 		return
 	}
 	targetWork, how := r.work, endDone
@@ -212,9 +232,16 @@
 		targetWork, how = r.workDone, endFailed
 	}
 	r.worker.sim.afterFunc(time.Duration(float64(targetWork-r.workDone)/speed), func() {
-		if r.endVersion == endVersion {
-			r.end(how)
+		if r.endVersion != endVersion {
+			return
+		}
+		if how == endDone && r.gang != nil {
+			r.waits = true
+			if !r.gang.done() {
+				return
+			}
 		}
+		r.end(how)
 	})
 }
 
@@ -362,7 +389,7 @@
 		r := w.runs[name]
 		percent := int64(0)
 		if r.work > 0 {
-			percent = int64(100 * max(r.progress(), 0) / r.work)
+			percent = int64(100 * max(r.reportedProgress(), 0) / r.work)
 		}
 		in.Running = append(in.Running, &agentrpc.RunStatus{
 			Task: r.name, Run: int64(r.number), Checkpoint: r.checkpoint(false), Percent: percent,
--- a/experiment/worker_test.go
+++ b/experiment/worker_test.go
@@ -28,7 +28,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			sim := &simulation{load: Load{Site: Site{CheckpointMillis: 1000}}}
-			w := &worker{sim: sim, runs: make(map[string]*run)}
+			w := &worker{sim: sim, speed: 1, runs: make(map[string]*run)}
 			r := &run{
 				worker: w, name: "j.0.0.0", spec: job.Step{CPU: 1000, Checkpointable: tt.checkpointable},
 				work: time.Hour, beganAt: -1, placeFactor: 1,
