Restore learned speeds at a change of the planner and make verdicts robust

Cause: on even sites a few workers counted as slow for a moment. With two samples, the second was limited to a range around the first, and a job with a multiple of its declared work looked like a change of the worker's speed.

Change: samples far from the worker's speed lose weight instead of being limited, and only comparisons with other workers show a change. A new owner reads the row of the learned speeds.

--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -40,6 +40,9 @@
 	// EventPanicked occurs when a goroutine of the owner panics. The process gives up the
 	// shard.
 	EventPanicked = 654
+	// EventSpeedsNotLoaded occurs when a new owner finds no recorded speeds of workers, or can't
+	// read them in time.
+	EventSpeedsNotLoaded = 578
 	// EventShardState occurs once a second while work waits or runs.
 	EventShardState = 655
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -62,6 +62,7 @@
 	if err := o.loadProgress(runCtx); err != nil {
 		return err
 	}
+	o.loadSpeeds(runCtx)
 	config, followConfig := o.deps.NewConfig()
 	o.config = config
 	o.goProtected(&wg, "configuration", func() { followConfig(runCtx) })
--- a/coordination/speed/learner.go
+++ b/coordination/speed/learner.go
@@ -42,8 +42,9 @@
 	minTaskDeviation = 0.05
 	// percentDeviation is the error of a difference of two percentages, in percent.
 	percentDeviation = 0.6
-	// maxDeviation is the largest deviation of a sample from the median of its worker that
-	// counts. It limits the influence of tasks with a multiple of the usual work.
+	// maxDeviation is the largest deviation of a value from the mean of its group that counts
+	// for the learned deviations. It limits the influence of tasks with a multiple of the usual
+	// work.
 	maxDeviation = 0.6
 	// tailFreedoms is the number of degrees of freedom in addSample.
 	tailFreedoms = 4
@@ -71,8 +72,8 @@
 	// unevenSigmas is by how many standard deviations the spread of the workers must exceed
 	// that of equal ones, and evenSigmas where a site becomes even again. unevenWorkerSigmas
 	// is the deviation of a single worker that is enough.
-	unevenSigmas       = 8
-	evenSigmas         = 3
+	unevenSigmas       = 7
+	evenSigmas         = 2
 	unevenWorkerSigmas = 8
 	// minUnevenSpread is the least deviation of the speeds that is worth acting on.
 	minUnevenSpread = 0.12
@@ -82,6 +83,9 @@
 	// of a worker from which on the older ones are disregarded.
 	changeSigmas = 5
 	minChange    = 0.3
+	// minChangeWeight is the least weight of the recent samples of a worker for that: more than a
+	// single task has.
+	minChangeWeight = 1 / (0.2 * 0.2)
 )
 
 // Learner learns the speeds of the workers of a site. It is not safe for concurrent use.
@@ -138,6 +142,7 @@
 type sample struct {
 	value, variance float64
 	at              time.Time
+	relative        bool // to other workers, not only to the declared run time
 }
 
 type groupSum struct {
@@ -433,17 +438,21 @@
 		weight := 1 / (g.variance + g.worker.variance)
 		others := evidence{weight: all.weight - weight}
 		others.mean = (all.mean*all.weight - (g.mean+g.worker.log)*weight) / others.weight
-		g.worker.addSample(others.mean-g.mean, g.variance+1/others.weight, g.at)
+		g.worker.addSample(sample{
+			value: others.mean - g.mean, variance: g.variance + 1/others.weight, at: g.at,
+			relative: others.weight > 2*declared.weight,
+		})
 	}
 }
 
 // addSample adds a sample. Samples that are far from the worker's speed have less weight, as if
 // the errors had Student's distribution with tailFreedoms degrees of freedom: a few tasks have a
 // multiple of the usual work.
-func (w *Worker) addSample(value, variance float64, at time.Time) {
-	d := value - w.log
-	z2 := d * d / (variance + w.variance)
-	w.samples = append(w.samples, sample{value, variance * max((tailFreedoms+z2)/(tailFreedoms+1), 1), at})
+func (w *Worker) addSample(s sample) {
+	d := s.value - w.log
+	z2 := d * d / (s.variance + w.variance)
+	s.variance *= max((tailFreedoms+z2)/(tailFreedoms+1), 1)
+	w.samples = append(w.samples, s)
 }
 
 // compareTogether adds samples for a gang whose members progress alike, as its slowest member
@@ -456,7 +465,7 @@
 			continue
 		}
 		variance := g.variance + 1/declared.weight + sharedDeviation*sharedDeviation
-		g.worker.addSample(declared.mean-g.mean, variance, g.at)
+		g.worker.addSample(sample{value: declared.mean - g.mean, variance: variance, at: g.at})
 	}
 }
 
@@ -480,18 +489,21 @@
 	return b
 }
 
-// detectChange disregards the older samples if the recent ones certainly differ from them.
+// detectChange disregards the older samples if the recent ones certainly differ from them. Only
+// comparisons with other workers count: a job with a multiple of the declared work would look like
+// a change.
 func (w *Worker) detectChange(now time.Time, base evidence) {
 	var recent, older []sample
 	for _, s := range w.samples {
-		if now.Sub(s.at) <= recentSpan {
-			recent = append(recent, s)
-		} else {
+		switch {
+		case now.Sub(s.at) > recentSpan:
 			older = append(older, s)
+		case s.relative:
+			recent = append(recent, s)
 		}
 	}
 	r, o := combine(recent, evidence{}), combine(older, base)
-	if len(recent) < 2 || o.weight == 0 {
+	if r.weight < minChangeWeight || o.weight == 0 {
 		return
 	}
 	difference := math.Abs(r.mean - o.mean)
@@ -501,26 +513,12 @@
 	}
 }
 
-// combine returns the weighted mean of samples, limited to maxDeviation from their median, and
-// of a base.
+// combine returns the weighted mean of samples and a base.
 func combine(samples []sample, base evidence) evidence {
-	e := base
-	if len(samples) == 0 {
-		return e
-	}
-	median := samples[0].value
-	if len(samples) > 2 {
-		values := make([]float64, 0, 16)
-		for _, s := range samples {
-			values = append(values, s.value)
-		}
-		slices.Sort(values)
-		median = (values[(len(values)-1)/2] + values[len(values)/2]) / 2
-	}
 	for _, s := range samples {
-		e = e.plus(evidence{min(max(s.value, median-maxDeviation), median+maxDeviation), 1 / s.variance})
+		base = base.plus(evidence{s.value, 1 / s.variance})
 	}
-	return e
+	return base
 }
 
 // decideUneven decides whether the workers differ by more than chance.
