--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -49,6 +49,14 @@
 	EventStartsWithheld = 572
 	// EventStartsResumed occurs when the copy is fresh again.
 	EventStartsResumed = 573
+	// EventSpeedsDiffer occurs when the planner finds that the workers differ in speed, or that
+	// they no longer do.
+	EventSpeedsDiffer = 575
+	// EventSpeedChanged occurs when the learned speed of a worker has changed by more than a
+	// class.
+	EventSpeedChanged = 576
+	// EventSpeedsIgnored occurs when the row of the learned speeds can't be decoded.
+	EventSpeedsIgnored = 577
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
