--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -32,10 +32,6 @@
 	if !p.percentReported || r.stopReason != "" || r.firstListedAt.IsZero() || r.task.step.spec.LongRunning {
 		return 0
 	}
-	if p.speeds != nil && r.percent >= 100 && r.task.step.spec.Gang {
-		// It waits for slower members of its gang.
-		return 0
-	}
 	stallTime := r.lastListedAt.Sub(r.progressedAt)
 	limit := max(minStallTime, stallFactor*p.timePerPercent(r))
 	if r.percent == r.firstPercent {
