Keep room for urgent work by what arrives

Cause: the fixed share of 0.4 keeps accelerators free whether urgent work arrives or not, while long and batch work waits.

Change: with Policy.AdaptiveRoom the room follows the use that the urgent work of the last minute would have had, in accelerators and whole workers. Work that is cheap to stop leaves less room than work without checkpoints.

--- /dev/null
+++ b/coordination/contention/contention_test.go
@@ -0,0 +1,78 @@
+package contention
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against an estimate that misses the use of overlapping runs, remembers arrivals for
+// too long, or mixes up pools.
+func TestDemand(t *testing.T) {
+	a := NewArrivals(start)
+	check := Class{Pool: "p", Kind: "check"}
+	qt.Check(t, a.Demand("p", start).Known, qt.IsFalse)
+	// Two gangs overlap for 1 s of the first 20 s.
+	a.Observe(check, Amount{Accelerators: 16, Workers: 2}, 2*time.Second, start.Add(10*time.Second))
+	a.Observe(check, Amount{Accelerators: 8, Workers: 1}, 2*time.Second, start.Add(11*time.Second))
+	d := a.Demand("p", start.Add(20*time.Second))
+	qt.Check(t, d.Known, qt.IsTrue)
+	qt.Check(t, d.Accelerators.Peak, qt.Equals, 24)
+	qt.Check(t, d.Workers.Peak, qt.Equals, 3)
+	qt.Check(t, d.Accelerators.Mean, qt.Equals, (16*2.0+8*2.0)/20)
+	qt.Check(t, a.Demand("other", start.Add(20*time.Second)).Accelerators.Peak, qt.Equals, 0)
+	qt.Check(t, a.Demand("p", start.Add(80*time.Second)).Accelerators.Peak, qt.Equals, 0)
+}
+
+// Guards against sums that depend on the order of arrivals at the same time, and against use
+// that a ring keeps from an earlier turn.
+func TestDemandRepeats(t *testing.T) {
+	x, y := NewArrivals(start), NewArrivals(start)
+	c := Class{Kind: "check"}
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * time.Second)
+		long, short := 30*time.Second, 700*time.Millisecond
+		x.Observe(c, Amount{Accelerators: 8}, long, now)
+		x.Observe(c, Amount{Accelerators: 2}, short, now)
+		y.Observe(c, Amount{Accelerators: 2}, short, now)
+		y.Observe(c, Amount{Accelerators: 8}, long, now)
+		d := x.Demand("", now)
+		qt.Assert(t, d, qt.Equals, y.Demand("", now))
+		// No more than maxRunTime of arrivals overlap.
+		qt.Assert(t, d.Accelerators.Peak <= 20*8+2, qt.IsTrue)
+	}
+}
+
+// Guards against room that ignores what runs already, exceeds its bounds, or is kept although
+// nothing urgent arrives.
+func TestRoom(t *testing.T) {
+	site := Site{Total: Amount{Accelerators: 560, Workers: 70}}
+	busy := site
+	busy.UrgentInUse = Amount{Accelerators: 100, Workers: 10}
+	known := func(mean, deviation float64) Demand {
+		return Demand{Known: true, Accelerators: Usage{Mean: mean, Deviation: deviation}}
+	}
+	tests := []struct {
+		name   string
+		demand Demand
+		site   Site
+		costly bool
+		want   int
+	}{
+		{"unknown: the fixed share", Demand{}, site, true, 224},
+		{"nothing arrives", known(0, 0), site, true, 0},
+		{"costly to stop", known(100, 40), site, true, 160},
+		{"cheap to stop", known(100, 40), site, false, 70},
+		{"some is in use", known(100, 40), Site{Total: site.Total, UrgentInUse: Amount{Accelerators: 30}}, true, 130},
+		{"much is in use", known(100, 40), busy, true, 80},
+		{"bounded", known(500, 100), site, true, 336},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.Check(t, tt.demand.Room(tt.site, tt.costly).Accelerators, qt.Equals, tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/coordination/planner/contention_test.go
@@ -0,0 +1,57 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/state/job"
+)
+
+// Guards against long work that waits for room although nothing urgent arrives, and against
+// long work that is costly to stop and takes the room that urgent work has just used.
+func TestAdaptiveRoom(t *testing.T) {
+	tests := []struct {
+		name           string
+		urgent         int // gangs of 24 accelerators, one every 3 s, before the long work
+		checkpointable bool
+		wait           time.Duration
+		want           int // tasks that start, of 8 with 4 accelerators; the site has 32
+	}{
+		{name: "nothing arrived", want: 8},
+		// Gangs of 3 workers ask for the highest room, 3 of the 4 workers.
+		{name: "urgent work arrives", urgent: 6, want: 2},
+		{name: "cheap to stop", urgent: 6, checkpointable: true, want: 4},
+		// After a while, work starts as long as half of the accelerators are available.
+		{name: "waited", urgent: 6, wait: idleSiteWait, want: 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.p.settings.Policy.AdaptiveRoom = true
+			// The first pass that sees a job begins the history.
+			h.addJob(newJob("first", "fill", job.Step{Tasks: 1, EstimateMillis: 1}))
+			h.finishTask("first.0.0.0")
+			for i := range 6 {
+				if i < tt.urgent {
+					id := fmt.Sprintf("u%d", i)
+					h.addJob(newJob(id, "urgent", job.Step{Tasks: 3, Accelerators: 8, Gang: true, EstimateMillis: 2000}))
+					h.advance(2 * time.Second)
+					for k := range 3 {
+						h.finishTask(fmt.Sprintf("%s.0.0.%d", id, k))
+					}
+					h.advance(time.Second)
+					continue
+				}
+				h.advance(3 * time.Second)
+			}
+			before := len(h.starts)
+			h.addJob(newJob("j", "long", job.Step{Tasks: 8, Accelerators: 4, EstimateMillis: 20_000, Checkpointable: tt.checkpointable}))
+			h.advance(tt.wait)
+			qt.Check(t, len(h.starts)-before, qt.Equals, tt.want)
+			qt.Check(t, h.p.State(h.now).Rooms, qt.HasLen, 1)
+		})
+	}
+}
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -13,6 +13,7 @@
 	Ended         int        // number of other occurrences that are still kept
 	Targets       []TargetState
 	Claims        []ClaimState
+	Rooms         []RoomState `json:",omitempty"` // with Policy.AdaptiveRoom
 }
 
 // JobState is the state of one occurrence of a job.
@@ -66,7 +67,7 @@
 
 // State returns a dump of the current state.
 func (p *Planner) State(now time.Time) State {
-	var st State
+	st := State{Rooms: p.roomStates()}
 	if p.config != nil {
 		st.ConfigVersion = p.config.Version
 	}
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -42,4 +42,6 @@
 	EventJobGivenUp = 567
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
+	// EventRoom occurs at intervals while work may have to leave room for urgent work.
+	EventRoom = 580
 )
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -53,7 +53,7 @@
 		p.evacuate(now)
 		p.handleStalledRuns(now)
 		p.checkSuspects(now)
-		p.eligibleCache = make(map[requirement]*eligibleTargets)
+		p.eligibleCache, p.room = make(map[requirement]*eligibleTargets), roomState{}
 		p.processClaims(now)
 		for _, u := range p.units(now) {
 			p.placeTasks(u, now)
@@ -124,6 +124,7 @@
 		}
 		if s.waitingSince.IsZero() {
 			s.waitingSince = now
+			p.observeArrival(s, k, now)
 		}
 		tasks := s.waitingTasks(now)
 		if len(tasks) == 0 || s.spec.Gang && len(tasks) < len(s.tasks) {
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -71,6 +71,9 @@
 // spare or are within the guarantee of their workspace never wait for this reason, and
 // neither does any unit while at least half of the accelerators are available.
 func (p *Planner) mustKeepHeadroom(u unit, s *eligibleTargets, now time.Time) bool {
+	if p.settings.Policy.AdaptiveRoom {
+		return p.mustKeepAdaptiveRoom(u, s, now)
+	}
 	if p.settings.Policy.NoHeadroom || isUrgent(u.kind) || u.resources.accelerators == 0 {
 		return false
 	}
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/contention"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -75,6 +76,10 @@
 	runTimeRatios runTimeRatios
 	toDelete      []*jobState          // removed jobs whose rows must be deleted
 	tombstones    map[string]tombstone // by job ID
+
+	arrivals *contention.Arrivals // of urgent work; nil unless Policy.AdaptiveRoom is set
+	room     roomState            // valid within a pass
+	rooms    map[string]*roomOfPool
 }
 
 // New returns a planner without jobs and targets.
--- /dev/null
+++ b/experiment/contention_test.go
@@ -0,0 +1,66 @@
+package experiment_test
+
+import (
+	"os"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/coordination/planner"
+	"github.com/medlargrade/medlargrade/experiment"
+)
+
+func readContention(t *testing.T) experiment.Load {
+	t.Helper()
+	text, err := os.ReadFile("testdata/contention.json")
+	qt.Assert(t, err, qt.IsNil)
+	l, err := experiment.ParseLoad(text)
+	qt.Assert(t, err, qt.IsNil)
+	return l
+}
+
+// outcome is the result of several runs with one policy.
+type outcome struct {
+	summary experiment.Summary
+	groups  experiment.Breakdown
+}
+
+// play plays a load with two policies side by side, logs their results and returns them.
+func play(t *testing.T, l experiment.Load, seeds uint64, policies ...planner.Policy) []*outcome {
+	t.Helper()
+	out := make([]*outcome, len(policies))
+	var wg sync.WaitGroup
+	for i, policy := range policies {
+		out[i] = &outcome{}
+		wg.Go(func() {
+			for seed := range seeds {
+				r := experiment.Run(l, experiment.Options{Seed: seed, Policy: policy})
+				out[i].summary.Add(r)
+				out[i].groups.Add(r)
+			}
+		})
+	}
+	wg.Wait()
+	for i, policy := range policies {
+		t.Logf("%+v\n%s%s", policy, out[i].summary.String(), out[i].groups.String())
+	}
+	return out
+}
+
+// Guards against adaptive room that gains for other work at the cost of short gangs: where
+// capacity is short, more of the worth must be earned in all, no less of the short gangs may
+// be on time than with the fixed share, and other work must start sooner.
+func TestAdaptiveRoomPays(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays 12 runs of 140 s")
+	}
+	// One percent of the short gangs is within the chance of the draws.
+	const seeds, tolerance = 6, 0.01
+	got := play(t, readContention(t), seeds, planner.Policy{}, planner.Policy{AdaptiveRoom: true})
+	fixed, adaptive := got[0], got[1]
+	qt.Check(t, adaptive.summary.Share() > fixed.summary.Share(), qt.IsTrue)
+	qt.Check(t, adaptive.groups.Group("kind check").OnTimeShare() >= fixed.groups.Group("kind check").OnTimeShare()-tolerance, qt.IsTrue)
+	qt.Check(t, adaptive.groups.Group("kind batch").StartWait < fixed.groups.Group("kind batch").StartWait, qt.IsTrue)
+	qt.Check(t, adaptive.groups.Group("kind render").StartWait < fixed.groups.Group("kind render").StartWait, qt.IsTrue)
+}
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -50,6 +50,8 @@
 // JobResult is the result of one job.
 type JobResult struct {
 	ID          string
+	Kind        string
+	CoreSeconds float64 // of all tasks
 	Workspace   string
 	SubmittedAt time.Duration // since the start of the run
 	StartDelay  time.Duration // from submission to first start; -1 for none
@@ -143,7 +145,7 @@
 	k := d.kind
 	objective := time.Duration(k.Stretch*float64(d.criticalPath)) + millis(k.ObjectiveMillis)
 	j := JobResult{
-		ID: d.job.ID, Workspace: d.job.Workspace, SubmittedAt: d.at, StartDelay: -1, Turnaround: -1, Objective: objective, Owed: d.worth,
+		ID: d.job.ID, Kind: k.Name, CoreSeconds: d.coreSeconds, Workspace: d.job.Workspace, SubmittedAt: d.at, StartDelay: -1, Turnaround: -1, Objective: objective, Owed: d.worth,
 		Cancelled: d.cancelAfter > 0, State: r.finalStates[d.job.ID],
 	}
 	if at, ok := r.startTimes[d.job.ID]; ok {
--- /dev/null
+++ b/experiment/unchanged_test.go
@@ -0,0 +1,37 @@
+package experiment_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/medlargrade/medlargrade/experiment"
+)
+
+// Guards against new policies that change the decisions of deployments that don't set them:
+// on the loads of the examples, the jobs must start and end as they did before there were
+// any. The digests are those of commit c914942. A change of the default policy replaces them.
+func TestDefaultDecisionsUnchanged(t *testing.T) {
+	tests := []struct{ name, want string }{
+		{"quillfold/load", "7a9d61432f31082f"},
+		{"brno/load", "49a111dadb147045"},
+		{"quillfold/load-grown", "f0e3961abb4eb74d"},
+		{"brno/load-grown", "07edd58f9b08abc8"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := fnv.New64a()
+			for seed := range uint64(3) {
+				r := experiment.Run(readLoad(t, tt.name), experiment.Options{Seed: seed})
+				for _, j := range r.Jobs {
+					_, _ = fmt.Fprintln(h, j.ID, j.StartDelay, j.Turnaround, j.State)
+				}
+				_, _ = fmt.Fprintln(h, r.Starts, r.Stopped)
+			}
+			qt.Check(t, fmt.Sprintf("%016x", h.Sum64()), qt.Equals, tt.want)
+		})
+	}
+}
