--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -55,7 +55,7 @@
 		p.withdrawStarts()
 		p.handleStalledRuns(now)
 		p.checkSuspects(now)
-		p.eligibleCache = make(map[requirement]*eligibleTargets)
+		p.eligibleCache, p.room = make(map[requirement]*eligibleTargets), roomState{}
 		if !p.startsWithheld() {
 			p.processClaims(now)
 			for _, u := range p.units(now) {
@@ -128,6 +128,7 @@
 		}
 		if s.waitingSince.IsZero() {
 			s.waitingSince = now
+			p.observeArrival(s, k, now)
 		}
 		tasks := s.waitingTasks(now)
 		if len(tasks) == 0 || s.spec.Gang && len(tasks) < len(s.tasks) {
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
+	"github.com/medlargrade/medlargrade/coordination/contention"
 	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
@@ -39,6 +40,8 @@
 	FairShares bool `json:",omitempty"`
 	// AdaptiveRoom keeps as much capacity free for urgent work as recently arrived.
 	AdaptiveRoom bool `json:",omitempty"`
+	// WeighVictims weighs what is stopped for urgent work against what that gains.
+	WeighVictims bool `json:",omitempty"`
 	// Backfill reserves capacity for units that have waited long.
 	Backfill bool `json:",omitempty"`
 	// PublishLoad writes a summary of the queues for the entries.
@@ -84,6 +87,9 @@
 	speeds          *speed.Learner // nil unless Policy.LearnSpeeds is set
 	speedsRow       []byte         // as last written or read
 	speedsWrittenAt time.Time
+	arrivals        *contention.Arrivals // of urgent work; nil unless Policy.AdaptiveRoom is set
+	room            roomState            // valid within a pass
+	rooms           map[string]*roomOfPool
 }
 
 // New returns a planner without jobs and targets.
--- a/experiment/result.go
+++ b/experiment/result.go
@@ -145,7 +145,7 @@
 	k := d.kind
 	objective := time.Duration(k.Stretch*float64(d.criticalPath)) + millis(k.ObjectiveMillis)
 	j := JobResult{
-		ID: d.job.ID, Kind: d.kind.Name, CoreSeconds: d.coreSeconds, Workspace: d.job.Workspace, SubmittedAt: d.at, StartDelay: -1, Turnaround: -1, Objective: objective, Owed: d.worth,
+		ID: d.job.ID, Kind: k.Name, CoreSeconds: d.coreSeconds, Workspace: d.job.Workspace, SubmittedAt: d.at, StartDelay: -1, Turnaround: -1, Objective: objective, Owed: d.worth,
 		Cancelled: d.cancelAfter > 0, State: r.finalStates[d.job.ID],
 	}
 	if at, ok := r.startTimes[d.job.ID]; ok {
