--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -43,7 +43,7 @@
 		if p.preemptFast(u, s, now) {
 			return true
 		}
-		if p.waitsForFast(u, now) {
+		if p.waitsForFast(u, s, now) {
 			p.logWait(u, s, "only slow workers have room")
 			return false
 		}
--- a/coordination/planner/speeds.go
+++ b/coordination/planner/speeds.go
@@ -340,10 +340,29 @@
 	return newEligibleTargets(fast)
 }
 
-// waitsForFast reports whether an urgent unit may wait for fast workers and still meet its
-// objective on them.
-func (p *Planner) waitsForFast(u unit, now time.Time) bool {
-	return now.Sub(u.waitingSince) < maxFastWait && p.neededClass(u, 0) <= speed.Class(p.speeds.FastSpeed())
+// waitsForFast reports whether an urgent unit should wait for workers that are fast enough for its
+// objective. They must be able to hold it when they are empty.
+func (p *Planner) waitsForFast(u unit, s *eligibleTargets, now time.Time) bool {
+	if now.Sub(u.waitingSince) >= maxFastWait {
+		return false
+	}
+	fast := p.fastEnough(u, s)
+	if fast == nil {
+		return false
+	}
+	if !u.step.spec.SameRack || len(u.tasks) == 1 {
+		return couldHold(u, fast.targets)
+	}
+	return slices.ContainsFunc(fast.racks, func(r rack) bool { return couldHold(u, r.targets) })
+}
+
+// couldHold reports whether targets could hold a unit if they were empty.
+func couldHold(u unit, targets []*target) bool {
+	n := 0
+	for _, t := range targets {
+		n += t.capacity.maxCount(u.resources, u.maxPerWorker())
+	}
+	return n >= len(u.tasks)
 }
 
 // preemptFast stops other work so that an urgent unit fits on workers that are fast enough for its
--- a/coordination/speed/learner.go
+++ b/coordination/speed/learner.go
@@ -142,7 +142,8 @@
 type sample struct {
 	value, variance float64
 	at              time.Time
-	relative        bool // to other workers, not only to the declared run time
+	relative        bool    // to other workers, not only to the declared run time
+	plainVariance   float64 // without regard to how far the value is from the worker's speed
 }
 
 type groupSum struct {
@@ -451,6 +452,7 @@
 func (w *Worker) addSample(s sample) {
 	d := s.value - w.log
 	z2 := d * d / (s.variance + w.variance)
+	s.plainVariance = s.variance
 	s.variance *= max((tailFreedoms+z2)/(tailFreedoms+1), 1)
 	w.samples = append(w.samples, s)
 }
@@ -499,6 +501,7 @@
 		case now.Sub(s.at) > recentSpan:
 			older = append(older, s)
 		case s.relative:
+			s.variance = s.plainVariance
 			recent = append(recent, s)
 		}
 	}
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -45,6 +45,7 @@
 	finished    bool
 	stopping    bool
 	working     bool          // a gang member works once its gang is complete
+	waiting     bool          // a gang member has done its work and waits for slower ones
 	pacePercent int64         // percentage of full speed
 	totalWork   time.Duration // run time at full speed
 	workDone    time.Duration // part of totalWork done by workDoneAt
@@ -54,7 +55,7 @@
 
 // speedLocked returns the speed of the run: the work done per unit of time.
 func (r *run) speedLocked() float64 {
-	speed := float64(r.pacePercent) / 100
+	speed := r.worker.cfg.Speed * float64(r.pacePercent) / 100
 	if f := r.worker.faults.Slow; f > 0 {
 		speed /= f
 	}
@@ -143,6 +144,12 @@
 		if r.behaviour.Fail != "" {
 			how = EndFailed
 		}
+		if how == EndDone && r.gang != nil {
+			r.waiting = true
+			if !r.gang.doneLocked() {
+				return
+			}
+		}
 		w.endLocked(r, how)
 	})
 }
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// doneLocked reports whether all members have done their work. The gang ends with its slowest.
+func (g *gang) doneLocked() bool {
+	for _, m := range g.members {
+		if !m.waiting {
+			return false
+		}
+	}
+	return true
+}
+
 // memberEndedLocked ends the other members of a gang when the first has ended: they are
 // done if the first is done, and broken otherwise.
 func (g *gang) memberEndedLocked(how string, at time.Time) {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -51,6 +51,7 @@
 	CrashDowntime      time.Duration // time until the worker starts again after a task has crashed it
 	NoAdmissionCheck   bool          // starts are carried out even if there is too little capacity
 	ClockRate          float64       // rate of the worker's clock relative to real time; 1 if 0
+	Speed              float64       // of tasks, relative to their run time; 1 if 0
 }
 
 func (s Settings) withDefaults() Settings {
@@ -86,6 +87,9 @@
 	if s.ClockRate == 0 {
 		s.ClockRate = 1
 	}
+	if s.Speed == 0 {
+		s.Speed = 1
+	}
 	return s
 }
 
