--- a/coordination/planner/bench_test.go
+++ b/coordination/planner/bench_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 )
@@ -86,3 +88,53 @@
 		})
 	}
 }
+
+// BenchmarkPassWithSpeeds measures passes like BenchmarkPass with speeds that differ, and the
+// updates of the learner in between, which are made every 250 ms to 1.5 s.
+func BenchmarkPassWithSpeeds(b *testing.B) {
+	const n = 460
+	for _, learns := range []bool{false, true} {
+		b.Run(fmt.Sprintf("gang/learns=%v", learns), func(b *testing.B) {
+			p, now := benchPlanner(b, n)
+			if learns {
+				p.speeds = speed.New()
+				entries := make([]string, 0, n)
+				for i, t := range p.sortedTargets {
+					t.speed = p.speeds.Worker(t.name)
+					entries = append(entries, fmt.Sprintf(`%q:[%d,7]`, t.name, 4-16*(i%4/3)))
+				}
+				p.RestoreSpeeds([]byte(`{"Uneven":true,"Workers":{`+strings.Join(entries, ",")+`}}`), now)
+			}
+			i := 0
+			for b.Loop() {
+				i++
+				id := fmt.Sprintf("gang-%d", i)
+				p.AddJob(newJob(id, "long", job.Step{Tasks: 64, Accelerators: 1, Gang: true}), nil, now)
+				p.Plan(now)
+				b.StopTimer()
+				p.Cancel(id, now)
+				for _, o := range p.jobs[id].occurrences {
+					for _, t := range o.steps[0].tasks {
+						for len(t.runs) > 0 {
+							p.removeRun(t.runs[0])
+						}
+					}
+				}
+				p.Plan(now)
+				b.StartTimer()
+			}
+		})
+	}
+	b.Run("update", func(b *testing.B) {
+		l, now := speed.New(), time.Unix(1_800_000_000, 0)
+		for i := range n * benchTasksPerTarget / 10 {
+			s := l.NewStep("long", time.Hour, false)
+			for k := range 10 {
+				s.Observe(k, l.Worker(fmt.Sprintf("t%05d", (i*10+k)/benchTasksPerTarget)), time.Hour, 50, now)
+			}
+		}
+		for b.Loop() {
+			l.Update(now)
+		}
+	})
+}
