Refuse jobs that certainly can't be served in time

Cause: an entry accepted everything while the store answered. Jobs whose predicted end is after they have lost all value took capacity from others or waited without hope, and their callers learned of it too late. Change: package coordination/admission. With Policy.PublishLoad the owner adds the row Load/Current (at most 4 KiB) to a transaction that it makes anyway, at most once a second. With Policy.Admission an entry follows it and refuses, before anything is written, what ends after three times its objective even if the wait is overestimated by 1.5 and the declared times are wrong by 2.5. Never within a guarantee, for free capacity, without an objective or by a row older than 3 s. Retry-After is derived from the queue and spread by the job's ID; a caller that returns in its window is accepted ahead of new ones, at most two a second for a workspace and kind. With the store down, callers of work that is not urgent return after up to 3 s, so that four retries span 5.2 s at least. Ruled out: late work of the same priority doesn't count as ahead, because the planner serves it after the new job; a transaction of its own, because the owner's row is written each 0.4 s anyhow. Calls of Submit in tests of intake pass an empty demand; their checks are unchanged.

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -152,6 +152,7 @@
 	intake.EventCancelled:      "cancellation recorded",
 	intake.EventStoreSilent:    "store silent for an entry",
 	intake.EventStoreBack:      "store back for an entry",
+	intake.EventRefusedByLoad:  "refused because of load",
 	planner.EventJobAdded:      "taken into the plan",
 	planner.EventJobCancelled:  "cancelled",
 	planner.EventJobEnded:      "occurrence ended",
--- a/coordination/intake/doc.go
+++ b/coordination/intake/doc.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	s := intake.New(store, "0", clock, set, log)
-//	switch r := s.Submit(ctx, j).(type) {
+//	switch r := s.Submit(ctx, j, demand).(type) {
 //	case intake.Accepted:
 //	case intake.Refused:
 //		// Not recorded, and never will be by this call. Retry after r.RetryAfter.
--- a/coordination/intake/events.go
+++ b/coordination/intake/events.go
@@ -13,4 +13,7 @@
 	// EventStoreBack occurs when the store is available again to the intake. The
 	// counterpart of the follower is follow.EventStoreRegained.
 	EventStoreBack = 613
+	// EventRefusedByLoad occurs when a submission is refused because the job certainly can't
+	// be served in time.
+	EventRefusedByLoad = 614
 )
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/medlargrade/medlargrade/coordination/admission"
 	"github.com/medlargrade/medlargrade/coordination/pause"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -44,6 +45,7 @@
 type Refused struct {
 	Reason     string
 	RetryAfter time.Duration // 0 if the call can't succeed later
+	Overloaded bool          // the job certainly can't be served in time
 }
 
 // OutcomeUnknown reports a job that may or may not be recorded.
@@ -64,6 +66,7 @@
 	breaker *breaker
 	log     zerolog.Logger
 	set     *metrics.Set
+	desk    *admission.Desk // nil if nothing is refused because of load
 }
 
 // New returns a service that records jobs in a part of the store. It registers its
@@ -74,6 +77,13 @@
 	return &Service{store: store, part: part, clock: clock, breaker: b, log: log, set: set}
 }
 
+// WithAdmission makes the service refuse jobs that certainly can't be served in time, as a desk
+// decides. It must be called before the first submission.
+func (s *Service) WithAdmission(d *admission.Desk) *Service {
+	s.desk = d
+	return s
+}
+
 // Close stops the probes of an unavailable store.
 func (s *Service) Close() { s.breaker.close() }
 
@@ -87,19 +97,24 @@
 // store is unavailable, before anything is written. The write is repeated until its
 // outcome is known or ctx ends. A DeadlineMillis of j above 0 is relative to the
 // submission; the recorded one is a time of the store's clock.
-func (s *Service) Submit(ctx context.Context, j job.Job) Result {
+// The demand is that of the job; it decides whether the job is refused because of load, which
+// happens before anything is written and after it is known that the job is not recorded.
+func (s *Service) Submit(ctx context.Context, j job.Job, d admission.Demand) Result {
 	begin := time.Now()
 	defer func() { s.set.GetOrCreatePrometheusHistogram(`medlargrade_submission_seconds`).UpdateDuration(begin) }()
 	if s.breaker.isDown() {
-		return s.refused(j, ErrStoreDown, ErrStoreDown)
+		return s.refusedByOutage(j, d, ErrStoreDown)
 	}
 	p, err := s.readJobRow(ctx, j.ID)
 	if err != nil {
-		return s.refused(j, ErrStoreDown, err)
+		return s.refusedByOutage(j, d, err)
 	}
 	if len(p.Rows) > 0 {
 		return s.resultOfExisting(j, p.Rows[0])
 	}
+	if r := s.checkLoad(j, d); r != nil {
+		return *r
+	}
 	return s.record(ctx, j)
 }
 
--- a/coordination/intake/intake_test.go
+++ b/coordination/intake/intake_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/medlargrade/medlargrade/coordination/admission"
 	"github.com/medlargrade/medlargrade/coordination/pause"
 	"github.com/medlargrade/medlargrade/state/job"
 	"github.com/medlargrade/medlargrade/state/table"
@@ -102,7 +103,7 @@
 				defer cancel()
 				begin := time.Now()
 				got := ""
-				switch r := s.Submit(ctx, job.Job{ID: "a", Token: "mine", Kind: "k", Steps: []job.Step{{Tasks: 1}}}).(type) {
+				switch r := s.Submit(ctx, job.Job{ID: "a", Token: "mine", Kind: "k", Steps: []job.Step{{Tasks: 1}}}, admission.Demand{}).(type) {
 				case Accepted:
 					got = "accepted"
 					if r.Duplicate {
@@ -130,7 +131,7 @@
 		defer s.Close()
 		submit := func() (Result, time.Duration) {
 			begin := time.Now()
-			r := s.Submit(t.Context(), job.Job{ID: "a", Kind: "k"})
+			r := s.Submit(t.Context(), job.Job{ID: "a", Kind: "k"}, admission.Demand{})
 			return r, time.Since(begin)
 		}
 		_, took := submit()
--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/medlargrade/medlargrade/coordination/admission"
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/outcome"
 	"github.com/medlargrade/medlargrade/operator"
@@ -95,7 +96,7 @@
 			return st, err
 		}
 	}
-	j, queueLimit, refusal := q.resolve(ctx, r)
+	j, demand, queueLimit, refusal := q.resolve(ctx, r)
 	if refusal == nil {
 		refusal = q.checkQueueLimit(ctx, j, queueLimit)
 	}
@@ -110,8 +111,12 @@
 			return st, nil
 		}
 	}
-	switch res := q.jobs.Submit(ctx, j).(type) {
+	switch res := q.jobs.Submit(ctx, j, demand).(type) {
 	case Refused:
+		if res.Overloaded {
+			st.Outcome = notRun(outcome.ReasonQueueFull, res.RetryAfter, res.Reason)
+			return st, nil
+		}
 		st.Outcome = notRun(outcome.ReasonStoreDown, storeDownRetryAfter, "the request could not be recorded")
 		return st, nil
 	case OutcomeUnknown:
@@ -158,10 +163,12 @@
 	return st, true, err
 }
 
-// resolve checks a request against the configuration and returns its job and the queue limit
-// of its workspace.
-func (q *Requests) resolve(ctx context.Context, r Request) (job.Job, int, *outcome.NotRun) {
-	reject := func(n outcome.NotRun) (job.Job, int, *outcome.NotRun) { return job.Job{}, 0, &n }
+// resolve checks a request against the configuration and returns its job, the job's demand and
+// the queue limit of its workspace.
+func (q *Requests) resolve(ctx context.Context, r Request) (job.Job, admission.Demand, int, *outcome.NotRun) {
+	reject := func(n outcome.NotRun) (job.Job, admission.Demand, int, *outcome.NotRun) {
+		return job.Job{}, admission.Demand{}, 0, &n
+	}
 	if q.isDraining() {
 		return reject(notRun(outcome.ReasonLeaving, time.Second, "the entry is shutting down"))
 	}
@@ -194,7 +201,8 @@
 	if r.Key == "" {
 		r.Key = rand.Text()
 	}
-	return newJob(r, kind, idempotent), workspace.QueueLimit(), nil
+	j := newJob(r, kind, idempotent)
+	return j, admission.NewDemand(j, kind, workspace.GuaranteedSlots()), workspace.QueueLimit(), nil
 }
 
 func newJob(r Request, kind operator.Kind, idempotent bool) job.Job {
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/medlargrade/medlargrade/coordination/admission"
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/pause"
@@ -40,6 +41,7 @@
 	progress        map[string][]job.Progress // of recorded jobs that are not loaded yet, by job ID
 	watches         map[string]*watch
 	config          *configuration.Holder
+	loadRow         admission.Publisher // of the row of the load
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, prev predecessor) *owner {
@@ -241,7 +243,11 @@
 	}
 	b = o.plan.Plan(time.Now())
 	period := min(max(heartbeatPeriod, slowHeartbeatFactor*o.commitDuration), maxHeartbeatPeriod)
-	return b, time.Since(o.confirmedSentAt) >= period
+	heartbeatDue = time.Since(o.confirmedSentAt) >= period
+	if heartbeatDue || len(b.Writes)+len(b.Deletions) > 0 {
+		b.Writes = o.appendLoadLocked(b.Writes, time.Now())
+	}
+	return b, heartbeatDue
 }
 
 // commit writes rows together with the owner's row. It retries until they are known
--- a/process/entry.go
+++ b/process/entry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/dig"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/medlargrade/medlargrade/coordination/admission"
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/follow"
 	"github.com/medlargrade/medlargrade/coordination/intake"
@@ -29,6 +30,9 @@
 	// readyTimeout limits a check whether an entry is ready, if it has to read the
 	// configuration.
 	readyTimeout = 500 * time.Millisecond
+	// loadWatchWait is how long one watch of the row of the load may wait. The row is
+	// published once a second while work waits; a watch that waits longer costs little.
+	loadWatchWait = 2 * time.Second
 	// shutdownDelay is how long an entry keeps serving after it stops being ready,
 	// until the load balancer has noticed: two checks, one second apart, and a margin.
 	shutdownDelay = 2500 * time.Millisecond
@@ -48,6 +52,9 @@
 	Gate     configuration.Source
 	Follower *follow.Follower
 	Intake   *intake.Service
+	Store    table.Store
+	Clock    *table.Clock
+	Load     *admission.Holder
 	Requests *intake.Requests
 	Metrics  *metrics.Set
 }
@@ -69,6 +76,7 @@
 		func(s table.Store, c *table.Clock, m *metrics.Set, log zerolog.Logger) *intake.Service {
 			return intake.New(s, ShardPart, c, m, log)
 		},
+		admission.NewHolder,
 		func(i *intake.Service, h *configuration.Holder, f *follow.Follower, log zerolog.Logger) configuration.Source {
 			return newConfigGate(settings.Config, settings.Bounds, i, h, f, log)
 		},
@@ -103,6 +111,9 @@
 		return err
 	}
 	e.registerGauges()
+	if s.Policy.Admission {
+		e.Intake.WithAdmission(admission.NewDesk(e.Load))
+	}
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	drainCtx, drain := context.WithCancel(ctx)
@@ -137,6 +148,13 @@
 		e.Follower.Run(gctx)
 		return nil
 	})
+	if s.Policy.Admission {
+		load := follow.Settings{Table: admission.Table, Part: ShardPart, Wait: loadWatchWait, Clock: e.Clock}
+		g.Go(func() error {
+			follow.New(e.Store, load, e.Load, e.Log).Run(gctx)
+			return nil
+		})
+	}
 	e.Log.Info().Int("Event", EventStarted).Str("CallerAddress", s.CallerAddress).Str("RouteAddress", s.RouteAddress).
 		Str("OperatorAddress", s.OperatorAddress).Msg("entry serving")
 	select {
--- a/process/path_test.go
+++ b/process/path_test.go
@@ -54,12 +54,20 @@
 	outage  *outage // of the store
 	workers *worker.Site
 	client  *http.Client
+	// admission is whether the planner publishes its load and the entry refuses by it.
+	admission  bool
+	stopTarget func() error
 }
 
 func withPathSite(t *testing.T, f func(s *pathSite)) {
+	t.Helper()
+	runPathSite(t, false, f)
+}
+
+func runPathSite(t *testing.T, admission bool, f func(s *pathSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &pathSite{t: t, store: platform.New(platform.Settings{}, zerolog.Nop())}
+		s := &pathSite{t: t, admission: admission, store: platform.New(platform.Settings{}, zerolog.Nop())}
 		s.workers = worker.NewSite(func(id string) (job.Job, bool) { return s.store.Job(process.ShardPart, id) })
 		s.store.Put("op", "config", []byte(pathConfig))
 		s.outage = &outage{next: s.store}
@@ -76,7 +84,7 @@
 			workerClient.CloseIdleConnections()
 			return nil
 		})
-		s.runTarget()
+		s.stopTarget = s.runTarget()
 		stopEntry := s.runEntry()
 		s.client = s.net.Host("10.4.0.1").HTTPClient()
 		t.Cleanup(s.client.CloseIdleConnections)
@@ -124,6 +132,7 @@
 func (s *pathSite) runEntry() (stop func() error) {
 	set := process.DefaultEntrySettings()
 	set.Name, set.DataCentre, set.Platform, set.Config = "e1", "dc1", "http://"+pathStore, process.SourcePlatform
+	set.Policy.Admission = s.admission
 	set.CallerAddress, set.RouteAddress, set.OperatorAddress, set.ReadyAddress = pathEntry+":1", pathRoute, pathEntry+":3", pathReady
 	return s.run(func(ctx context.Context) error {
 		return process.RunEntry(ctx, set, s.network(pathEntry), zerolog.Nop())
@@ -133,6 +142,7 @@
 func (s *pathSite) runTarget() (stop func() error) {
 	set := process.DefaultTargetSettings()
 	set.Name, set.DataCentre, set.Platform, set.Config = "t1", "dc1", "http://"+pathStore, process.SourcePlatform
+	set.Policy.PublishLoad = s.admission
 	set.Address, set.OperatorAddress, set.ReportAddress, set.Worker = pathTarget+":1", pathTarget+":2", pathTarget+":3", "http://"+pathWorker
 	return s.run(func(ctx context.Context) error {
 		return process.RunTarget(ctx, set, s.network(pathTarget), zerolog.Nop())
