--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -190,6 +190,7 @@
 	process.EventStopped:             "process stopped",
 	configuration.EventInForce:       "configuration in force",
 	stdout.EventLinesLeftOut:         "log lines left out",
+	intake.EventRefusedByLoad:        "refused because of load",
 }
 
 // summary summarizes the lines about a job.
