Carry the cold time of workers to the planner

Cause: a worker says in ColdLeftMs how much longer it stays slow after its start, and the field was dropped.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -33,6 +33,7 @@
 	Rack         string
 	Draining     bool
 	Remaining    time.Duration // minimum time left while it drains
+	ColdLeft     time.Duration // how much longer it stays slow after its start
 	Clock        WorkerTime
 	Sequence     uint64 // increases with each heartbeat of an incarnation
 }
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -106,6 +106,7 @@
 		Life: h.Incarnation, Pool: h.Pool, DataCentre: h.DataCentre, Machine: h.Machine, Cpu: h.CPU, MemoryMb: h.MemoryMB,
 		Accelerators: h.Accelerators, Labels: h.Labels, Rack: h.Rack, Draining: h.Draining,
 		RemainingMillis: max(h.Remaining-time.Since(a.heartbeatReceivedAt), 0).Milliseconds(), ClockMillis: int64(a.state.clock), Gone: a.gone,
+		ColdLeftMillis: max(h.ColdLeft-time.Since(a.heartbeatReceivedAt), 0).Milliseconds(),
 	}
 	// What the worker listed under an older fencing token may still be changed by
 	// delayed calls with that token.
--- a/coordination/planner/data_centres_test.go
+++ b/coordination/planner/data_centres_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/medlargrade/medlargrade/coordination/evacuation"
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
 )
 
@@ -139,6 +141,19 @@
 	qt.Assert(t, h.targetOf("j2.0.0.0"), qt.Not(qt.Equals), "")
 }
 
+// Guards against the loss of a worker's cold time on the way from its agent to the planner.
+func TestColdTimeArrives(t *testing.T) {
+	h := newCentresHarness(t, 1)
+	h.workers["t00"].worker.ColdLeftMillis = 1500
+	b, err := proto.Marshal(h.workers["t00"].worker)
+	qt.Assert(t, err, qt.IsNil)
+	var w agentrpc.Worker
+	qt.Assert(t, proto.Unmarshal(b, &w), qt.IsNil)
+	h.p.Report("t00", &agentrpc.WatchReply{Worker: &w, Listed: true, Look: 9}, h.now)
+	qt.Assert(t, h.p.State(h.now.Add(time.Second)).Targets[0].Cold, qt.Equals, "500ms")
+	qt.Assert(t, h.p.State(h.now.Add(2 * time.Second)).Targets[0].Cold, qt.Equals, "")
+}
+
 // Guards against starts with a copy of the requests that is too old or of unknown age, and
 // against starts that stay withheld when it is fresh again.
 func TestStartsAreWithheldWithAnOldCopy(t *testing.T) {
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -50,7 +50,8 @@
 	Connected    bool
 	Listed       bool // the runs of the worker's current incarnation are known
 	Draining     bool
-	Suspect      bool // gets no new work because of failures or stalled runs
+	Cold         string `json:",omitempty"` // how much longer the worker stays slow after its start
+	Suspect      bool   // gets no new work because of failures or stalled runs
 	Runs         int
 	CPU          int // in use, in thousandths of a core
 	MemoryMB     int // in use
@@ -94,6 +95,9 @@
 			Connected: t.connected, Listed: t.runsKnown, Draining: t.worker.GetDraining(), Suspect: t.health.isPaused(now),
 			Runs: len(t.runs), CPU: t.used.cpu, MemoryMB: t.used.memory, Accelerators: t.used.accelerators, Foreign: len(t.foreign),
 		})
+		if t.coldUntil.After(now) {
+			st.Targets[len(st.Targets)-1].Cold = t.coldUntil.Sub(now).String()
+		}
 	}
 	for _, c := range p.claims {
 		cs := ClaimState{
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -18,6 +18,7 @@
 	connected bool
 	silentFor time.Duration // time without an answer of the worker, when last reported
 	leavesAt  time.Time     // when a draining worker may be gone; zero if unknown
+	coldUntil time.Time     // when the worker stops being slow after its start; zero if it was not slow
 	poll      int64         // number of the poll that the last list is from; 0 if the list lacks ends
 	lastEnd   int64         // highest run end that has been handled
 	// unrecordedEnds are the handled ends that may not be recorded yet, in order.
@@ -143,6 +144,9 @@
 	if remaining := w.GetRemainingMillis(); w.GetDraining() && remaining > 0 {
 		t.leavesAt = now.Add(time.Duration(remaining) * time.Millisecond)
 	}
+	if cold := w.GetColdLeftMillis(); cold > 0 {
+		t.coldUntil = now.Add(time.Duration(cold) * time.Millisecond)
+	}
 	t.runsKnown = in.GetListed() && !w.GetGone()
 	if w.GetGone() {
 		p.LoseRuns(name, "the worker has left", now)
@@ -185,7 +189,7 @@
 	if t.worker != nil {
 		t.health = health{}
 	}
-	t.worker, t.lastEnd, t.unrecordedEnds, t.leavesAt = w, 0, nil, time.Time{}
+	t.worker, t.lastEnd, t.unrecordedEnds, t.leavesAt, t.coldUntil = w, 0, nil, time.Time{}, time.Time{}
 	delete(p.unackedEnds, t)
 	t.resetPolls()
 	clear(t.foreign)
