Keep stops within the disruption budgets of long-running steps

Cause: MayMiss was recorded and not used. Workers that left together took all long-running tasks of a step away at once.

Change: package coordination/budget decides from the lists of the workers whether tasks may be stopped. The planner asks it for the stops for leaving workers, stalled runs and shrunk capacity, and again when such a stop is sent or repeated. Tasks with a budget leave a draining worker one after the other. A budget of 0 allows no such stop.

Ruled out: a row with the stops under way (a write before each stop, for what the lists show 1.4 s later).

Result: TestStopsKeepWithinDisruptionBudget (150 histories) fails without the look at the budget. Planted changes without the second look, without the time to settle, with any age of a list, and with unlisted runs as not at work are each noticed by a test. The matrix and the soak have no long-running tasks yet.

--- a/coordination/planner/evacuate.go
+++ b/coordination/planner/evacuate.go
@@ -24,8 +24,8 @@
 		timeLeft := t.leavesAt.Sub(now)
 		current := t.incarnation()
 		for r := range t.runs {
-			if r.stopReason == "" && r.incarnation == current && !p.mayKeepRunning(r, timeLeft, now) {
-				p.stopGang(r, "the worker is leaving")
+			if r.stopReason == "" && r.incarnation == current && (p.movesInTurn(r, t, now) || !p.mayKeepRunning(r, timeLeft, now)) {
+				p.disruptGang(r, "the worker is leaving", now)
 			}
 		}
 	}
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -40,6 +40,9 @@
 	EventRunCrashed = 566
 	// EventJobGivenUp occurs when a job ends because workers crash that run a task of it.
 	EventJobGivenUp = 567
+	// EventStopWithheld occurs when the disruption budget of a long-running step withholds a
+	// stop, once for a run.
+	EventStopWithheld = 590
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 )
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -109,6 +109,8 @@
 	lastListedAt  time.Time // when a new poll of the worker last listed the run
 	load          int64     // as last listed; not used by the planner
 
+	disruption   bool      // a scheduling decision stops the run, which is one of a long-running task
+	withheld     bool      // the disruption budget has withheld a stop; logged once
 	stopReason   string    // why it is being stopped; empty if it is not
 	stopQueuedAt time.Time // when the stop order was last queued; zero if it must be queued now
 	stopPoll     int64     // first poll that is certain to reflect the stop; 0 if unknown
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -134,7 +134,7 @@
 	case !t.unused().isNegative():
 		p.orderStart(r, now)
 	case t.unused().plus(t.stopping).isNegative():
-		p.stopGang(r, "the capacity of the worker has shrunk")
+		p.disruptGang(r, "the capacity of the worker has shrunk", now)
 	}
 }
 
@@ -158,7 +158,7 @@
 	}
 	t := p.targetNamed(target)
 	_, ok := t.runs[o.run]
-	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "" && !t.unused().isNegative())
+	return ok && o.run.incarnation == t.incarnation() && (o.Stop && !p.withholdsStop(o.run) || !o.Stop && o.run.stopReason == "" && !t.unused().isNegative())
 }
 
 // HandleOrderResult handles the result of an order; res is nil if there was no
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -45,6 +45,7 @@
 // already includes everything in the batch, so the owner must carry it out or give up
 // the shard.
 func (p *Planner) Plan(now time.Time) Batch {
+	p.latest = now
 	if p.config != nil && (p.needsPass || now.Sub(p.lastPass) >= maxPassInterval) {
 		p.lastPass = now
 		p.addDueOccurrences(now)
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -67,6 +67,7 @@
 
 	needsPass     bool                             // a change may allow work to start
 	lastPass      time.Time                        // when the last pass was made
+	latest        time.Time                        // of the last report or call of Plan
 	eligibleCache map[requirement]*eligibleTargets // valid within a pass
 
 	dirty         map[*occurrence]time.Time // occurrences whose rows must be written, and by when; zero for at once
--- a/coordination/planner/stalls.go
+++ b/coordination/planner/stalls.go
@@ -64,7 +64,7 @@
 				for _, k := range r.task.withGang() {
 					k.stallMoves++
 				}
-				p.stopGang(r, "it stands still")
+				p.disruptGang(r, "it stands still", now)
 			}
 		}
 	}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -117,6 +117,7 @@
 	if !p.jobsLoaded {
 		return
 	}
+	p.latest = now
 	t := p.targetNamed(name)
 	oldWorker, oldCapacity, acceptedBefore := t.worker, t.capacity, t.acceptsWork(now)
 	// A pass is needed if the report changes what may be placed on the target.
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -65,8 +65,8 @@
 	LimitMillis int64 `json:",omitempty"`
 }
 
-// Step is a number of identical tasks of a job. Speculative, Image, LatencyMillis and
-// MayMiss are recorded from the submission; the planner does not use them.
+// Step is a number of identical tasks of a job. Speculative, Image and LatencyMillis are
+// recorded from the submission; the planner does not use them.
 type Step struct {
 	Tasks          int
 	CPU            int    `json:",omitempty"` // thousandths of a core for each task
@@ -89,7 +89,8 @@
 	// Filler tasks use CPU capacity that the other tasks on the worker leave unused.
 	Filler bool `json:",omitempty"`
 	// MayMiss is the disruption budget: the maximum number of long-running tasks of
-	// the step that may be unavailable at once because of scheduling decisions.
+	// the step that may be unavailable at once because of scheduling decisions; 0 for no such
+	// decision.
 	MayMiss int `json:",omitempty"`
 }
 
