--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -191,6 +191,9 @@
 	configuration.EventInForce:       "configuration in force",
 	stdout.EventLinesLeftOut:         "log lines left out",
 	intake.EventRefusedByLoad:        "refused because of load",
+	planner.EventStopWithheld:        "stop withheld by the disruption budget",
+	agent.EventOwnStop:               "stopped for lack of a planner",
+	shard.EventFenceRaised:           "fencing token raised",
 }
 
 // summary summarizes the lines about a job.
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -57,6 +57,9 @@
 	EventSpeedChanged = 576
 	// EventSpeedsIgnored occurs when the row of the learned speeds can't be decoded.
 	EventSpeedsIgnored = 577
+	// EventStopWithheld occurs when the disruption budget of a long-running step withholds a
+	// stop, once for a run.
+	EventStopWithheld = 590
 	// EventClaim occurs when runs are chosen to be preempted for a task or gang.
 	EventClaim = 561
 	// EventRoom occurs at intervals while work may have to leave room for urgent work.
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -136,7 +136,7 @@
 	case !t.unused().isNegative():
 		p.orderStart(r, now)
 	case t.unused().plus(t.stopping).isNegative():
-		p.stopGang(r, "the capacity of the worker has shrunk")
+		p.disruptGang(r, "the capacity of the worker has shrunk", now)
 	}
 }
 
@@ -160,7 +160,13 @@
 	}
 	t := p.targetNamed(target)
 	_, ok := t.runs[o.run]
-	return ok && o.run.incarnation == t.incarnation() && (o.Stop || o.run.stopReason == "" && p.mayStartOn(t) && !t.unused().isNegative())
+	if !ok || o.run.incarnation != t.incarnation() {
+		return false
+	}
+	if o.Stop {
+		return !p.withholdsStop(o.run)
+	}
+	return o.run.stopReason == "" && p.mayStartOn(t) && !t.unused().isNegative()
 }
 
 // HandleOrderResult handles the result of an order; res is nil if there was no
