Let the soak isolate targets with late orders for longer than a lease

Cause: most faults last up to 4 s, after which nothing has been given up. Change: this kind lasts 9 to 16 s.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -72,6 +72,10 @@
 	faultDurationMax     = 4 * time.Second
 	longFaultDurationMax = 10 * time.Second
 	longFaultShare       = 0.1
+	// An isolation with late orders lasts from isolationMin to isolationMax, so that the runs of
+	// the target are given up in most cases.
+	isolationMin = 9 * time.Second
+	isolationMax = 16 * time.Second
 )
 
 // drawFaults draws the faults of a run and returns them in the order of their starts.
@@ -87,6 +91,9 @@
 			if r.Float64() < longFaultShare {
 				f.duration = randDuration(r, faultDurationMax, longFaultDurationMax)
 			}
+			if f.kind == faultIsolateLateOrders {
+				f.duration = randDuration(r, isolationMin, isolationMax)
+			}
 			out = append(out, f)
 			end = max(end, f.at+f.duration)
 		}
