--- a/cmd/medlargrade/explain_test.go
+++ b/cmd/medlargrade/explain_test.go
@@ -111,3 +111,13 @@
 		})
 	}
 }
+
+// Guards against an explanation that does not say why a job was refused because of load, and by
+// what the entry knew.
+func TestExplainRefusalByLoad(t *testing.T) {
+	got := explainLogs(t, "aa", `{"level":"info","time":"2026-01-01T10:00:00.000Z","Process":"e1","Event":610,"Job":"aa","Outcome":"refused","error":"the job can't be served in time"}
+{"level":"info","time":"2026-01-01T10:00:00.000Z","Process":"e1","Event":614,"Job":"aa","Reason":"TooLate","Wait":70000,"Limit":43000,"RetryAfter":4000,"RowAge":200,"Tasks":90}
+`)
+	qt.Check(t, got, qt.Contains, `refused because of load  Reason="TooLate" Wait=70000 Limit=43000 RetryAfter=4000 RowAge=200 Tasks=90`)
+	qt.Check(t, got, qt.Contains, "1 calls refused, the last one because: the job can't be served in time;")
+}
--- a/coordination/admission/summarize.go
+++ b/coordination/admission/summarize.go
@@ -28,7 +28,7 @@
 
 // Capacity counts the accelerators of a pool's workers.
 type Capacity struct {
-	Total int // of all connected workers, also of those that get no new work for a while
+	Total int // of all workers that are connected or have runs, also of those that get no new work for a while
 	Free  int // neither in use nor claimed, of workers that get new work
 }
 
--- a/coordination/planner/load.go
+++ b/coordination/planner/load.go
@@ -17,21 +17,29 @@
 	for _, k := range p.config.Config.Kinds() {
 		in.Kinds = append(in.Kinds, admissionKind(&k))
 	}
-	for _, u := range p.units(now) {
-		in.Waiting = append(in.Waiting, admission.Work{
-			Kind: admissionKind(u.kind), OnTime: u.tier == tierOnTime, Tasks: len(u.tasks), Accelerators: u.resources.accelerators,
-			Time: p.runTime(u.step.occ.job.job.Kind, u.step.spec),
-		})
-	}
-	for _, t := range p.sortedTargets {
-		for r := range t.runs {
-			if r.stopReason == "" {
-				in.Running = append(in.Running, admission.Work{
-					Kind: admissionKind(p.kindOf(r.task.step.occ.job)), Tasks: 1, Accelerators: r.resources.accelerators, Time: p.remainingTimeAlone(r, now),
-				})
+	var units []unit
+	for _, js := range p.jobs {
+		k := p.kindOf(js)
+		ak := admissionKind(k)
+		for _, o := range js.occurrences {
+			if !o.state.Final() && !js.cancelled {
+				units = p.appendUnits(units[:0], o, k, now)
+				for _, u := range units {
+					in.Waiting = append(in.Waiting, admission.Work{
+						Kind: ak, OnTime: u.tier == tierOnTime, Tasks: len(u.tasks), Accelerators: u.resources.accelerators, Time: p.runTime(js.job.Kind, u.step.spec),
+					})
+				}
+			}
+			for _, st := range o.steps {
+				if w := p.runningWork(st, now); w.Tasks > 0 {
+					w.Kind = ak
+					in.Running = append(in.Running, w)
+				}
 			}
 		}
-		if !t.connected {
+	}
+	for _, t := range p.sortedTargets {
+		if !t.connected && len(t.runs) == 0 {
 			continue
 		}
 		c := admission.Capacity{Total: t.capacity.accelerators}
@@ -49,6 +57,22 @@
 	return in, true
 }
 
+// runningWork returns the tasks of a step that run and are not being stopped. Time is the mean of
+// their remaining times.
+func (p *Planner) runningWork(s *step, now time.Time) admission.Work {
+	w := admission.Work{Accelerators: s.spec.Accelerators}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.stopReason == "" {
+				w.Tasks++
+				w.Time += p.remainingTimeAlone(r, now)
+			}
+		}
+	}
+	w.Time /= time.Duration(max(w.Tasks, 1))
+	return w
+}
+
 func admissionKind(k *operator.Kind) admission.Kind {
 	return admission.Kind{Queue: k.Queue(), Pool: k.Pool(), Priority: k.Priority()}
 }
--- a/process/admission_test.go
+++ b/process/admission_test.go
@@ -18,6 +18,25 @@
 
 func wideID(i int) string { return fmt.Sprintf("%016x", i) }
 
+// Guards against a new planner that publishes the load before it knows all workers.
+func TestNewPlannerPublishesLater(t *testing.T) {
+	runPathSite(t, true, func(s *pathSite) {
+		s.flood()
+		before, ok := s.store.Row(admission.Table, process.ShardPart, admission.CurrentKey)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, s.stopTarget(), qt.IsNil)
+		s.stopTarget = s.runTarget()
+		version := func() uint64 {
+			row, _ := s.store.Row(admission.Table, process.ShardPart, admission.CurrentKey)
+			return row.Version
+		}
+		time.Sleep(admission.MaxRowAge)
+		qt.Check(t, version(), qt.Equals, before.Version)
+		time.Sleep(3 * time.Second)
+		qt.Check(t, version() > before.Version, qt.IsTrue)
+	})
+}
+
 // flood submits wide jobs that take longer than a further one can wait, and waits until the
 // load is published.
 func (s *pathSite) flood() {
@@ -26,7 +45,7 @@
 		code, reply := s.call("POST", "/a/"+wideID(i), "key3", wideJob)
 		qt.Assert(s.t, code, qt.Equals, http.StatusOK, qt.Commentf("%s", reply))
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(3500 * time.Millisecond)
 }
 
 // Guards against a refusal of a job of which something is written, or that can be of value, and
--- a/soak/site.go
+++ b/soak/site.go
@@ -210,7 +210,7 @@
 	ts.ReportAddress, ts.Address, ts.OperatorAddress = addresses[0], addresses[1], addresses[2]
 	ts.ReachedAt = m.agent.Address()
 	ts.Worker, ts.Platform = "http://"+m.worker.Address(), "http://"+m.store.Address()
-	ts.Config, ts.Bounds = process.SourcePlatform, bounds()
+	ts.Config, ts.Bounds, ts.Policy.PublishLoad = process.SourcePlatform, bounds(), true
 	m.address = m.agent.Address()
 	return s.startProgram(ctx, m, "target", ts.Name, ts, &s.targets)
 }
@@ -236,7 +236,7 @@
 	es.Name, es.DataCentre = fmt.Sprintf("e%d", i+1), "dc1"
 	es.CallerAddress, es.RouteAddress, es.OperatorAddress = addresses[0], addresses[1], addresses[2]
 	es.Platform, es.Config, es.Bounds = "http://"+m.store.Address(), process.SourcePlatform, bounds()
-	es.DrainTime = process.Duration(drainTime)
+	es.DrainTime, es.Policy.Admission = process.Duration(drainTime), true
 	m.address = m.caller.Address()
 	return s.startProgram(ctx, m, "entry", es.Name, es, &s.entries)
 }
