Reserve capacity for large units that have waited long

Change: with Policy.Backfill a gang or large task that has waited for 0.4 of its slack gets a reservation where it is predicted to fit first. Other work uses that capacity only if it will have ended by then. Urgent and guaranteed work and higher priorities are not held back, and nothing is while half of the accelerators are available.

Ruled out: protecting gangs that need more than half of the pool, because smaller work would then wait at a site that is half idle.

--- a/coordination/contention/contention_test.go
+++ b/coordination/contention/contention_test.go
@@ -97,3 +97,43 @@
 	qt.Check(t, RepeatPenalty(2, 10) > RepeatPenalty(1, 10), qt.IsTrue)
 	qt.Check(t, LossFactor(false) < LossFactor(true), qt.IsTrue)
 }
+
+// Guards against reservations on more workers than needed, or that are met later than possible
+// or never.
+func TestEarliest(t *testing.T) {
+	options := []Option{
+		{"w1", []Fit{{0, 0}, {4 * time.Second, 2}}},
+		{"w2", []Fit{{0, 1}, {2 * time.Second, 2}}},
+		{"w3", []Fit{{0, 1}}},
+		{"w4", []Fit{{0, 0}, {time.Hour, 8}}},
+	}
+	tests := []struct {
+		tasks int
+		want  []Reserved
+		after time.Duration
+	}{
+		{1, []Reserved{{"w2", 1}}, 0},
+		{2, []Reserved{{"w2", 1}, {"w3", 1}}, 0},
+		{3, []Reserved{{"w2", 2}, {"w3", 1}}, 2 * time.Second},
+		{4, []Reserved{{"w2", 2}, {"w3", 1}, {"w1", 1}}, 4 * time.Second},
+		{6, nil, 0},
+	}
+	for _, tt := range tests {
+		got, after := Earliest(options, tt.tasks)
+		qt.Check(t, got, qt.DeepEquals, tt.want)
+		qt.Check(t, after, qt.Equals, tt.after)
+	}
+}
+
+// Guards against reservations that come too early or take the whole site, and against backfill
+// that delays them.
+func TestReservationRules(t *testing.T) {
+	qt.Check(t, MustReserve(time.Second, 10*time.Second), qt.IsFalse)
+	qt.Check(t, MustReserve(5*time.Second, 10*time.Second), qt.IsTrue)
+	qt.Check(t, MustReserve(0, -time.Second), qt.IsTrue)
+	qt.Check(t, MayReserve(256, 0, 560), qt.IsTrue)
+	qt.Check(t, MayReserve(16, 256, 560), qt.IsFalse)
+	qt.Check(t, MayReserve(100, 60, 560), qt.IsTrue)
+	qt.Check(t, MayBackfill(time.Second, 2*time.Second), qt.IsTrue)
+	qt.Check(t, MayBackfill(time.Second, time.Second), qt.IsFalse)
+}
--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -114,7 +114,7 @@
 func (p *Planner) remainingPerWorker(u unit, t *target) int {
 	limit := u.step.spec.MaxPerWorker
 	if limit == 0 {
-		return len(u.tasks)
+		return p.withoutReserved(u, t, len(u.tasks))
 	}
 	for r := range t.runs {
 		if r.task.step == u.step {
@@ -131,7 +131,7 @@
 			}
 		}
 	}
-	return max(limit, 0)
+	return p.withoutReserved(u, t, max(limit, 0))
 }
 
 // maxCount returns how many times o fits into s, at most limit.
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -13,7 +13,8 @@
 	Ended         int        // number of other occurrences that are still kept
 	Targets       []TargetState
 	Claims        []ClaimState
-	Rooms         []RoomState `json:",omitempty"` // with Policy.AdaptiveRoom
+	Rooms         []RoomState        `json:",omitempty"` // with Policy.AdaptiveRoom
+	Reservations  []ReservationState `json:",omitempty"` // with Policy.Backfill
 }
 
 // JobState is the state of one occurrence of a job.
@@ -67,7 +68,7 @@
 
 // State returns a dump of the current state.
 func (p *Planner) State(now time.Time) State {
-	st := State{Rooms: p.roomStates()}
+	st := State{Rooms: p.roomStates(), Reservations: p.reservationStates(now)}
 	if p.config != nil {
 		st.ConfigVersion = p.config.Version
 	}
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -44,4 +44,6 @@
 	EventClaim = 561
 	// EventRoom occurs at intervals while work may have to leave room for urgent work.
 	EventRoom = 580
+	// EventReservation occurs when capacity is reserved for a unit that has waited long.
+	EventReservation = 581
 )
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -55,6 +55,7 @@
 		p.checkSuspects(now)
 		p.eligibleCache, p.room = make(map[requirement]*eligibleTargets), roomState{}
 		p.processClaims(now)
+		p.updateReservations(now)
 		for _, u := range p.units(now) {
 			p.placeTasks(u, now)
 		}
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -30,7 +30,8 @@
 // whether the unit was started or has a claim.
 func (p *Planner) placeUnit(u unit, now time.Time) bool {
 	s := p.findEligible(u, now)
-	if p.mustKeepHeadroom(u, s, now) {
+	if p.reservationOf(u) == nil && p.mustKeepHeadroom(u, s, now) {
+		p.reserve(u, s, now)
 		p.logWait(u, s, "too little room beside what is kept free for urgent work")
 		return false
 	}
@@ -41,6 +42,7 @@
 	if targets == nil {
 		reason := p.preempt(u, s, now)
 		if reason != "" {
+			p.reserve(u, s, now)
 			p.logWait(u, s, reason)
 		}
 		return reason == ""
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -82,6 +82,9 @@
 	arrivals *contention.Arrivals // of urgent work; nil unless Policy.AdaptiveRoom is set
 	room     roomState            // valid within a pass
 	rooms    map[string]*roomOfPool
+
+	reservations     []*reservation // in the order of their creation
+	reservationsHold bool           // in the current pass
 }
 
 // New returns a planner without jobs and targets.
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -26,6 +26,7 @@
 	used           resources // of all runs
 	stopping       resources // of the runs that are being stopped
 	reserved       resources // of claims
+	reservation    *reservation
 	// foreign are runs that the worker lists and no row names. They use an unknown part
 	// of its capacity until they have been stopped.
 	foreign map[runKey]time.Time // when the stop was last queued
