--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -59,6 +59,7 @@
 		p.eligibleCache, p.room = make(map[requirement]*eligibleTargets), roomState{}
 		if !p.startsWithheld() {
 			p.processClaims(now)
+			p.updateReservations(now)
 			for _, u := range p.units(now) {
 				p.placeTasks(u, now)
 			}
