Bound the calls of a feed that are in progress

Cause: since a feed no longer waits for a call that may be lost, a slow store whose table takes longer to read than 0.4 s would get another read of the whole table each 0.4 s after one failure. Change: at most four calls at a time. Tests: TestReadsOfSlowStoreAreBounded; with a limit of 400 it counts 51 reads at a time.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -32,6 +32,11 @@
 const (
 	minRetryDelay = 100 * time.Millisecond // after the first failed call; doubles with each further one
 	maxRetryDelay = 400 * time.Millisecond
+	// maxCalls is the number of calls without an answer that a follower may have. With
+	// maxRetryDelay and the timeout of the store's client of 1.2 s, lost calls are three at
+	// most; of a slow store, which takes longer to return a large table page by page, more
+	// reads would only make it slower.
+	maxCalls = 4
 )
 
 // Follower replicates one table into a Sink. Its methods are safe for concurrent use.
@@ -109,14 +114,14 @@
 
 // callUntilAnswered repeats a call until the store answers or ctx is done. It does not wait for
 // the former call, whose answer may be lost: a call that was sent shortly before the end of an
-// outage would delay the next one by the timeout of the store's client. With delays of up to
-// 400 ms and a timeout of 1.2 s, a follower has at most four calls without an answer.
+// outage would delay the next one by the timeout of the store's client.
 func (f *Follower) callUntilAnswered(ctx context.Context, loaded bool, version uint64) reply {
 	cctx, cancel := context.WithCancel(ctx)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	defer cancel()
 	answers := make(chan reply)
+	inProgress := make(chan struct{}, maxCalls) // has an element for each call in progress
 	for delay := minRetryDelay; ; delay = min(2*delay, maxRetryDelay) {
 		t := time.NewTimer(delay)
 		select {
@@ -128,7 +133,13 @@
 			return r
 		case <-t.C:
 		}
+		select {
+		case inProgress <- struct{}{}:
+		default:
+			continue
+		}
 		calls.Go(func() {
+			defer func() { <-inProgress }()
 			r := f.callOnce(cctx, loaded, version)
 			if r.err != nil && !errors.Is(r.err, table.ErrHistoryLost) {
 				return
