Copy the state of the new parts for placement queries

Cause: a query runs on a copy of the planner, which lacked the learned speeds, the arrivals of urgent work and the reservations, and shared the speeds with the planner.

--- a/coordination/contention/arrivals.go
+++ b/coordination/contention/arrivals.go
@@ -63,6 +63,16 @@
 	return &Arrivals{since: now, byClass: make(map[Class]*usageRing)}
 }
 
+// Clone returns a copy of the estimate.
+func (a *Arrivals) Clone() *Arrivals {
+	out := &Arrivals{since: a.since, byClass: make(map[Class]*usageRing, len(a.byClass))}
+	for c, r := range a.byClass {
+		ring := *r
+		out.byClass[c] = &ring
+	}
+	return out
+}
+
 func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotLength) }
 
 // advance clears the slots after the newest one, up to slot n.
--- a/coordination/planner/copy.go
+++ b/coordination/planner/copy.go
@@ -30,7 +30,14 @@
 	q := New(p.settings, zerolog.Nop())
 	q.settings.Metrics = metrics.NewSet()
 	q.config, q.centres, q.jobsLoaded, q.percentReported, q.lastPass = p.config, p.centres, p.jobsLoaded, p.percentReported, p.lastPass
+	q.latest, q.reservationsHold = p.latest, p.reservationsHold
 	q.tombstones = maps.Clone(p.tombstones)
+	if p.speeds != nil {
+		q.speeds = p.speeds.Snapshot()
+	}
+	if p.arrivals != nil {
+		q.arrivals = p.arrivals.Clone()
+	}
 	for kind, m := range p.runTimeRatios {
 		ratio := *m
 		q.runTimeRatios[kind] = &ratio
@@ -40,6 +47,7 @@
 	}
 	for _, t := range p.sortedTargets {
 		x := c.copyTarget(t)
+		x.speed = q.speedWorker(x.name)
 		q.targets[x.name] = x
 		q.sortedTargets = append(q.sortedTargets, x)
 	}
@@ -52,6 +60,9 @@
 	for _, cl := range p.claims {
 		q.claims = append(q.claims, c.copyClaim(cl))
 	}
+	for _, r := range p.reservations {
+		q.reservations = append(q.reservations, c.copyReservation(r))
+	}
 	return q
 }
 
@@ -73,7 +84,7 @@
 
 func (c *copier) copyStep(s *step, o *occurrence) *step {
 	x := *s
-	x.occ, x.tasks = o, nil
+	x.occ, x.tasks, x.speedStep = o, nil, nil
 	c.steps[s] = &x
 	for _, t := range s.tasks {
 		y := *t
@@ -104,12 +115,27 @@
 	return &x
 }
 
+func (c *copier) copyUnit(u unit) unit {
+	tasks := make([]*task, len(u.tasks))
+	for i, t := range u.tasks {
+		tasks[i] = c.tasks[t]
+	}
+	u.step, u.tasks = c.steps[u.step], tasks
+	return u
+}
+
+func (c *copier) copyReservation(r *reservation) *reservation {
+	x := *r
+	x.unit, x.tasks = c.copyUnit(r.unit), make(map[*target]int, len(r.tasks))
+	for t, n := range r.tasks {
+		x.tasks[c.targets[t]] = n
+	}
+	return &x
+}
+
 func (c *copier) copyClaim(cl *claim) *claim {
 	x := *cl
-	x.unit.step, x.unit.tasks, x.targets = c.steps[cl.unit.step], nil, nil
-	for _, t := range cl.unit.tasks {
-		x.unit.tasks = append(x.unit.tasks, c.tasks[t])
-	}
+	x.unit, x.targets = c.copyUnit(cl.unit), nil
 	for _, t := range cl.targets {
 		x.targets = append(x.targets, c.targets[t])
 	}
--- a/coordination/speed/learner.go
+++ b/coordination/speed/learner.go
@@ -214,6 +214,19 @@
 	return w
 }
 
+// Snapshot returns a copy of the learner with the present speeds and without observations.
+func (l *Learner) Snapshot() *Learner {
+	out := New()
+	out.uneven, out.spread, out.centre, out.quantile, out.updatedAt = l.uneven, l.spread, l.centre, l.quantile, l.updatedAt
+	for _, w := range l.workers {
+		x := *w
+		x.learner, x.samples, x.stepMark = out, nil, 0
+		out.byName[x.name] = &x
+		out.workers = append(out.workers, &x)
+	}
+	return out
+}
+
 // Speed returns the speed of the worker relative to the others, between 0.1 and 10. It is 1
 // if nothing is known, if the site is even or if w is nil.
 func (w *Worker) Speed() float64 {
