Order units by the use of their workspaces

Cause: among units of one priority only objectives decide, so a workspace that submits most of the work is served most.

Change: with Policy.FairShares, the workspace with the smallest use relative to its share goes first within a priority and tier.

--- a/coordination/contention/contention_test.go
+++ b/coordination/contention/contention_test.go
@@ -137,3 +137,22 @@
 	qt.Check(t, MayBackfill(time.Second, 2*time.Second), qt.IsTrue)
 	qt.Check(t, MayBackfill(time.Second, time.Second), qt.IsFalse)
 }
+
+// Guards against use that is forgotten at once or never, and against shares that ignore
+// guarantees.
+func TestShares(t *testing.T) {
+	s := NewShares(start)
+	s.Update(map[string]int{"a": 100}, start)
+	s.Update(nil, start.Add(useHalfLife))
+	qt.Check(t, s.Use("a"), qt.Equals, 50.0)
+	s.Update(nil, start.Add(2*useHalfLife))
+	qt.Check(t, s.Use("a"), qt.Equals, 25.0)
+	s.Update(nil, start.Add(40*useHalfLife))
+	qt.Check(t, s.Use("a"), qt.Equals, 0.0)
+	s.Update(map[string]int{"a": 100, "b": 100, "c": 10}, start.Add(41*useHalfLife))
+	// The equal part is 50.
+	qt.Check(t, s.Step("a", 0, 150, 3), qt.Equals, 4)
+	qt.Check(t, s.Step("b", 100, 150, 3), qt.Equals, 2)
+	qt.Check(t, s.Step("c", 0, 150, 3), qt.Equals, 0)
+	qt.Check(t, s.Step("new", 0, 150, 3), qt.Equals, 0)
+}
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -15,6 +15,7 @@
 	Claims        []ClaimState
 	Rooms         []RoomState        `json:",omitempty"` // with Policy.AdaptiveRoom
 	Reservations  []ReservationState `json:",omitempty"` // with Policy.Backfill
+	Shares        []ShareState       `json:",omitempty"` // with Policy.FairShares
 }
 
 // JobState is the state of one occurrence of a job.
@@ -68,7 +69,7 @@
 
 // State returns a dump of the current state.
 func (p *Planner) State(now time.Time) State {
-	st := State{Rooms: p.roomStates(), Reservations: p.reservationStates(now)}
+	st := State{Rooms: p.roomStates(), Reservations: p.reservationStates(now), Shares: p.shareStates()}
 	if p.config != nil {
 		st.ConfigVersion = p.config.Version
 	}
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -56,6 +56,7 @@
 		p.eligibleCache, p.room = make(map[requirement]*eligibleTargets), roomState{}
 		p.processClaims(now)
 		p.updateReservations(now)
+		p.updateShares(now)
 		for _, u := range p.units(now) {
 			p.placeTasks(u, now)
 		}
@@ -108,6 +109,7 @@
 		return cmp.Or(
 			cmp.Compare(x.kind.Priority(), y.kind.Priority()),
 			cmp.Compare(x.tier, y.tier),
+			p.compareShares(x, y),
 			x.objectiveEnd.Compare(y.objectiveEnd),
 			cmp.Compare(x.step.occ.key, y.step.occ.key),
 			cmp.Compare(x.step.index, y.step.index),
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -85,6 +85,7 @@
 
 	reservations     []*reservation // in the order of their creation
 	reservationsHold bool           // in the current pass
+	fair             *shareState    // nil unless Policy.FairShares is set
 }
 
 // New returns a planner without jobs and targets.
--- a/experiment/contention_test.go
+++ b/experiment/contention_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"os"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -119,10 +121,51 @@
 // Guards against differences between policies that are due to chance, and against decisions
 // that depend on the order of a map.
 func TestContentionRepeats(t *testing.T) {
-	o := experiment.Options{Seed: 1, Policy: planner.Policy{AdaptiveRoom: true, WeighVictims: true, Backfill: true}}
+	o := experiment.Options{Seed: 1, Policy: planner.Policy{AdaptiveRoom: true, WeighVictims: true, Backfill: true, FairShares: true}}
 	l := readContention(t)
 	l.LengthSeconds = 45
 	x, y := experiment.Run(l, o), experiment.Run(l, o)
 	qt.Check(t, x.Jobs, qt.DeepEquals, y.Jobs)
 	qt.Check(t, x.Wasted, qt.Equals, y.Wasted)
 }
+
+// Guards against a workspace that submits most of the work and displaces the others: with fair
+// shares more of the others' jobs must be on time and they must start sooner, and short gangs
+// must be on time as before.
+func TestFairSharesPay(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays 8 runs of 140 s")
+	}
+	const tolerance, floodShare = 0.01, 0.6
+	l := readContention(t)
+	l.Workspaces = slices.Clone(l.Workspaces)
+	for i := range l.Workspaces {
+		l.Workspaces[i].Share = (1 - floodShare) / float64(len(l.Workspaces)-1)
+	}
+	l.Workspaces[0].Share = floodShare
+	out := []*outcome{{}, {}}
+	var wg sync.WaitGroup
+	for i, policy := range []planner.Policy{{}, {FairShares: true}} {
+		wg.Go(func() {
+			for seed := range uint64(contentionSeeds) {
+				r := experiment.Run(l, experiment.Options{Seed: seed, Policy: policy})
+				out[i].summary.Add(r)
+				out[i].groups.Add(r)
+			}
+		})
+	}
+	wg.Wait()
+	var jobs, onTime [2]int
+	var wait [2]time.Duration
+	for i, o := range out {
+		t.Logf("fair shares: %v\n%s%s", i == 1, o.summary.String(), o.groups.String())
+		for _, w := range l.Workspaces[1:] {
+			g := o.groups.Group("workspace " + w.Name)
+			jobs[i], onTime[i], wait[i] = jobs[i]+g.Jobs, onTime[i]+g.OnTime, wait[i]+g.StartWait
+		}
+	}
+	t.Logf("others on time: %d and %d of %d; sum of mean waits %v and %v", onTime[0], onTime[1], jobs[0], wait[0], wait[1])
+	qt.Check(t, onTime[1] > onTime[0], qt.IsTrue)
+	qt.Check(t, wait[1] < wait[0], qt.IsTrue)
+	qt.Check(t, out[1].groups.Group("kind check").OnTimeShare() >= out[0].groups.Group("kind check").OnTimeShare()-tolerance, qt.IsTrue)
+}
