Detect interference between classes of tasks and place around it

Tasks that share a worker may slow each other down, and the planner could not know. Package coordination/interference compares the paces of runs with and without a class beside them, within their step where possible, less the effect of the worker. With Policy.Interference, bestFit tries the targets without a harmful neighbour first.

Gangs give no evidence.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -170,8 +170,14 @@
 
 // bestFit chooses for each task the target with the least available capacity that holds it,
 // so that whole workers stay free. For suspects it is the one with the most, where a crash
-// does the least harm. It returns nil if not all tasks fit.
+// does the least harm. It tries the targets without interference first. It returns
+// nil if not all tasks fit.
 func (p *Planner) bestFit(u unit, targets []*target) []*target {
+	if apart := p.withoutInterference(u, targets); apart != nil {
+		if chosen := p.bestFit(u, apart); chosen != nil {
+			return chosen
+		}
+	}
 	targets = p.preferredBySpeed(u, targets)
 	total := 0
 	for _, t := range targets {
--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/interference"
 )
 
 // State is a dump of the state of a planner.
@@ -16,6 +18,8 @@
 	Targets       []TargetState
 	Claims        []ClaimState
 	Rooms         []RoomState `json:",omitempty"` // with Policy.AdaptiveRoom
+	// Interference holds the pairs of classes that are kept apart, with Policy.Interference.
+	Interference []interference.Verdict `json:",omitempty"`
 }
 
 // JobState is the state of one occurrence of a job.
@@ -72,7 +76,7 @@
 
 // State returns a dump of the current state.
 func (p *Planner) State(now time.Time) State {
-	st := State{Rooms: p.roomStates()}
+	st := State{Rooms: p.roomStates(), Interference: p.interferenceStates()}
 	if p.config != nil {
 		st.ConfigVersion, st.Withheld = p.config.Version, p.startsWithheld()
 		for _, r := range p.centres.view.Set().Requests() {
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -57,6 +57,11 @@
 	EventSpeedChanged = 576
 	// EventSpeedsIgnored occurs when the row of the learned speeds can't be decoded.
 	EventSpeedsIgnored = 577
+	// EventInterference occurs when the planner finds that tasks of one class are slow beside
+	// those of another.
+	EventInterference = 585
+	// EventInterferenceWithdrawn occurs when this is no longer so, or no longer known.
+	EventInterferenceWithdrawn = 586
 	// EventStopWithheld occurs when the disruption budget of a long-running step withholds a
 	// stop, once for a run.
 	EventStopWithheld = 590
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -116,6 +116,7 @@
 	lastListedAt  time.Time // when a new poll of the worker last listed the run
 	load          int64     // as last listed; not used by the planner
 	pace          speed.Pace
+	neighbours    neighbours // as last listed
 
 	disruption   bool      // a scheduling decision stops the run, which is one of a long-running task
 	withheld     bool      // the disruption budget has withheld a stop; logged once
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -49,6 +49,7 @@
 	if p.config != nil && (p.needsPass || now.Sub(p.lastPass) >= maxPassInterval) {
 		p.lastPass = now
 		p.learnSpeeds(now)
+		p.detectInterference(now)
 		p.addDueOccurrences(now)
 		p.expireJobs(now)
 		p.removeOldJobs(now)
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlargrade/medlargrade/coordination/configuration"
 	"github.com/medlargrade/medlargrade/coordination/contention"
+	"github.com/medlargrade/medlargrade/coordination/interference"
 	"github.com/medlargrade/medlargrade/coordination/speed"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
@@ -88,8 +89,9 @@
 	speeds          *speed.Learner // nil unless Policy.LearnSpeeds is set
 	speedsRow       []byte         // as last written or read
 	speedsWrittenAt time.Time
-	arrivals        *contention.Arrivals // of urgent work; nil unless Policy.AdaptiveRoom is set
-	room            roomState            // valid within a pass
+	arrivals        *contention.Arrivals   // of urgent work; nil unless Policy.AdaptiveRoom is set
+	interference    *interference.Detector // nil unless Policy.Interference is set
+	room            roomState              // valid within a pass
 	rooms           map[string]*roomOfPool
 }
 
@@ -106,6 +108,9 @@
 	if settings.Policy.LearnSpeeds {
 		p.speeds = speed.New()
 	}
+	if settings.Policy.Interference {
+		p.interference = interference.New()
+	}
 	return p
 }
 
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -360,6 +360,7 @@
 		p.percentReported = true
 	}
 	p.observePace(r, s.GetPercent(), now)
+	p.observeNeighbours(r, s.GetPercent(), now)
 	r.load = s.GetLoad()
 	if c := s.GetCheckpoint(); c != "" {
 		r.task.setCheckpoint(c, now)
