Slow pairs of kinds down in the experiment

Site.Interference names pairs of kinds of which one takes Factor times as long beside the other. Loads without it are played as before.

--- a/experiment/load.go
+++ b/experiment/load.go
@@ -47,11 +47,21 @@
 	// Speeds are the speeds of workers, relative to the nominal one; all have speed 1 if it is
 	// empty. The speed of each worker is drawn.
 	Speeds []SpeedShare `json:",omitempty"`
+	// Interference slows the runs of a kind down while another kind runs on the same worker.
+	Interference []Interference `json:",omitempty"`
 	// GangsReportTogether makes the members of a gang report the progress of the gang, which is
 	// that of its slowest member, instead of their own.
 	GangsReportTogether bool `json:",omitempty"`
 }
 
+// Interference is the factor of the duration of work of a kind beside another one. The factors of
+// several neighbours are multiplied, but several runs of one kind count once.
+type Interference struct {
+	Kind   string
+	Beside string
+	Factor float64
+}
+
 // SpeedShare is a speed that a share of the workers has.
 type SpeedShare struct {
 	Speed float64
@@ -185,6 +195,10 @@
 			require(a <= s.Accelerators, "Kinds[%d]: a task needs %d accelerators, a worker has %d", i, a, s.Accelerators)
 		}
 	}
+	for i, x := range s.Interference {
+		require(kindNames[x.Kind] && kindNames[x.Beside], "Site.Interference[%d]: unknown kind %q or %q", i, x.Kind, x.Beside)
+		require(x.Factor >= 1, "Site.Interference[%d]: Factor is %g, must be at least 1", i, x.Factor)
+	}
 	for i, b := range l.Bursts {
 		require(kindNames[b.Kind], "Bursts[%d]: unknown kind %q", i, b.Kind)
 	}
--- a/experiment/worker.go
+++ b/experiment/worker.go
@@ -130,7 +130,7 @@
 	if d.alwaysFails || w.sim.random.Float64() < d.kind.FailureShare {
 		r.fails, r.failAfterWork = true, time.Duration(w.sim.random.Float64()*float64(r.work))
 	}
-	w.runs[o.Task] = r
+	w.changeRuns(func() { w.runs[o.Task] = r })
 	w.scheduleReport()
 	if !spec.Gang || spec.Tasks == 1 {
 		r.begin()
@@ -204,7 +204,33 @@
 	if r.worker.hanging {
 		return 0
 	}
-	return r.worker.speed / (r.placeFactor * max(r.worker.slowdown, 1))
+	return r.worker.speed / (r.placeFactor * max(r.worker.slowdown, 1) * r.worker.interference(r))
+}
+
+// interference returns the slowdown of a run by what runs beside it.
+func (w *worker) interference(r *run) float64 {
+	factor := 1.0
+	for _, x := range w.sim.load.Site.Interference {
+		if x.Kind != r.d.kind.Name {
+			continue
+		}
+		for _, o := range w.runs {
+			if o != r && o.d.kind.Name == x.Beside {
+				factor *= x.Factor
+				break
+			}
+		}
+	}
+	return factor
+}
+
+// changeRuns changes the runs of the worker with f, which may change the speed of the others.
+func (w *worker) changeRuns(f func()) {
+	if len(w.sim.load.Site.Interference) == 0 {
+		f()
+		return
+	}
+	w.update(f)
 }
 
 // progress returns the work done so far.
@@ -284,7 +310,7 @@
 		})
 	}
 	r.countWaste(how)
-	delete(r.worker.runs, r.name)
+	r.worker.changeRuns(func() { delete(r.worker.runs, r.name) })
 	r.worker.scheduleReport()
 	if r.gang == nil || r.gang.ended {
 		return
