--- a/coordination/planner/interference.go
+++ b/coordination/planner/interference.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/medlargrade/medlargrade/coordination/interference"
 	"github.com/medlargrade/medlargrade/coordination/speed"
 )
@@ -71,18 +73,23 @@
 		return
 	}
 	for _, c := range p.interference.Update(now) {
-		event, message := EventInterference, "tasks are slow beside those of another class"
 		if c.Withdrawn {
-			event, message = EventInterferenceWithdrawn, "tasks are no longer known to be slow beside those of another class"
+			logVerdict(p.log.Info().Int("Event", EventInterferenceWithdrawn), c.Verdict).
+				Msg("tasks are no longer known to be slow beside those of another class")
+			continue
 		}
-		v := c.Verdict
-		p.log.Info().Int("Event", event).Str("Kind", v.Class.Kind).Str("Image", v.Class.Image).Int("Accelerators", v.Class.Accelerators).
-			Str("BesideKind", v.Beside.Kind).Str("BesideImage", v.Beside.Image).Int("BesideAccelerators", v.Beside.Accelerators).
-			Float64("Factor", v.Factor).Float64("Score", v.Score).Int("Runs", v.Runs).Int("Workers", v.Workers).Msg(message)
+		logVerdict(p.log.Info().Int("Event", EventInterference), c.Verdict).Msg("tasks are slow beside those of another class")
 	}
 	p.settings.Metrics.GetOrCreateGauge(`medlargrade_interfering_pairs`, nil).Set(float64(len(p.interference.Verdicts())))
 }
 
+// logVerdict adds a verdict to a log line.
+func logVerdict(e *zerolog.Event, v interference.Verdict) *zerolog.Event {
+	return e.Str("Kind", v.Class.Kind).Str("Image", v.Class.Image).Int("Accelerators", v.Class.Accelerators).
+		Str("BesideKind", v.Beside.Kind).Str("BesideImage", v.Beside.Image).Int("BesideAccelerators", v.Beside.Accelerators).
+		Float64("Factor", v.Factor).Float64("Score", v.Score).Int("Runs", v.Runs).Int("Workers", v.Workers)
+}
+
 // withoutInterference returns the targets that run nothing that is known to slow the unit's tasks
 // down, or to be slowed down by them; nil if these are all or none.
 func (p *Planner) withoutInterference(u unit, targets []*target) []*target {
