--- a/coordination/planner/interference.go
+++ b/coordination/planner/interference.go
@@ -73,21 +73,23 @@
 		return
 	}
 	for _, c := range p.interference.Update(now) {
+		fields := verdictFields(c.Verdict)
 		if c.Withdrawn {
-			logVerdict(p.log.Info().Int("Event", EventInterferenceWithdrawn), c.Verdict).
-				Msg("tasks are no longer known to be slow beside those of another class")
+			p.log.Info().Int("Event", EventInterferenceWithdrawn).Func(fields).Msg("tasks are no longer known to be slow beside those of another class")
 			continue
 		}
-		logVerdict(p.log.Info().Int("Event", EventInterference), c.Verdict).Msg("tasks are slow beside those of another class")
+		p.log.Info().Int("Event", EventInterference).Func(fields).Msg("tasks are slow beside those of another class")
 	}
 	p.settings.Metrics.GetOrCreateGauge(`medlargrade_interfering_pairs`, nil).Set(float64(len(p.interference.Verdicts())))
 }
 
-// logVerdict adds a verdict to a log line.
-func logVerdict(e *zerolog.Event, v interference.Verdict) *zerolog.Event {
-	return e.Str("Kind", v.Class.Kind).Str("Image", v.Class.Image).Int("Accelerators", v.Class.Accelerators).
-		Str("BesideKind", v.Beside.Kind).Str("BesideImage", v.Beside.Image).Int("BesideAccelerators", v.Beside.Accelerators).
-		Float64("Factor", v.Factor).Float64("Score", v.Score).Int("Runs", v.Runs).Int("Workers", v.Workers)
+// verdictFields returns a function that adds a verdict to a log line.
+func verdictFields(v interference.Verdict) func(*zerolog.Event) {
+	return func(e *zerolog.Event) {
+		e.Str("Kind", v.Class.Kind).Str("Image", v.Class.Image).Int("Accelerators", v.Class.Accelerators).
+			Str("BesideKind", v.Beside.Kind).Str("BesideImage", v.Beside.Image).Int("BesideAccelerators", v.Beside.Accelerators).
+			Float64("Factor", v.Factor).Float64("Score", v.Score).Int("Runs", v.Runs).Int("Workers", v.Workers)
+	}
 }
 
 // withoutInterference returns the targets that run nothing that is known to slow the unit's tasks
