--- a/coordination/planner/dump.go
+++ b/coordination/planner/dump.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/medlargrade/medlargrade/coordination/interference"
 )
 
 // State is a dump of the state of a planner.
@@ -18,6 +20,8 @@
 	Rooms         []RoomState        `json:",omitempty"` // with Policy.AdaptiveRoom
 	Reservations  []ReservationState `json:",omitempty"` // with Policy.Backfill
 	Shares        []ShareState       `json:",omitempty"` // with Policy.FairShares
+	// Interference holds the pairs of classes that are kept apart, with Policy.Interference.
+	Interference []interference.Verdict `json:",omitempty"`
 }
 
 // JobState is the state of one occurrence of a job.
@@ -74,7 +78,7 @@
 
 // State returns a dump of the current state.
 func (p *Planner) State(now time.Time) State {
-	st := State{Rooms: p.roomStates(), Reservations: p.reservationStates(now), Shares: p.shareStates()}
+	st := State{Rooms: p.roomStates(), Reservations: p.reservationStates(now), Shares: p.shareStates(), Interference: p.interferenceStates()}
 	if p.config != nil {
 		st.ConfigVersion, st.Withheld = p.config.Version, p.startsWithheld()
 		for _, r := range p.centres.view.Set().Requests() {
