Compute the use of workspaces with that of guarantees

Cause: fair shares went through all runs in each pass.

Change: the loop that computes the use of guarantees, and is cached until a run starts or ends, also adds up the use by all work. The decisions on the contention load are the same.

--- a/coordination/planner/guarantee.go
+++ b/coordination/planner/guarantee.go
@@ -35,10 +35,14 @@
 	if p.usageByWorkspace != nil {
 		return p.usageByWorkspace[workspace]
 	}
-	p.usageByWorkspace = make(map[string]int)
+	p.usageByWorkspace, p.allUseByWorkspace = make(map[string]int), make(map[string]int)
 	for _, t := range p.sortedTargets {
 		for r := range t.runs {
-			if js := r.task.step.occ.job; r.stopReason == "" && countsAgainstGuarantee(p.kindOf(js)) {
+			js := r.task.step.occ.job
+			if r.stopReason == "" {
+				p.allUseByWorkspace[js.job.Workspace] += r.resources.accelerators
+			}
+			if r.stopReason == "" && countsAgainstGuarantee(p.kindOf(js)) {
 				p.usageByWorkspace[js.job.Workspace] += r.resources.accelerators
 			}
 		}
--- a/coordination/planner/planner.go
+++ b/coordination/planner/planner.go
@@ -64,6 +64,9 @@
 	// usageByWorkspace caches, for each workspace, the accelerators in use or claimed by
 	// work that counts against its guarantee; nil if it must be recomputed.
 	usageByWorkspace map[string]int
+	// allUseByWorkspace holds the accelerators in use by all work of each workspace that is not
+	// being stopped. It is valid while usageByWorkspace is.
+	allUseByWorkspace map[string]int
 
 	// percentReported is set once any worker has reported a change of a run's percentage.
 	percentReported bool
--- a/coordination/planner/shares.go
+++ b/coordination/planner/shares.go
@@ -25,15 +25,10 @@
 	if p.fair == nil {
 		p.fair = &shareState{shares: contention.NewShares(now)}
 	}
-	inUse := make(map[string]int)
+	p.guaranteeUsage("") // computes allUseByWorkspace
 	total := 0
 	for _, t := range p.sortedTargets {
 		total += t.capacity.accelerators
-		for r := range t.runs {
-			if r.stopReason == "" {
-				inUse[r.task.step.occ.job.job.Workspace] += r.resources.accelerators
-			}
-		}
 	}
 	active := make(map[string]struct{})
 	for _, js := range p.jobs {
@@ -43,7 +38,7 @@
 			}
 		}
 	}
-	p.fair.shares.Update(inUse, now)
+	p.fair.shares.Update(p.allUseByWorkspace, now)
 	p.fair.now, p.fair.steps = now, make(map[string]int, len(active))
 	for w := range active {
 		p.fair.steps[w] = p.fair.shares.Step(w, p.guaranteedAccelerators(w), total, len(active))
