--- a/experiment/interference_test.go
+++ b/experiment/interference_test.go
@@ -25,9 +25,12 @@
 			l.Kinds[i].Accelerators = []int{1, 2, 4}
 		}
 	}
-	got := play(t, l, seeds, planner.Policy{}, planner.Policy{Interference: true})
-	without, with := got[0], got[1]
-	qt.Check(t, with.summary.Share() > without.summary.Share(), qt.IsTrue)
+	policies := []experiment.NamedPolicy{{Name: "without"}, {Name: "with", Policy: planner.Policy{Interference: true}}}
+	c, err := experiment.Compare(t.Context(), l, policies, 0, seeds, nil)
+	qt.Assert(t, err, qt.IsNil)
+	without, with := c.Policies[0], c.Policies[1]
+	t.Logf("share without %.3f, with %.3f", without.Share, with.Share)
+	qt.Check(t, with.Share > without.Share, qt.IsTrue)
 }
 
 // Guards against a policy that changes decisions where nothing interferes.
