Call the decision maker of admission a controller

Cause: Desk is not a term of the field. Change: Controller, with the usual receiver name; nothing else. Measured: tests of admission, intake and process pass.

--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -87,7 +87,7 @@
 			if tt.kind.Name() == "" {
 				tt.kind = longKind()
 			}
-			v := NewDesk(h).Check(NewDemand(tt.job, tt.kind, tt.guaranteed), rowAt+tt.age, epoch)
+			v := NewController(h).Check(NewDemand(tt.job, tt.kind, tt.guaranteed), rowAt+tt.age, epoch)
 			qt.Check(t, v.Reason, qt.Equals, tt.want)
 			qt.Check(t, v.Refused, qt.Equals, tt.want == ReasonTooLate)
 			qt.Check(t, v.RetryAfter >= time.Second, qt.Equals, v.Refused)
@@ -223,7 +223,7 @@
 	bySecond := make(map[time.Duration]int)
 	for i := range 1000 {
 		d := NewDemand(gang(fmt.Sprintf("%016x", i), 2*time.Second), longKind(), 0)
-		v := NewDesk(holderOf(loaded(80*time.Second, 0))).Check(d, rowAt, epoch)
+		v := NewController(holderOf(loaded(80*time.Second, 0))).Check(d, rowAt, epoch)
 		qt.Assert(t, v.Refused, qt.IsTrue)
 		qt.Assert(t, v.RetryAfter%time.Second, qt.Equals, time.Duration(0))
 		qt.Assert(t, v.RetryAfter < v.Limit, qt.IsTrue)
@@ -254,7 +254,7 @@
 // after it changed its entry's memory for others: a workspace that floods must neither displace
 // the callers of another one nor have all of its own accepted at their second attempts.
 func TestReturns(t *testing.T) {
-	desk := NewDesk(holderOf(loaded(70*time.Second, 0)))
+	controller := NewController(holderOf(loaded(70*time.Second, 0)))
 	demand := func(workspace string, i int) Demand {
 		j := gang(fmt.Sprintf("%s-%d", workspace, i), 2*time.Second)
 		j.Workspace = workspace
@@ -263,26 +263,26 @@
 	now := epoch
 	const flood = 20_000
 	for i := range flood {
-		qt.Assert(t, desk.Check(demand("flood", i), rowAt, now).Refused, qt.IsTrue)
+		qt.Assert(t, controller.Check(demand("flood", i), rowAt, now).Refused, qt.IsTrue)
 	}
-	qt.Check(t, desk.Returns(), qt.Equals, maxReturnsShare)
-	v := desk.Check(demand("quiet", 1), rowAt, now)
+	qt.Check(t, controller.Returns(), qt.Equals, maxReturnsShare)
+	v := controller.Check(demand("quiet", 1), rowAt, now)
 	qt.Assert(t, v.Refused, qt.IsTrue)
 
 	// Too early, and by somebody else.
 	now = now.Add(v.RetryAfter - time.Millisecond)
-	v = desk.Check(demand("quiet", 1), rowAt, now)
+	v = controller.Check(demand("quiet", 1), rowAt, now)
 	qt.Check(t, v.Refused, qt.IsTrue)
 	now = now.Add(v.RetryAfter)
-	qt.Check(t, desk.Check(demand("quiet", 2), rowAt, now).Refused, qt.IsTrue)
+	qt.Check(t, controller.Check(demand("quiet", 2), rowAt, now).Refused, qt.IsTrue)
 	accepted := 0
 	for i := range flood {
-		if !desk.Check(demand("flood", i), rowAt, now).Refused {
+		if !controller.Check(demand("flood", i), rowAt, now).Refused {
 			accepted++
 		}
 	}
 	qt.Check(t, accepted <= int(returnBurst/returnInterval), qt.IsTrue, qt.Commentf("%d accepted", accepted))
-	v = desk.Check(demand("quiet", 1), rowAt, now)
+	v = controller.Check(demand("quiet", 1), rowAt, now)
 	qt.Check(t, v.Reason, qt.Equals, ReasonReturning)
 }
 
@@ -314,7 +314,7 @@
 			}
 			r := Summarize(Input{Now: rowAt, Kinds: []Kind{{"long", "", 1}}, Waiting: queue, Running: running, Pools: map[string]Capacity{"": {accelerators, idle}}})
 			j := job.Job{ID: fmt.Sprint(now), Kind: "long", Steps: []job.Step{{Tasks: 1, Accelerators: 1, EstimateMillis: declared.Milliseconds()}}}
-			v := NewDesk(holderOf(r)).Check(NewDemand(j, longKind(), 0), rowAt, epoch)
+			v := NewController(holderOf(r)).Check(NewDemand(j, longKind(), 0), rowAt, epoch)
 			earliest := 0
 			for i := range free {
 				if free[i] < free[earliest] {
--- a/coordination/admission/desk.go
+++ b/coordination/admission/controller.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxReturns is the number of refused callers that a desk remembers: at most 1 MB.
+	// maxReturns is the number of refused callers that a controller remembers: at most 1 MB.
 	maxReturns = 4096
 	// maxReturnsShare is the number of those of one workspace and kind, so that a workspace
 	// that floods has no advantage over others and does not displace them.
@@ -24,7 +24,7 @@
 	expireInterval = time.Second
 )
 
-// visit is what a desk remembers about a refused caller.
+// visit is what a controller remembers about a refused caller.
 type visit struct {
 	queue queueKey
 	first time.Time // first attempt
@@ -34,11 +34,11 @@
 
 type queueKey struct{ workspace, queue string }
 
-// Desk decides on submissions at one entry. It remembers the callers that it has refused: their
+// Controller decides on submissions at one entry. It remembers the callers that it has refused: their
 // objectives count from the first attempt, and those that return in their windows are accepted
 // ahead of new ones, as long as their jobs can be of value.
 // Its methods are safe for concurrent use.
-type Desk struct {
+type Controller struct {
 	holder *Holder
 
 	mu      sync.Mutex
@@ -49,43 +49,43 @@
 	expiredAt  time.Time // last search for ended windows
 }
 
-// NewDesk returns a desk that decides by the row of a holder.
-func NewDesk(h *Holder) *Desk {
-	return &Desk{holder: h, visits: make(map[string]visit), byQueue: make(map[queueKey]int), nextReturn: make(map[queueKey]time.Time)}
+// NewController returns a controller that decides by the row of a holder.
+func NewController(h *Holder) *Controller {
+	return &Controller{holder: h, visits: make(map[string]visit), byQueue: make(map[queueKey]int), nextReturn: make(map[queueKey]time.Time)}
 }
 
 // Row returns the newest row, or nil if there is none.
-func (k *Desk) Row() *Row { return k.holder.Row() }
+func (c *Controller) Row() *Row { return c.holder.Row() }
 
-// Returns returns the number of callers that the desk remembers.
-func (k *Desk) Returns() int {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return len(k.visits)
+// Returns returns the number of callers that the controller remembers.
+func (c *Controller) Returns() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.visits)
 }
 
 // Check decides on a submission. storeNow is the time of the store's clock and now that of this
 // process.
-func (k *Desk) Check(d Demand, storeNow time.Duration, now time.Time) Verdict {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+func (c *Controller) Check(d Demand, storeNow time.Duration, now time.Time) Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	q := queueKey{d.Workspace, d.Queue}
-	x, known := k.visits[d.ID]
+	x, known := c.visits[d.ID]
 	if known && (x.queue != q || now.After(x.until)) {
-		k.forgetLocked(d.ID, x)
+		c.forgetLocked(d.ID, x)
 		known = false
 	}
 	elapsed := time.Duration(0)
 	if known {
 		elapsed = now.Sub(x.first)
 	}
-	v := decide(d, k.holder.Row(), storeNow, elapsed)
-	if v.Refused && known && v.Limit > 0 && !now.Before(x.from) && k.takeReturnLocked(q, now) {
+	v := decide(d, c.holder.Row(), storeNow, elapsed)
+	if v.Refused && known && v.Limit > 0 && !now.Before(x.from) && c.takeReturnLocked(q, now) {
 		v.Refused, v.Reason = false, ReasonReturning
 	}
 	if !v.Refused {
 		if known {
-			k.forgetLocked(d.ID, x)
+			c.forgetLocked(d.ID, x)
 		}
 		return v
 	}
@@ -94,58 +94,58 @@
 		x = visit{queue: q, first: now}
 	}
 	x.from, x.until = now.Add(v.RetryAfter), now.Add(v.RetryAfter+returnMargin)
-	k.rememberLocked(d.ID, x, known, now)
+	c.rememberLocked(d.ID, x, known, now)
 	return v
 }
 
 // takeReturnLocked reports whether a caller that returns may be accepted now.
-func (k *Desk) takeReturnLocked(q queueKey, now time.Time) bool {
-	next := k.nextReturn[q]
+func (c *Controller) takeReturnLocked(q queueKey, now time.Time) bool {
+	next := c.nextReturn[q]
 	if next.Before(now) {
 		next = now
 	}
 	if next.Sub(now) >= returnBurst {
 		return false
 	}
-	k.nextReturn[q] = next.Add(returnInterval)
+	c.nextReturn[q] = next.Add(returnInterval)
 	return true
 }
 
 // rememberLocked records a visit, unless the places of its workspace and kind, or all, are
 // taken.
-func (k *Desk) rememberLocked(id string, x visit, known bool, now time.Time) {
-	if !known && (k.byQueue[x.queue] >= maxReturnsShare || len(k.visits) >= maxReturns) {
-		k.expireLocked(now)
-		if k.byQueue[x.queue] >= maxReturnsShare || len(k.visits) >= maxReturns {
+func (c *Controller) rememberLocked(id string, x visit, known bool, now time.Time) {
+	if !known && (c.byQueue[x.queue] >= maxReturnsShare || len(c.visits) >= maxReturns) {
+		c.expireLocked(now)
+		if c.byQueue[x.queue] >= maxReturnsShare || len(c.visits) >= maxReturns {
 			return
 		}
 	}
 	if !known {
-		k.byQueue[x.queue]++
+		c.byQueue[x.queue]++
 	}
-	k.visits[id] = x
+	c.visits[id] = x
 }
 
-func (k *Desk) forgetLocked(id string, x visit) {
-	delete(k.visits, id)
-	if k.byQueue[x.queue]--; k.byQueue[x.queue] <= 0 {
-		delete(k.byQueue, x.queue)
+func (c *Controller) forgetLocked(id string, x visit) {
+	delete(c.visits, id)
+	if c.byQueue[x.queue]--; c.byQueue[x.queue] <= 0 {
+		delete(c.byQueue, x.queue)
 	}
 }
 
-func (k *Desk) expireLocked(now time.Time) {
-	if now.Sub(k.expiredAt) < expireInterval {
+func (c *Controller) expireLocked(now time.Time) {
+	if now.Sub(c.expiredAt) < expireInterval {
 		return
 	}
-	k.expiredAt = now
-	for q, next := range k.nextReturn {
+	c.expiredAt = now
+	for q, next := range c.nextReturn {
 		if now.After(next) {
-			delete(k.nextReturn, q)
+			delete(c.nextReturn, q)
 		}
 	}
-	for id, x := range k.visits {
+	for id, x := range c.visits {
 		if now.After(x.until) {
-			k.forgetLocked(id, x)
+			c.forgetLocked(id, x)
 		}
 	}
 }
--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -3,7 +3,7 @@
 //
 // The planner's process summarizes its queues once a second (Summarize) and publishes the Row
 // together with a transaction that it makes anyway. Entries follow the row in a Holder and ask
-// their Desk about each submission that is not recorded yet.
+// their Controller about each submission that is not recorded yet.
 //
 // A job is refused only if all of this holds, and nothing is written for it:
 //
@@ -31,8 +31,8 @@
 // In an entry:
 //
 //	holder := admission.NewHolder(log)           // a follow.Sink of admission.Table
-//	desk := admission.NewDesk(holder)
-//	v := desk.Check(admission.NewDemand(j, kind, guaranteed), storeNow, time.Now())
+//	controller := admission.NewController(holder)
+//	v := controller.Check(admission.NewDemand(j, kind, guaranteed), storeNow, time.Now())
 //	if v.Refused {
 //		respond(v.Reason, v.RetryAfter)
 //	}
--- a/coordination/admission/example_test.go
+++ b/coordination/admission/example_test.go
@@ -21,12 +21,12 @@
 	})
 	holder := admission.NewHolder(zerolog.Nop())
 	holder.Apply([]table.Row{{Key: admission.CurrentKey, Value: row.Encode()}})
-	desk := admission.NewDesk(holder)
+	controller := admission.NewController(holder)
 
 	kind := operator.NewKind("", "long", operator.ClassLong).WithPriority(1).WithObjective(3, time.Second)
 	for _, estimate := range []time.Duration{time.Second, 10 * time.Second} {
 		j := job.Job{ID: "5c0e7a21d94b36f8", Kind: "long", Steps: []job.Step{{Tasks: 1, Accelerators: 8, EstimateMillis: estimate.Milliseconds()}}}
-		v := desk.Check(admission.NewDemand(j, kind, 0), time.Minute, time.Now())
+		v := controller.Check(admission.NewDemand(j, kind, 0), time.Minute, time.Now())
 		fmt.Println(v.Reason, v.Wait, v.Limit.Round(time.Millisecond), v.RetryAfter)
 	}
 	// Output:
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -60,13 +60,13 @@
 // Service records, looks up and cancels jobs in the store. Its methods are safe for
 // concurrent use.
 type Service struct {
-	store   table.Store
-	part    string
-	clock   *table.Clock
-	breaker *breaker
-	log     zerolog.Logger
-	set     *metrics.Set
-	desk    *admission.Desk // nil if nothing is refused because of load
+	store      table.Store
+	part       string
+	clock      *table.Clock
+	breaker    *breaker
+	log        zerolog.Logger
+	set        *metrics.Set
+	controller *admission.Controller // nil if nothing is refused because of load
 }
 
 // New returns a service that records jobs in a part of the store. It registers its
@@ -77,10 +77,10 @@
 	return &Service{store: store, part: part, clock: clock, breaker: b, log: log, set: set}
 }
 
-// WithAdmission makes the service refuse jobs that certainly can't be served in time, as a desk
+// WithAdmission makes the service refuse jobs that certainly can't be served in time, as a controller
 // decides. It must be called before the first submission.
-func (s *Service) WithAdmission(d *admission.Desk) *Service {
-	s.desk = d
+func (s *Service) WithAdmission(c *admission.Controller) *Service {
+	s.controller = c
 	return s
 }
 
--- a/coordination/intake/load.go
+++ b/coordination/intake/load.go
@@ -12,13 +12,13 @@
 // checkLoad returns a refusal if the job certainly can't be served in time, by what the planner
 // has published.
 func (s *Service) checkLoad(j job.Job, d admission.Demand) *Refused {
-	if s.desk == nil {
+	if s.controller == nil {
 		return nil
 	}
 	// Without the store's clock, the age of the row is not known. It counts from 0 then, so
 	// that a row is from the future.
 	storeNow, _ := s.clock.Now()
-	v := s.desk.Check(d, storeNow, time.Now())
+	v := s.controller.Check(d, storeNow, time.Now())
 	s.set.GetOrCreateCounter(fmt.Sprintf(`medlargrade_admissions_total{kind=%q,workspace=%q,reason=%q}`, j.Kind, j.Workspace, v.Reason)).Inc()
 	if !v.Refused {
 		return nil
@@ -35,7 +35,7 @@
 // refusedByOutage returns the refusal of a job because the store is unavailable.
 func (s *Service) refusedByOutage(j job.Job, d admission.Demand, cause error) Refused {
 	r := s.refused(j, ErrStoreDown, cause)
-	if s.desk != nil {
+	if s.controller != nil {
 		r.RetryAfter = admission.RetryAfterOutage(j.ID, d.Urgent, s.breaker.downFor())
 	}
 	return r
--- a/process/entry.go
+++ b/process/entry.go
@@ -112,7 +112,7 @@
 	}
 	e.registerGauges()
 	if s.Policy.Admission {
-		e.Intake.WithAdmission(admission.NewDesk(e.Load))
+		e.Intake.WithAdmission(admission.NewController(e.Load))
 	}
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
