--- a/cmd/medlargrade/experiment.go
+++ b/cmd/medlargrade/experiment.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"strings"
 	"syscall"
-	"text/tabwriter"
 
 	"github.com/medlargrade/medlargrade/coordination/planner"
 	"github.com/medlargrade/medlargrade/experiment"
@@ -119,14 +118,7 @@
 	t.writeGroups("KIND", c.Policies, func(p experiment.PolicyOutcome) []experiment.Group { return p.Kinds })
 	t.writeGroups("SIZE", c.Policies, func(p experiment.PolicyOutcome) []experiment.Group { return p.Sizes })
 	t.writeGroups("WORKSPACE", c.Policies, func(p experiment.PolicyOutcome) []experiment.Group { return p.Workspaces })
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	if _, err := t.WriteTo(w); err != nil {
-		return fmt.Errorf("experiment: %w", err)
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("experiment: %w", err)
-	}
-	return nil
+	return t.writeAligned(out, "experiment")
 }
 
 // writeGroups writes a table in which the policies stand below each other for each group.
--- a/cmd/medlargrade/place.go
+++ b/cmd/medlargrade/place.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
@@ -290,12 +289,5 @@
 			t.writeRow("%s\t%s\t%s\t%d\t%s", x.Name, x.Rack, x.DataCentre, x.Fits, x.Against)
 		}
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	if _, err := t.WriteTo(w); err != nil {
-		return fmt.Errorf("place: %w", err)
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("place: %w", err)
-	}
-	return nil
+	return t.writeAligned(out, "place")
 }
--- a/cmd/medlargrade/status.go
+++ b/cmd/medlargrade/status.go
@@ -99,6 +99,18 @@
 	_, _ = fmt.Fprintf(&t.Buffer, format+"\n", args...) // Writes to a Buffer don't fail.
 }
 
+// writeAligned writes the rows with aligned cells. Errors begin with the name of the command.
+func (t *tableText) writeAligned(out io.Writer, command string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := t.WriteTo(w); err != nil {
+		return fmt.Errorf("%s: %w", command, err)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("%s: %w", command, err)
+	}
+	return nil
+}
+
 func writeStatus(out io.Writer, o overview.Overview) error {
 	var t tableText
 	planner := "nobody"
@@ -128,12 +140,5 @@
 	if len(o.Malformed) > 0 {
 		t.writeRow("\nrows that can't be decoded and are left out: %s", strings.Join(o.Malformed, ", "))
 	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	if _, err := t.WriteTo(w); err != nil {
-		return fmt.Errorf("status: %w", err)
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("status: %w", err)
-	}
-	return nil
+	return t.writeAligned(out, "status")
 }
