--- a/cmd/medlargrade/commands.go
+++ b/cmd/medlargrade/commands.go
@@ -42,6 +42,7 @@
 		{"list", "List the jobs of a workspace", "Lists the recorded jobs of a workspace in key order.", &listCommand{}},
 		{"status", "Show targets, guarantees and jobs", "Shows the site as recorded in the store, as tables or as JSON. It changes nothing.", &statusCommand{}},
 		{"dump", "Dump the state of a process", "Prints the whole state of an entry or target process as JSON.", &dumpCommand{}},
+		{"place", "Tell where a job would be placed", "Asks the planner where a submission or a recorded job would be placed now, and why, without submitting it. Exit codes: 0 answered, also if an entry would refuse the submission, 2 an invalid submission, 5 the placement can't be known, 1 other errors.", &placeCommand{}},
 		{"explain", "Tell what happened to a job", "Reads log lines of any number of processes and prints those about one job in order of time, with the gaps between them.", &explainCommand{}},
 		{"standin", "Run a stand-in for the platform", "Serves the platform's store and any number of workers from memory, for tests and demonstrations.", &standinCommand{}},
 	}
--- a/cmd/medlargrade/main.go
+++ b/cmd/medlargrade/main.go
@@ -8,6 +8,7 @@
 //	medlargrade evacuate DATACENTRE              start nothing more in a data centre
 //	medlargrade submit|job|cancel|list           act as a caller
 //	medlargrade status|dump                      show the state of the site or of a process
+//	medlargrade place FILE|ID                    tell where a job would be placed now
 //	medlargrade explain ID --log FILE            tell what happened to a job
 //	medlargrade standin                          run a stand-in for the platform and its workers
 //
--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -95,10 +95,7 @@
 			return st, err
 		}
 	}
-	j, queueLimit, refusal := q.resolve(ctx, r)
-	if refusal == nil {
-		refusal = q.checkQueueLimit(ctx, j, queueLimit)
-	}
+	j, refusal := q.Check(ctx, r)
 	if refusal != nil {
 		return Status{Workspace: r.Workspace, Key: r.Key, Outcome: *refusal}, nil
 	}
@@ -127,6 +124,17 @@
 	return q.await(ctx, j.ID, wait)
 }
 
+// Check returns the job that a submission of the request would record and the refusal that the
+// submission would get now, or nil. It records nothing. The job has no ID if the request was
+// refused before it was complete.
+func (q *Requests) Check(ctx context.Context, r Request) (job.Job, *outcome.NotRun) {
+	j, queueLimit, refusal := q.resolve(ctx, r)
+	if refusal == nil {
+		refusal = q.checkQueueLimit(ctx, j, queueLimit)
+	}
+	return j, refusal
+}
+
 // submitRecorded returns the status of a submission whose key is recorded, and whether the
 // submission is decided: it is not if the key is not recorded. If the recorded job can't be
 // read, its outcome is unknown.
--- a/coordination/planner/doc.go
+++ b/coordination/planner/doc.go
@@ -27,4 +27,8 @@
 //	batch := p.Plan(now)
 //	// Commit batch.Writes and batch.Deletions, then send batch.Orders and
 //	// acknowledge batch.EndAcks.
+//
+// A Query tells where a job would be placed, without an effect on the planner:
+//
+//	placement, err := p.NewQuery().Place(j, now)
 package planner
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -42,7 +42,7 @@
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, prev predecessor) *owner {
-	row := OwnerRow{Epoch: prev.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, Boot: boot}
+	row := OwnerRow{Epoch: prev.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, OperatorAddress: cfg.OperatorAddress, Boot: boot}
 	return &owner{
 		cfg: cfg, deps: deps, predecessorRow: prev.row, grantsMillis: prev.row.nextGrantsMillis(prev.readAt, prev.processEnded), row: row, version: prev.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
@@ -63,7 +63,7 @@
 		return err
 	}
 	config, followConfig := o.deps.NewConfig()
-	o.config = config
+	o.setConfig(config)
 	o.goProtected(&wg, "configuration", func() { followConfig(runCtx) })
 	loaded := make(chan struct{})
 	o.goProtected(&wg, "jobs", func() { o.followTable(runCtx, job.TableJobs, &jobsSink{o: o, loaded: loaded}) })
@@ -89,6 +89,12 @@
 	return err
 }
 
+func (o *owner) setConfig(h *configuration.Holder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.config = h
+}
+
 func (o *owner) setAcquired(t time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -26,7 +26,9 @@
 	Epoch   uint64
 	Name    string // empty if the owner has released the shard
 	Address string
-	Boot    uint64 // random, identifies the start of the owner's process; for diagnosis only
+	// OperatorAddress is where the process serves operators; empty if it was not told.
+	OperatorAddress string `json:",omitempty"`
+	Boot            uint64 // random, identifies the start of the owner's process; for diagnosis only
 	// BeatMillis is the time of the heartbeat of the owner: the store's monotonic clock
 	// when the row was sent, in milliseconds.
 	BeatMillis int64
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -122,11 +122,12 @@
 
 // Settings configure a candidate.
 type Settings struct {
-	Part     string        // of the store
-	Name     string        // of the process, and of its target
-	Address  string        // at which other processes reach the agent of this process
-	LeaseMax time.Duration // longest lease that a worker grants
-	Planner  planner.Settings
+	Part            string        // of the store
+	Name            string        // of the process, and of its target
+	Address         string        // at which other processes reach the agent of this process
+	OperatorAddress string        // at which operators reach this process; empty if unknown
+	LeaseMax        time.Duration // longest lease that a worker grants
+	Planner         planner.Settings
 }
 
 // Agents gives access to the agents of targets.
--- a/process/target.go
+++ b/process/target.go
@@ -54,7 +54,7 @@
 		func(s table.Store, c *table.Clock, agents *agent.Clients, a *coordagent.Agent, m *metrics.Set, log zerolog.Logger) *shard.Candidate {
 			return shard.NewCandidate(shard.Settings{
 				Part: ShardPart, Name: settings.Name, Address: cmp.Or(settings.ReachedAt, settings.Address), LeaseMax: time.Duration(settings.Bounds.LeaseMax),
-				Planner: settings.Bounds.plannerSettings(settings.Policy),
+				OperatorAddress: settings.OperatorAddress, Planner: settings.Bounds.plannerSettings(settings.Policy),
 			}, shard.Deps{
 				Store: s, Clock: c, Agents: agents, Agent: a, Log: log, Metrics: m,
 				NewConfig: func() (*configuration.Holder, func(context.Context)) {
@@ -99,7 +99,7 @@
 	g.Go(func() error { return agent.Serve(t.Log.WithContext(gctx), lis[1], t.Agent) })
 	g.Go(func() error {
 		return ServeHTTP(gctx, lis[2], operator.Handler(operator.Settings{
-			Dump: func() any { return t.dump() }, Drain: stop, Metrics: t.Metrics, Log: t.Log,
+			Dump: func() any { return t.dump() }, Drain: stop, Place: t.place, Metrics: t.Metrics, Log: t.Log,
 		}))
 	})
 	g.Go(func() error {
--- a/transport/caller/requests.go
+++ b/transport/caller/requests.go
@@ -20,10 +20,9 @@
 // NewService returns a Service that passes its calls to requests.
 func NewService(requests *intake.Requests) Service { return &requestsService{requests: requests} }
 
-// Submit implements Service.
-func (s *requestsService) Submit(ctx context.Context, req callerapi.Request, wait time.Duration) (callerapi.Response, error) {
-	req = req.WithDefaults()
-	st, err := s.requests.Submit(ctx, intake.Request{
+// RequestOf returns the request of a submission that has its defaults.
+func RequestOf(req callerapi.Request) intake.Request {
+	return intake.Request{
 		Workspace:    req.Workspace,
 		Kind:         req.Kind,
 		Workers:      req.Shape.Workers,
@@ -34,7 +33,13 @@
 		Idempotent:   req.Idempotent,
 		Key:          req.Key,
 		Payload:      req.Payload,
-	}, wait)
+	}
+}
+
+// Submit implements Service.
+func (s *requestsService) Submit(ctx context.Context, req callerapi.Request, wait time.Duration) (callerapi.Response, error) {
+	req = req.WithDefaults()
+	st, err := s.requests.Submit(ctx, RequestOf(req), wait)
 	return responseOf(st), err
 }
 
--- a/transport/operator/doc.go
+++ b/transport/operator/doc.go
@@ -7,6 +7,7 @@
 //	GET  /dump     the complete state as JSON
 //	GET  /metrics  metrics in the Prometheus text format
 //	POST /drain    starts a drain and returns 202
+//	POST /place    where a job would be placed now, as JSON
 //
 // # Usage
 //
--- a/transport/operator/handler.go
+++ b/transport/operator/handler.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -27,6 +29,9 @@
 	// Drain starts a drain and returns without waiting for its end. It may be
 	// called more than once.
 	Drain func()
+	// Place answers the body of a request where a job would be placed, with a value that
+	// encoding/json can encode. A *StatusError has the status code of the response.
+	Place func(body []byte) (any, error)
 	// Metrics is served at /metrics together with the metrics of the process.
 	Metrics *metrics.Set
 	Log     zerolog.Logger
@@ -66,9 +71,43 @@
 			writeText(w, http.StatusAccepted, "draining")
 		})
 	}
+	if cfg.Place != nil {
+		r.Post("/place", func(w http.ResponseWriter, req *http.Request) {
+			body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxPlaceBytes))
+			if err != nil {
+				writeText(w, http.StatusBadRequest, "the body can't be read")
+				return
+			}
+			cfg.Log.Info().Int("Event", EventPlacementQueried).Str("Peer", req.RemoteAddr).Msg("placement queried")
+			v, err := cfg.Place(body)
+			var status *StatusError
+			switch {
+			case errors.As(err, &status):
+				writeText(w, status.Status, err.Error())
+			case err != nil:
+				writeText(w, http.StatusInternalServerError, err.Error())
+			default:
+				serveJSON(func() any { return v }, cfg.Log)(w, req)
+			}
+		})
+	}
 	return r
 }
 
+// maxPlaceBytes limits the body of a request to /place: a job without its payload.
+const maxPlaceBytes = 1 << 20
+
+// StatusError is an error with the status code of its response.
+type StatusError struct {
+	Status int
+	Err    error
+}
+
+func (e *StatusError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *StatusError) Unwrap() error { return e.Err }
+
 // withWriteTimeout sets the write deadline of each response.
 func withWriteTimeout(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/transport/operator/handler_test.go
+++ b/transport/operator/handler_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -55,3 +56,33 @@
 		})
 	}
 }
+
+// Guards against the wrong status code for a query that can't be answered, by which the command
+// tells an unknown placement from an invalid request.
+func TestPlace(t *testing.T) {
+	h := Handler(Settings{Log: zerolog.Nop(), Place: func(body []byte) (any, error) {
+		switch string(body) {
+		case "ok":
+			return map[string]string{"State": "starts"}, nil
+		case "missing":
+			return nil, &StatusError{http.StatusNotFound, errors.New("no such job")}
+		}
+		return nil, errors.New("broken")
+	}})
+	tests := []struct {
+		body string
+		code int
+		want string
+	}{
+		{"ok", 200, "{\n  \"State\": \"starts\"\n}\n"},
+		{"missing", 404, "no such job\n"},
+		{"other", 500, "broken\n"},
+		{strings.Repeat("x", maxPlaceBytes+1), 400, "the body can't be read\n"},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/place", strings.NewReader(tt.body)))
+		qt.Check(t, w.Code, qt.Equals, tt.code)
+		qt.Check(t, w.Body.String(), qt.Equals, tt.want)
+	}
+}
