--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -96,10 +96,7 @@
 			return st, err
 		}
 	}
-	j, demand, queueLimit, refusal := q.resolve(ctx, r)
-	if refusal == nil {
-		refusal = q.checkQueueLimit(ctx, j, queueLimit)
-	}
+	j, demand, refusal := q.check(ctx, r)
 	if refusal != nil {
 		return Status{Workspace: r.Workspace, Key: r.Key, Outcome: *refusal}, nil
 	}
@@ -132,6 +129,23 @@
 	return q.await(ctx, j.ID, wait)
 }
 
+// Check returns the job that a submission of the request would record and the refusal that the
+// submission would get now, or nil. It records nothing. The job has no ID if the request was
+// refused before it was complete.
+func (q *Requests) Check(ctx context.Context, r Request) (job.Job, *outcome.NotRun) {
+	j, _, refusal := q.check(ctx, r)
+	return j, refusal
+}
+
+// check is Check, and returns the demand by which admission decides.
+func (q *Requests) check(ctx context.Context, r Request) (job.Job, admission.Demand, *outcome.NotRun) {
+	j, demand, queueLimit, refusal := q.resolve(ctx, r)
+	if refusal == nil {
+		refusal = q.checkQueueLimit(ctx, j, queueLimit)
+	}
+	return j, demand, refusal
+}
+
 // submitRecorded returns the status of a submission whose key is recorded, and whether the
 // submission is decided: it is not if the key is not recorded. If the recorded job can't be
 // read, its outcome is unknown.
