--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -266,20 +266,42 @@
 	return out
 }
 
-// playWaitingCount: the workers refuse all starts for some seconds, and a consumer asks how many
-// jobs of the queue wait.
+// playWaitingCount: one of eight workers, the only one with room, refuses all starts for 5.5 s. A
+// consumer asks how many jobs of the queue wait.
 func playWaitingCount(rec *recorder, repo, dir string, trouble bool) (result, error) {
-	plans := func(string, int64) plan { return plan{after: 3 * time.Second, how: "done"} }
-	w, err := newWorld(rec, repo, dir, trouble, []spec{{gpu: 8}, {gpu: 8}}, []route{{"rozbor", 0, 3}}, plans)
+	const filler = "00000000000000e0"
+	plans := func(task string, _ int64) plan {
+		if strings.HasPrefix(task, filler) {
+			return plan{}
+		}
+		return plan{after: 3 * time.Second, how: "done"}
+	}
+	w, err := newWorld(rec, repo, dir, trouble, make8(), []route{{"sluzba", 0, 3}, {"rozbor", 0, 3}}, plans)
 	if w != nil {
 		defer w.close()
 	}
 	if err != nil {
 		return result{}, err
 	}
-	var res result
+	if err := w.submit(tenantOne, "sluzba", filler, job{"service", []step{{Count: 7, Cpu: 8000, MemMb: 4096, Gpu: 8, EstMs: 2000, LongRunning: true}}}); err != nil {
+		return result{}, err
+	}
+	for i := range 7 {
+		if _, err := w.awaitRun(fmt.Sprintf("%s.0.0.%d", filler, i), 10*time.Second); err != nil {
+			return result{}, err
+		}
+	}
+	var free *worker
 	for _, m := range w.machines {
-		m.current().setRefusing(trouble)
+		if k := m.current(); k.idle() {
+			free = k
+		}
+	}
+	free.setRefusing(true)
+	rec.printf("worker %s is unhealthy and refuses to start work units", free.id)
+	if !trouble {
+		free.setRefusing(false)
+		rec.printf("worker %s is healthy", free.id)
 	}
 	for i := range 4 {
 		id := fmt.Sprintf("00000000000000f%d", i)
@@ -287,7 +309,7 @@
 			return result{}, err
 		}
 	}
-	time.Sleep(visibleTime + 2500*time.Millisecond)
+	time.Sleep(visibleTime + 2200*time.Millisecond)
 	waiting := 0
 	for i := range 4 {
 		if len(w.runsOf(fmt.Sprintf("00000000000000f%d.0.0.0", i))) == 0 {
@@ -295,18 +317,26 @@
 		}
 	}
 	answer := w.call(tenantOne, "GET", "/rozbor/", nil)
+	free.setRefusing(false)
+	rec.printf("worker %s is healthy again", free.id)
+	var res result
 	var body struct {
 		Waiting int `json:"Waiting"`
 	}
 	if text, ok := strings.CutPrefix(answer, "200 "); ok && json.Unmarshal([]byte(text), &body) == nil && 2*body.Waiting < waiting {
 		res.broken = append(res.broken, fmt.Sprintf("Waiting is %d, and %d jobs accepted over %v before have not begun", body.Waiting, waiting, visibleTime+2*time.Second))
 	}
-	for _, m := range w.machines {
-		m.current().setRefusing(false)
-	}
 	return res, nil
 }
 
+func make8() []spec {
+	out := make([]spec, 8)
+	for i := range out {
+		out[i].gpu = 8
+	}
+	return out
+}
+
 // playRemovedQueue: the operator removes a queue with Attempts 1 while a job of it runs, and the
 // job's work unit fails.
 func playRemovedQueue(rec *recorder, repo, dir string, trouble bool) (result, error) {
@@ -397,7 +427,7 @@
 	const large, small = "00000000000000c7", "00000000000000c8"
 	length := 16
 	if trouble {
-		length = 256
+		length = 320
 	}
 	plans := func(task string, _ int64) plan {
 		if strings.HasPrefix(task, small) {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -234,6 +234,13 @@
 	k.refusing = v
 }
 
+// idle reports whether the worker runs nothing.
+func (k *worker) idle() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.runs) == 0
+}
+
 type orderMessage struct {
 	Task    string `json:"Task"`
 	Run     int64  `json:"Run"`
