--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -71,6 +71,9 @@
 	start   time.Time
 	end     time.Time // zero while it runs
 	how     string
+	// notedAt is when the end was taken note of; zero if it was not, or if the worker's lease lapsed
+	// between the two.
+	notedAt time.Time
 }
 
 type ended struct {
@@ -91,6 +94,7 @@
 	service string
 	app     string // address of the worker on it
 	control string // address to which the worker sends its heartbeats
+	link    *link  // before the target process; nil for none
 
 	mu     sync.Mutex
 	worker *worker // nil while none runs
@@ -113,6 +117,11 @@
 	seq      int
 	fence    int64
 	until    time.Duration // lease end on the worker's clock
+	lapsedAt time.Time     // when the lease last lapsed; zero if it never has
+	hasLease bool          // the lease has not lapsed since it was last extended
+	// late decides whether a hold gets no answer and is carried out after the returned time, with its
+	// lease counted from then; nil if none is.
+	late     func() time.Duration
 	runs     map[string]*unitRun
 	highest  map[string]int64 // run number up to which starts of a work unit are rejected
 	ended    []ended
@@ -286,6 +295,7 @@
 func (k *worker) extendLocked(untilMs int64) {
 	until := min(time.Duration(untilMs)*time.Millisecond, k.clock()+holdMax)
 	k.until = max(k.until, until)
+	k.hasLease = k.until > k.clock()
 }
 
 func (k *worker) serveStart(_ http.ResponseWriter, in orderMessage) (int, string) {
@@ -347,6 +357,12 @@
 		return
 	}
 	k.mu.Lock()
+	if delay := k.lateBy(); delay > 0 {
+		k.holdLateLocked(in.UntilMs, in.Fence, delay)
+		k.mu.Unlock()
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if in.Fence < k.fence {
 		clock := k.clock().Milliseconds()
 		k.mu.Unlock()
@@ -360,6 +376,7 @@
 	for len(k.ended) > 0 && k.ended[0].n <= in.LastSeen {
 		e := k.ended[0]
 		k.m.w.rec.printf("worker %s: the end of %s run %d (%s) is taken note of", k.id, e.task, e.number, e.how)
+		k.m.w.noteEnd(k.records[e.task], k.lapsedAt)
 		k.ended = k.ended[1:]
 	}
 	if len(k.ended) == 0 && in.WaitMs > 0 {
@@ -387,6 +404,32 @@
 	writeJSON(w, http.StatusOK, body)
 }
 
+func (k *worker) lateBy() time.Duration {
+	if k.late == nil {
+		return 0
+	}
+	return k.late()
+}
+
+// holdLateLocked carries out a hold after a delay. Its lease is as long as it was when it was sent.
+func (k *worker) holdLateLocked(untilMs, fence int64, delay time.Duration) {
+	left := time.Duration(untilMs)*time.Millisecond - k.clock()
+	k.m.w.rec.printf("worker %s: a hold with fence %d and a lease of %v gets no answer; it is carried out %v later", k.id, fence, left, delay)
+	time.AfterFunc(delay, func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if fence < k.fence {
+			k.m.w.rec.printf("worker %s: the late hold with fence %d does nothing", k.id, fence)
+			return
+		}
+		k.fence = fence
+		if untilMs > 0 {
+			k.extendLocked((k.clock() + left).Milliseconds())
+		}
+		k.m.w.rec.printf("worker %s: the late hold is carried out; the lease lasts for %v", k.id, k.until-k.clock())
+	})
+}
+
 func (k *worker) tasksLocked() []string {
 	var out []string
 	for t := range k.runs {
@@ -412,6 +455,10 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
+	if k.hasLease && k.clock() > k.until {
+		k.hasLease, k.lapsedAt = false, now
+		k.m.w.rec.printf("worker %s: the lease has lapsed", k.id)
+	}
 	for _, task := range k.tasksLocked() {
 		r := k.runs[task]
 		switch {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -125,6 +125,7 @@
 type spec struct {
 	gpu    int
 	labels []string
+	linked bool // planners reach its target process through a link
 }
 
 const (
@@ -180,6 +181,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if s.linked {
+			if m.link, err = p.putLink(a[2]); err != nil {
+				return nil, err
+			}
+		}
 		w.targets = append(w.targets, p)
 	}
 	for _, p := range append([]*process{w.entry}, w.targets...) {
@@ -232,6 +238,24 @@
 	return &process{w: w, name: name, args: []string{role, "--settings", path}}, err
 }
 
+// putLink puts a link in front of the address at which other processes reach this one.
+func (p *process) putLink(address string) (*link, error) {
+	free, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	path := p.args[2]
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	b = bytes.Replace(b, []byte("{"), []byte(`{"ReachedAt": "`+free[0]+`",`), 1)
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		return nil, err
+	}
+	return newLink(free[0], address)
+}
+
 // start starts the process with the command of the deploy file.
 func (p *process) start() error {
 	p.mu.Lock()
@@ -426,6 +450,15 @@
 	w.rec.printf("RUN %s run %d on %s: %s", r.task, r.number, r.worker, how)
 }
 
+// noteEnd records that an end is taken note of. lapsedAt is when the worker's lease last lapsed.
+func (w *world) noteEnd(r *runRecord, lapsedAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !lapsedAt.After(r.end) {
+		r.notedAt = time.Now()
+	}
+}
+
 // runsOf returns copies of the records of the runs of a work unit, in the order of their starts.
 func (w *world) runsOf(task string) []runRecord {
 	w.mu.Lock()
