Register a worker only once it has answered in the name of its heartbeat

What callers saw: a task ran twice.

Cause: the agent took any heartbeat with a later start time for the next incarnation of its worker, without an answer of it, and the planner takes a new incarnation for the proof that the former one is over. Paths of the same cause: the worker's ID with another start time, a late heartbeat of a former worker whose clock was ahead, and a late one as the first after a restart of the target process.

Change: incarnations that heartbeats name are candidates. The agent calls the worker's address in their name, with a hold that extends no lease and discards no ends, and registers the one that is answered. Ruled out: to judge by the pool or the address of the heartbeat, which a late one of a former worker has right.

The fake worker of these tests answers only calls that name it, as workers do; FuzzRequests runs the agent now, since nothing is registered otherwise.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -53,8 +53,10 @@
 	// tokenWake receives when a new fencing token has arrived; buffered, so that none is lost.
 	tokenWake chan struct{}
 
-	heartbeat           WorkerHeartbeat // the last one recorded; Incarnation is nil while no worker is known
+	heartbeat           WorkerHeartbeat // the last one of the registered incarnation; Incarnation is nil while none is
 	heartbeatReceivedAt time.Time       // when heartbeat was received
+	candidates          []candidate     // incarnations that may be the worker, in the order of their first heartbeats
+	candidateWake       chan struct{}   // receives when there is a new candidate; buffered, so that none is lost
 	reportedDraining    bool            // a heartbeat of the incarnation has said that it drains
 	deregistered        bool            // the worker has deregistered
 	gone                bool            // deregistered and no longer answers
@@ -127,58 +129,16 @@
 	return &Agent{
 		cfg: cfg, worker: w, objs: objs, log: log, startedAt: time.Now(), boot: rand.Uint64() | 1,
 		changed: make(chan struct{}), holdWake: make(chan struct{}), tokenWake: make(chan struct{}, 1), takeOverWake: make(chan struct{}, 1),
+		candidateWake: make(chan struct{}, 1),
 	}
 }
 
-// RecordHeartbeat records a heartbeat of the worker. It ignores a heartbeat that is
-// not newer than the recorded one and returns false: heartbeats can arrive late, even
-// after the worker has been restarted. An incarnation with an earlier start time is newer if
-// the worker's last answer was not that of the known one: the time of day may have jumped.
-func (a *Agent) RecordHeartbeat(heartbeat WorkerHeartbeat) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	old := a.heartbeat
-	if old.Incarnation != nil {
-		if heartbeat.Incarnation.GetBorn() < old.Incarnation.GetBorn() && !a.state.otherAnswers {
-			return false
-		}
-		if agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) && heartbeat.Sequence <= old.Sequence {
-			return false
-		}
-	}
-	if !agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) {
-		a.recordCrashLocked()
-		a.reportedDraining, a.deregistered, a.gone = false, false, false
-		a.state = workerState{unknownStarts: make(map[runKey]struct{}), revision: a.state.revision, clock: heartbeat.Clock, clockAt: time.Now(), answeredHoldSentAt: time.Now(), lastGrantSentAt: time.Now()}
-		a.log.Info().Int("Event", EventWorkerLife).Str("Worker", heartbeat.Incarnation.GetWorker()).Int64("Born", heartbeat.Incarnation.GetBorn()).
-			Str("Pool", heartbeat.Pool).Msg("worker registered")
-	}
-	if heartbeat.Draining && (old.Incarnation == nil || !old.Draining) {
-		a.log.Info().Int("Event", EventWorkerDraining).Str("Worker", heartbeat.Incarnation.GetWorker()).
-			Dur("Remaining", heartbeat.Remaining).Msg("worker is draining")
-	}
-	a.heartbeat, a.heartbeatReceivedAt = heartbeat, time.Now()
-	// An incarnation that drains does not become ready again. One that has only deregistered
-	// does: workers drain first, so that the notice was a late one of a former incarnation.
-	a.reportedDraining = a.reportedDraining || heartbeat.Draining
-	if a.deregistered && !a.reportedDraining {
-		a.deregistered, a.gone = false, false
-		a.log.Warn().Int("Event", EventDeregistrationVoid).Str("Worker", heartbeat.Incarnation.GetWorker()).
-			Msg("worker reports that it is ready after it has deregistered")
-	}
-	a.heartbeat.Draining = a.reportedDraining || a.deregistered
-	if !agentrpc.SameLife(heartbeat.Incarnation, old.Incarnation) || a.heartbeat.Draining != old.Draining || a.heartbeat.Pool != old.Pool ||
-		a.heartbeat.CPU != old.CPU || a.heartbeat.MemoryMB != old.MemoryMB || a.heartbeat.Accelerators != old.Accelerators {
-		a.bumpRevisionLocked()
-	}
-	return true
-}
-
 // WorkerDeregistered records that a worker has deregistered.
 func (a *Agent) WorkerDeregistered(worker string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.heartbeat.Incarnation.GetWorker() != worker {
+		a.dropCandidatesLocked(worker)
 		return
 	}
 	a.log.Info().Int("Event", EventWorkerLeft).Str("Worker", worker).Msg("worker deregistered")
@@ -270,6 +230,7 @@
 	defer wg.Wait()
 	wg.Go(func() { a.stopUnattendedRuns(ctx) })
 	wg.Go(func() { a.confirmTokens(ctx) })
+	wg.Go(func() { a.registerWorkers(ctx) })
 	for ctx.Err() == nil {
 		a.holdOnce(ctx)
 	}
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -28,8 +28,8 @@
 
 	mu           sync.Mutex
 	unresponsive bool
-	notListening bool // calls are not sent
-	other        bool // another incarnation answers
+	notListening bool   // calls are not sent
+	id           string // calls that name another worker get ErrOtherIncarnation
 	born         int64
 	ended        []*agentrpc.RunEnd
 	running      []*agentrpc.RunStatus
@@ -61,7 +61,7 @@
 		defer w.mu.Unlock()
 		return agent.HoldReply{}, errNotListening
 	}
-	if w.other {
+	if w.id != r.Worker && !unresponsive {
 		defer w.mu.Unlock()
 		return agent.HoldReply{}, agent.ErrOtherIncarnation
 	}
@@ -113,7 +113,7 @@
 func withAgent(t *testing.T, f func(r *harness)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &fakeWorker{start: time.Now(), born: 7}
+		w := &fakeWorker{start: time.Now(), id: "w-1", born: 7}
 		r := &harness{c: qt.New(t), worker: w, store: tabletest.New(), incarnation: &agentrpc.Life{Worker: "w-1", Born: 7}}
 		r.agent = agent.New(agent.Settings{Name: "target-1", LeaseMax: leaseMax}, w, r.store, zerolog.Nop())
 		ctx, cancel := context.WithCancel(t.Context())
@@ -123,12 +123,22 @@
 			r.agent.Run(ctx)
 		}()
 		r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: r.incarnation, Clock: 1, Sequence: 1})
+		synctest.Wait()
 		f(r)
 		cancel()
 		<-done
 	})
 }
 
+// restart replaces the worker with its next incarnation, which sends its first heartbeat.
+func (r *harness) restart(next *agentrpc.Life) {
+	r.worker.withLock(func(w *fakeWorker) {
+		w.id, w.born, w.unresponsive, w.notListening, w.running, w.ended = next.GetWorker(), next.GetBorn(), false, false, nil, nil
+	})
+	r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: next, Clock: 1, Sequence: 1})
+	synctest.Wait()
+}
+
 func (r *harness) watch(in *agentrpc.WatchRequest) *agentrpc.WatchReply {
 	r.c.Helper()
 	if in.GetFence() == 0 {
@@ -329,10 +339,11 @@
 		time.Sleep(2 * time.Second)
 		next := agent.WorkerHeartbeat{Incarnation: &agentrpc.Life{Worker: "w-2", Born: 6}, Clock: 1, Sequence: 1}
 		r.c.Assert(r.agent.RecordHeartbeat(next), qt.IsFalse, qt.Commentf("a late heartbeat, as long as the known incarnation answers"))
-		r.worker.withLock(func(w *fakeWorker) { w.other = true })
+		r.worker.withLock(func(w *fakeWorker) { w.id, w.born = "w-2", 6 })
 		time.Sleep(2 * time.Second)
 		next.Sequence++
 		r.c.Check(r.agent.RecordHeartbeat(next), qt.IsTrue)
+		synctest.Wait()
 		r.c.Check(r.watch(&agentrpc.WatchRequest{}).GetWorker().GetLife().GetWorker(), qt.Equals, "w-2")
 	})
 }
--- a/coordination/agent/crash_test.go
+++ b/coordination/agent/crash_test.go
@@ -72,8 +72,7 @@
 				time.Sleep(3 * time.Second)
 				tt.end(r)
 				time.Sleep(3 * time.Second)
-				next := &agentrpc.Life{Worker: "w-2", Born: 8}
-				r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: next, Clock: 1, Sequence: 1})
+				r.restart(&agentrpc.Life{Worker: "w-2", Born: 8})
 				got := r.watch(&agentrpc.WatchRequest{}).GetCrashes()
 				if tt.none {
 					r.c.Assert(got, qt.HasLen, 0)
--- a/coordination/agent/doc.go
+++ b/coordination/agent/doc.go
@@ -18,6 +18,9 @@
 // clock shows the cap, whatever the agent does and however long either process was
 // suspended.
 //
+// Heartbeats only propose incarnations of the worker. The agent reports one to the planner, which
+// gives up the runs of the former one, after the worker's address has answered in its name.
+//
 // # Usage
 //
 //	a := agent.New(agent.Settings{Name: "target-1", LeaseMax: 10 * time.Second}, worker, objects, log)
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -32,6 +32,9 @@
 	EventOwnStop = 514
 	// EventOwnStopAcknowledged occurs when the worker has acknowledged such a stop.
 	EventOwnStopAcknowledged = 515
+	// EventHeartbeatForeign occurs when the incarnation that a heartbeat names is found not to be
+	// the worker.
+	EventHeartbeatForeign = 516
 	// EventPlannerChanged occurs at the first call of a planner with a higher epoch or
 	// another name.
 	EventPlannerChanged = 503
--- a/coordination/agent/fuzz_test.go
+++ b/coordination/agent/fuzz_test.go
@@ -1,6 +1,8 @@
 package agent_test
 
 import (
+	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -34,9 +36,22 @@
 		f.Add(b)
 	}
 	f.Fuzz(func(t *testing.T, message []byte) {
-		w := &fakeWorker{start: time.Now(), born: 7}
+		w := &fakeWorker{start: time.Now(), id: "w-1", born: 7}
 		a := agent.New(agent.Settings{Name: "t", LeaseMax: leaseMax}, w, tabletest.New(), zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a.Run(ctx)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
 		a.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: &agentrpc.Life{Worker: "w-1", Born: 7}, Clock: 1, Sequence: 1})
+		for a.State().Worker == "" {
+			runtime.Gosched()
+		}
 		var watch agentrpc.WatchRequest
 		if proto.Unmarshal(message, &watch) == nil {
 			watch.WaitMillis = 0
