Keep rows within the store's limit, and let a rejected one hold up nothing

What callers saw: after a job of 200 tasks with checkpoints of 320 bytes, nothing on the site was started or acknowledged any more.

Cause: the row of an occurrence has the checkpoints of its tasks, whose length nobody bounds. The store rejects the transaction with a longer row than 64 KiB as invalid, and the owner repeated it for ever. It did not notice a new owner, since the store rejects such a call before it looks at the condition. The same held for errors and results of tasks, and for the targets in the owner's row.

Change: a row leaves out checkpoints and errors for which it has no space, the least important first; space for runs is computed without them. An occurrence that doesn't fit without them ends as failed, with the reason. A transaction that the store rejects as invalid (table.ErrRejected) is written row by row, and a row that is rejected again is set aside with its occurrence. The owner's row names at most 16 KiB of silent targets, and batches leave space for the rows that come with them.

The planner's harness fails for any row that is too long, and tabletest rejects what the platform rejects.

Ruled out: a longer assumed checkpoint, since there is no longest one. Open: jobs with a key whose results don't fit into a row end as failed.

--- a/coordination/planner/crashes.go
+++ b/coordination/planner/crashes.go
@@ -152,16 +152,19 @@
 }
 
 // forgetCrashes forgets the crashes of an occurrence's tasks that the tasks are not suspected
-// of, which leaves more space in the row.
-func (p *Planner) forgetCrashes(o *occurrence) {
+// of, which leaves more space in the row. It reports whether there were any.
+func (p *Planner) forgetCrashes(o *occurrence) bool {
+	forgotten := false
 	for _, s := range o.steps {
 		for _, k := range s.tasks {
 			n := len(k.crashes)
 			if k.crashes = slices.DeleteFunc(k.crashes, func(x crash) bool { return !x.atStart }); len(k.crashes) < n {
+				forgotten = true
 				p.markDirty(o)
 			}
 		}
 	}
+	return forgotten
 }
 
 // checkSuspects clears the suspects of which a run has lasted for longer than startCrashTime,
--- a/coordination/planner/events.go
+++ b/coordination/planner/events.go
@@ -71,4 +71,9 @@
 	EventRoom = 580
 	// EventReservation occurs when capacity is reserved for a unit that has waited long.
 	EventReservation = 581
+	// EventRowReduced occurs when the row of an occurrence first has no space for the checkpoints
+	// or errors of some tasks.
+	EventRowReduced = 569
+	// EventJobNotRecordable occurs when an occurrence ends because its progress can't be recorded.
+	EventJobNotRecordable = 574
 )
--- a/coordination/planner/harness_test.go
+++ b/coordination/planner/harness_test.go
@@ -12,6 +12,7 @@
 	"github.com/medlargrade/medlargrade/operator"
 	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 	"github.com/medlargrade/medlargrade/state/job"
+	"github.com/medlargrade/medlargrade/state/table"
 )
 
 // harness is a planner with simulated agents and workers. Workers execute each order at once
@@ -121,6 +122,7 @@
 func (h *harness) runPass() {
 	b := h.p.Plan(h.now)
 	for _, w := range b.Writes {
+		qt.Assert(h.t, len(w.Value) <= table.MaxValueBytes, qt.IsTrue, qt.Commentf("the store rejects the row %s of %d bytes", w.Key, len(w.Value)))
 		pr, err := job.DecodeProgress(w.Value)
 		qt.Assert(h.t, err, qt.IsNil)
 		h.rows[w.Key] = pr
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -45,6 +45,10 @@
 	// finalAt is when the state became final, or the time of acceptance if an earlier
 	// planner has not recorded it. The occurrence is kept at least until its runs have ended.
 	finalAt time.Time
+	// unrecordable is why the progress can't be recorded; empty if it can. The row then has only
+	// the state and this reason.
+	unrecordable string
+	omitted      int // tasks with a checkpoint or an error that the row lacks, as last written
 }
 
 // step is the state of one step of an occurrence.
@@ -270,8 +274,9 @@
 	}
 }
 
-// record returns the write of the occurrence's row.
-func (o *occurrence) record() table.Write {
+// record returns the write of the occurrence's row, and how many tasks have a checkpoint or an
+// error for which the row has no space.
+func (o *occurrence) record() (w table.Write, omitted int) {
 	r := job.Progress{
 		Job: o.job.job.ID, Occurrence: o.ordinal, State: o.state, Begun: o.begun, ElapsedMillis: o.elapsed.Milliseconds(),
 	}
@@ -284,7 +289,11 @@
 		}
 		r.Steps = append(r.Steps, rs)
 	}
-	return table.Write{Table: job.TableProgress, Key: o.key, Value: r.Encode()}
+	if o.unrecordable != "" {
+		r.Steps = []job.StepProgress{{Tasks: []job.Task{{Error: o.unrecordable}}}}
+	}
+	value, omitted := r.EncodeRow(o.job.job.Steps)
+	return table.Write{Table: job.TableProgress, Key: o.key, Value: value}, omitted
 }
 
 // record returns the task's part of the row.
--- a/coordination/planner/pass.go
+++ b/coordination/planner/pass.go
@@ -16,8 +16,9 @@
 	// maxBatchRows bounds the rows of a batch. A transaction holds table.MaxEntries entries,
 	// and the owner uses two of them.
 	maxBatchRows = 90
-	// maxBatchBytes bounds the total size of the values in a batch.
-	maxBatchBytes = table.MaxTxBytes
+	// maxBatchBytes bounds the total size of the rows of occurrences in a batch. The rows of the
+	// speeds and of the load may come with them.
+	maxBatchBytes = table.MaxTxBytes - 2*table.MaxValueBytes
 )
 
 // unit is a set of tasks that are placed together: a whole gang or a single task. The
@@ -231,7 +232,7 @@
 	slices.SortFunc(occurrences, func(x, y *occurrence) int { return cmp.Compare(x.key, y.key) })
 	deferred := make(map[*occurrence]struct{})
 	for _, o := range occurrences {
-		w := o.record()
+		w := p.recordWithin(o, now)
 		// Writes get half of the rows, since each may come with a deletion.
 		if len(b.Writes) >= maxBatchRows/2 || bytes+len(w.Value) > maxBatchBytes && len(b.Writes) > 0 {
 			deferred[o] = struct{}{}
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -8,12 +8,12 @@
 // placeTasks places a gang as a whole, or the waiting tasks of a step one by one.
 func (p *Planner) placeTasks(u unit, now time.Time) {
 	fit := p.startsThatFit(u.step.occ)
-	if u.step.spec.Gang {
-		if len(u.tasks) <= fit {
-			p.placeUnit(u, now)
-		} else {
-			p.forgetCrashes(u.step.occ)
-		}
+	switch {
+	case fit == 0 || u.step.spec.Gang && len(u.tasks) > fit:
+		p.failIfStuck(u.step.occ, now)
+		return
+	case u.step.spec.Gang:
+		p.placeUnit(u, now)
 		return
 	}
 	tasks := u.tasks[:min(len(u.tasks), fit)]
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -48,4 +48,7 @@
 	// EventFenceRaised occurs when the fencing token of a target is raised, because its runs are
 	// given up.
 	EventFenceRaised = 568
+	// EventRowRejected occurs when the store rejects a row or a deletion as invalid; it is not
+	// repeated.
+	EventRowRejected = 656
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -227,7 +227,11 @@
 		load.addPass(time.Since(begin))
 		if len(b.Writes)+len(b.Deletions) > 0 || heartbeatDue {
 			begin := time.Now()
-			if err := o.commit(ctx, table.Tx{Writes: b.Writes, Deletions: b.Deletions}); err != nil {
+			err := o.commit(ctx, table.Tx{Writes: b.Writes, Deletions: b.Deletions})
+			if errors.Is(err, table.ErrRejected) {
+				b, err = o.commitApart(ctx, b)
+			}
+			if err != nil {
 				return err
 			}
 			load.addCommit(time.Since(begin))
@@ -263,8 +267,53 @@
 	o.plan.SetConfigAge(o.config.Age())
 }
 
+// commitApart commits a batch that the store has rejected as invalid, row by row, so that a row
+// that the store never accepts holds up nothing else. It returns the batch without the
+// acknowledgements of ends, which may not be recorded.
+func (o *owner) commitApart(ctx context.Context, b planner.Batch) (planner.Batch, error) {
+	var parts []table.Tx
+	for _, w := range b.Writes {
+		parts = append(parts, table.Tx{Writes: []table.Write{w}})
+	}
+	if len(b.Deletions) > 0 {
+		parts = append(parts, table.Tx{Deletions: b.Deletions})
+	}
+	// Without other rows, the transaction shows whether this process still owns the shard.
+	if err := o.commit(ctx, table.Tx{}); err != nil {
+		return b, err
+	}
+	var rejected []string
+	for _, tx := range parts {
+		err := o.commit(ctx, tx)
+		if errors.Is(err, table.ErrRejected) {
+			for _, w := range tx.Writes {
+				o.deps.Log.Error().Int("Event", EventRowRejected).Str("Table", w.Table).Str("Key", w.Key).Int("Bytes", len(w.Value)).Err(err).
+					Msg("the store rejects a row")
+				if w.Table == job.TableProgress {
+					rejected = append(rejected, w.Key)
+				}
+			}
+			if len(tx.Deletions) > 0 {
+				o.deps.Log.Error().Int("Event", EventRowRejected).Int("Deletions", len(tx.Deletions)).Err(err).Msg("the store rejects deletions")
+			}
+			o.deps.Metrics.GetOrCreateCounter(`medlargrade_rows_rejected_total`).Inc()
+			continue
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+	o.mu.Lock()
+	o.plan.RejectRows(rejected, time.Now())
+	o.mu.Unlock()
+	o.requestPass()
+	b.EndAcks = nil
+	return b, nil
+}
+
 // commit writes rows together with the owner's row. It retries until they are known
-// to be written, ctx has ended or another process owns the shard.
+// to be written, ctx has ended, another process owns the shard or the store rejects the
+// transaction as invalid.
 func (o *owner) commit(ctx context.Context, tx table.Tx) error {
 	o.mu.Lock()
 	lastRow, version := o.row, o.version
@@ -304,6 +353,8 @@
 				return nil
 			}
 			return fmt.Errorf("%w: epoch %d, owner %s", errNotOwner, stored.Epoch, stored.Name)
+		case errors.Is(err, table.ErrRejected):
+			return fmt.Errorf("write rows of the shard: %w", err)
 		case errors.As(err, &lost):
 			sentAt[row.Token] = sent
 		}
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -664,3 +665,91 @@
 		})
 	}
 }
+
+// Guards against a row that the store never accepts and that is written again for ever: nothing
+// else of the site would be recorded, started or ended, by this owner or the next one.
+func TestRejectedRowHoldsUpNothingElse(t *testing.T) {
+	rejectProgressOf := func(id string) func(table.Tx) tabletest.CommitResult {
+		return func(tx table.Tx) tabletest.CommitResult {
+			for _, w := range tx.Writes {
+				if pr, err := job.DecodeProgress(w.Value); w.Table == job.TableProgress && err == nil && pr.Job == id && pr.State != job.Failed {
+					return tabletest.Invalid
+				}
+			}
+			return tabletest.Normal
+		}
+	}
+	runSite(t, 2, func(s *testSite) {
+		s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		s.store.OnCommit(rejectProgressOf("j0"))
+		s.submitAs("j0")
+		s.submit()
+		time.Sleep(2 * time.Second)
+		x := s.targetRunningJob()
+		s.c.Assert(x, qt.IsNotNil, qt.Commentf("the other job does not run"))
+		x.finish("j1.0.0.0")
+		time.Sleep(2 * time.Second)
+		s.c.Check(s.stateOf("j1"), qt.Equals, job.Completed)
+		s.c.Check(s.stateOf("j0"), qt.Equals, job.Failed)
+		for _, x := range s.targets {
+			x.view(func(x *fakeAgent) {
+				s.c.Check(x.running, qt.HasLen, 0, qt.Commentf("a run goes on that no row names"))
+				s.c.Check(x.ended, qt.HasLen, 0, qt.Commentf("an end is not acknowledged"))
+			})
+		}
+		s.c.Check(s.ownerRow().Epoch, qt.Equals, uint64(1))
+	})
+}
+
+// Guards against an owner that repeats a transaction that the store rejects as invalid and does not
+// notice that another process owns the shard.
+func TestRejectedTransactionShowsNewOwner(t *testing.T) {
+	runSite(t, 2, func(s *testSite) {
+		a := s.startProcess("a", s.store)
+		time.Sleep(settleTime)
+		row := s.ownerRow()
+		row.Epoch, row.Name, row.Address, row.Token = row.Epoch+1, "b", "b", "other"
+		s.store.OnCommit(func(tx table.Tx) tabletest.CommitResult {
+			for _, w := range tx.Writes {
+				if w.Table == job.TableProgress {
+					return tabletest.Invalid
+				}
+			}
+			return tabletest.Normal
+		})
+		_, err := s.store.Commit(t.Context(), table.Tx{Part: part}.WithWrite(shard.TableShard, shard.OwnerKey, table.EncodeValue(row)))
+		s.c.Assert(err, qt.IsNil)
+		s.submit()
+		time.Sleep(time.Second)
+		s.c.Check(s.startsExcept(nil), qt.Equals, 0)
+		s.c.Check(a.State(), qt.IsNil, qt.Commentf("it still plans"))
+	})
+}
+
+// Guards against an owner's row that becomes too long for the store because many targets are
+// silent: no transaction of the shard would be accepted any more.
+func TestOwnerRowFitsWithManySilentTargets(t *testing.T) {
+	runSite(t, 1, func(s *testSite) {
+		const n = 2000
+		tx := table.Tx{Part: part}
+		for i := range n {
+			name := fmt.Sprintf("side-long-name-of-a-machine-%04d", i)
+			x := newFakeAgent(name)
+			x.unreachable = true
+			s.targets[name] = x
+			tx = tx.WithWrite(shard.TableTargets, name, []byte(`{"Address":"`+name+`"}`))
+			if len(tx.Writes) == table.MaxEntries || i == n-1 {
+				_, err := s.store.Commit(t.Context(), tx)
+				s.c.Assert(err, qt.IsNil)
+				tx = table.Tx{Part: part}
+			}
+		}
+		s.startProcess("a", s.store)
+		time.Sleep(3 * settleTime)
+		s.submit()
+		time.Sleep(time.Second)
+		s.c.Check(s.targetRunningJob(), qt.IsNotNil)
+		s.c.Check(len(s.ownerRow().Silent) > 200, qt.IsTrue, qt.Commentf("%d silent targets are recorded", len(s.ownerRow().Silent)))
+	})
+}
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -138,21 +139,39 @@
 	return lastAnswerAt
 }
 
+// maxSilentBytes bounds the encoded size of OwnerRow.Silent. The row is part of every transaction
+// of the shard, and has at most table.MaxValueBytes; a transaction of the largest batch has space
+// for about 40 KB beside it.
+const maxSilentBytes = 16 << 10
+
 // silentTargetsLocked returns OwnerRow.Silent: the targets that have not answered for
-// longer than recordSilenceAfter.
+// longer than recordSilenceAfter. If there are too many for the row, it has those that have been
+// silent for the longest time; a successor waits longer for the leases of the others.
 func (o *owner) silentTargetsLocked() map[string]int64 {
 	now, ok := o.deps.Clock.Now()
 	if !ok {
 		return nil
 	}
+	var silent []*watch
+	for _, w := range o.watches {
+		if time.Since(w.lastAnswerAt) > recordSilenceAfter && !w.rowDeleted {
+			silent = append(silent, w)
+		}
+	}
+	slices.SortFunc(silent, func(x, y *watch) int {
+		return cmp.Or(x.lastAnswerAt.Compare(y.lastAnswerAt), cmp.Compare(x.name, y.name))
+	})
 	var out map[string]int64
-	for name, w := range o.watches {
-		if since := time.Since(w.lastAnswerAt); since > recordSilenceAfter && !w.rowDeleted {
-			if out == nil {
-				out = make(map[string]int64)
-			}
-			out[name] = (now - since).Milliseconds()
+	bytes := 0
+	for _, w := range silent {
+		const numberBytes = 20
+		if bytes += len(table.EncodeValue(w.name)) + numberBytes; bytes > maxSilentBytes {
+			break
+		}
+		if out == nil {
+			out = make(map[string]int64)
 		}
+		out[w.name] = (now - time.Since(w.lastAnswerAt)).Milliseconds()
 	}
 	return out
 }
--- a/state/job/progress.go
+++ b/state/job/progress.go
@@ -101,7 +101,7 @@
 	return p
 }
 
-// Encode returns the value of the row.
+// Encode returns the encoding of p, which may be longer than a row; see EncodeRow.
 func (p Progress) Encode() []byte { return table.EncodeValue(p) }
 
 // DecodeProgress decodes the value of a row in TableProgress.
--- a/state/table/table.go
+++ b/state/table/table.go
@@ -149,6 +149,10 @@
 // because too many others are waiting. A later call may succeed.
 var ErrOverloaded = errors.New("too many calls wait")
 
+// ErrRejected is the cause of an UnavailableError if the store rejected the call as invalid,
+// for example because a value is too long. Repeating the call would have the same result.
+var ErrRejected = errors.New("the store rejects the call as invalid")
+
 // ConflictError reports a transaction that was not applied because a condition
 // failed.
 type ConflictError struct {
--- a/state/table/tabletest/store.go
+++ b/state/table/tabletest/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -21,6 +22,7 @@
 	ReplyLost                // conditions are checked as usual; if it applies, its reply is lost
 	RequestLost              // the transaction isn't applied and its reply is lost
 	Rejected                 // the store rejects the call without applying the transaction
+	Invalid                  // as Rejected, with the cause table.ErrRejected
 )
 
 // errInjectedFault is the cause of every injected failure.
@@ -129,8 +131,13 @@
 		return table.Commit{}, &table.UnavailableError{Err: errInjectedFault}
 	case RequestLost:
 		return table.Commit{}, &table.OutcomeUnknownError{Err: errInjectedFault}
+	case Invalid:
+		return table.Commit{}, &table.UnavailableError{Err: table.ErrRejected}
 	case Normal, ReplyLost:
 	}
+	if !isValid(tx) {
+		return table.Commit{}, &table.UnavailableError{Err: table.ErrRejected}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflict := &table.ConflictError{}
@@ -152,6 +159,21 @@
 	return table.Commit{Version: s.version, Now: time.Since(s.createdAt)}, nil
 }
 
+// isValid reports whether a transaction is within the limits of the platform.
+func isValid(tx table.Tx) bool {
+	bytes := 0
+	for _, w := range tx.Writes {
+		if len(w.Value) > table.MaxValueBytes {
+			return false
+		}
+		bytes += base64.StdEncoding.EncodedLen(len(w.Value))
+	}
+	return tx.Entries() <= table.MaxEntries && bytes <= maxTxBytes
+}
+
+// maxTxBytes is the maximum size of the encoded values of a transaction.
+const maxTxBytes = 1 << 20
+
 func (s *Store) applyLocked(tx table.Tx) {
 	s.version++
 	for _, w := range tx.Writes {
