Let a failed task wait for another worker for two seconds at most

Cause: a task avoids the targets on which it failed as long as another target could hold it by its whole capacity. Long-running work on that other target never leaves, and the avoided target was left out for ever. The same cause: the other target is busy for hours, is paused, refuses starts, has a run that no row names, or runs as many tasks of the step as it may.

Change: the wait for another target ends 2 s after the end of the task's last run. The avoided targets are then considered again, whenever the task fits on none of the others. 2 s is below the 3 s for which a job may wait while there is free capacity for it. Ruled out: predictions of when other targets have room, which are off by a factor of up to seven.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -49,7 +49,7 @@
 
 // findEligible returns the targets that may run tasks of a unit. The result is valid
 // for a whole pass, and units with the same requirement share it. A single task does not
-// get the targets that it avoids, unless there is no alternative.
+// get the targets that it avoids while mayAvoid allows that.
 func (p *Planner) findEligible(u unit, now time.Time) *eligibleTargets {
 	q := requirement{pool: u.kind.Pool(), label: u.step.spec.Label}
 	s := p.eligibleCache[q]
@@ -63,12 +63,20 @@
 		s = newEligibleTargets(targets)
 		p.eligibleCache[q] = s
 	}
-	if len(u.tasks) == 1 && len(u.tasks[0].avoidedTargets) > 0 && p.hasAlternative(u) {
-		return newEligibleTargets(slices.DeleteFunc(slices.Clone(s.targets), u.avoids))
+	if len(u.tasks) == 1 && len(u.tasks[0].avoidedTargets) > 0 {
+		others := newEligibleTargets(slices.DeleteFunc(slices.Clone(s.targets), u.avoids))
+		if p.mayAvoid(u, now) || p.anyFits(u, others.targets) {
+			return others
+		}
 	}
 	return s
 }
 
+// anyFits reports whether a task of the unit fits on one of the targets.
+func (p *Planner) anyFits(u unit, targets []*target) bool {
+	return slices.ContainsFunc(p.candidates(u, targets), func(c candidate) bool { return c.maxTasks(u) > 0 })
+}
+
 // isMetBy reports whether a target's worker is in the pool and has the label.
 func (q requirement) isMetBy(t *target) bool {
 	if q.pool != "" && t.worker.GetPool() != q.pool {
@@ -81,6 +89,17 @@
 // worker gets no new work. Agents poll their workers about once a second.
 const maxSilence = 2500 * time.Millisecond
 
+// maxAvoidance is how long a task waits for a target on which it has not failed while there is
+// capacity for it elsewhere. What runs on the other targets may last for hours. It is below the 3 s
+// for which a job may wait while there is free capacity for it.
+const maxAvoidance = 2 * time.Second
+
+// mayAvoid reports whether a unit of one task may wait for a target on which the task has not failed
+// or stalled.
+func (p *Planner) mayAvoid(u unit, now time.Time) bool {
+	return now.Sub(u.tasks[0].idleSince) <= maxAvoidance && p.hasAlternative(u)
+}
+
 // hasAlternative reports whether a target on which the unit has not failed could run it,
 // now or after a pause.
 func (p *Planner) hasAlternative(u unit) bool {
--- a/coordination/planner/ends.go
+++ b/coordination/planner/ends.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// avoidTarget makes a task avoid a target as long as another target can run it. Gangs of
-// several tasks ignore it, and it is not recorded, so a new planner does not know it.
+// avoidTarget makes a task avoid a target while mayAvoid allows that. Gangs of several tasks
+// ignore it, and it is not recorded, so a new planner does not know it.
 func (t *task) avoidTarget(name string) {
 	if t.avoidedTargets == nil {
 		t.avoidedTargets = make(map[string]struct{})
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -89,6 +89,7 @@
 	err          string // of the last run that failed
 	// avoidedTargets holds the names of targets on which a run failed or stalled.
 	avoidedTargets map[string]struct{}
+	idleSince      time.Time // when its last run was found to be over; zero before
 	// retryAt delays the next start after a refusal.
 	retryAt    time.Time
 	stallMoves int     // how often a run was moved because it stood still; not recorded
--- a/coordination/planner/query.go
+++ b/coordination/planner/query.go
@@ -241,7 +241,7 @@
 		return "it is paused after a refused start"
 	case t.silentFor > maxSilence:
 		return "its worker does not answer"
-	case len(u.tasks) == 1 && u.avoids(t) && q.p.hasAlternative(u):
+	case len(u.tasks) == 1 && u.avoids(t) && q.p.mayAvoid(u, now):
 		return "a run of the task failed or stalled there"
 	case q.p.isolated[t] != nil && q.p.isolated[t] != u.step.occ.job:
 		return "it is kept free for a task that may crash its worker"
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -275,6 +275,7 @@
 // detachRun removes a run from its task and target.
 func (p *Planner) detachRun(r *run) {
 	t := r.task
+	t.idleSince = p.latest
 	for i, other := range t.runs {
 		if other == r {
 			t.runs = append(t.runs[:i:i], t.runs[i+1:]...)
