Take the removal of a target's row for no proof while the target answers

What callers saw: a task ran twice for 5.7 s.

Cause: the removal had no condition, so that it hit the row on which the next process relied, and the planner gave up the runs without looking whether the target answers.

Change: a process that leaves marks its row and removes only the marked version; the next process writes a marked row again. The planner asks a connected target once more when its row disappears, and writes the row again if it answers. Ruled out: to wait for the leases after each removal, since work of workers that leave while the planner changes would start again 10.7 s later.

In TestFenceRisesWithGivenUpRuns the case of a deleted row expected that the runs of a target that answers are given up, which is the fault. It deletes the row of a target that can't be reached now, and a further case expects that nothing changes for one that answers.

--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -59,11 +59,17 @@
 }
 
 // deleteTargetRow deletes the row of a target whose worker is gone, so that no planner
-// waits for it.
+// waits for it. A deletion without an answer may take effect late, when the next process uses the
+// row and runs go on beside it. The row is therefore marked first, and only the marked version is
+// deleted.
 func (c *Candidate) deleteTargetRow(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	_, err := c.deps.Store.Commit(ctx, table.Tx{Part: c.cfg.Part}.WithDeletion(TableTargets, c.cfg.Name))
+	tx := table.Tx{Part: c.cfg.Part}
+	marked, err := c.deps.Store.Commit(ctx, tx.WithWrite(TableTargets, c.cfg.Name, Target{Address: c.cfg.Address, Leaving: true}.encode()))
+	if err == nil {
+		_, err = c.deps.Store.Commit(ctx, tx.WithCondition(TableTargets, c.cfg.Name, marked.Version).WithDeletion(TableTargets, c.cfg.Name))
+	}
 	c.deps.Log.Info().Int("Event", EventWithdrawn).Err(err).Msg("worker is gone; tried to delete the row of the target")
 }
 
@@ -97,7 +103,8 @@
 	}
 }
 
-// isAnnounced reports whether the target's row names the address of this process.
+// isAnnounced reports whether the target's row names the address of this process and no former
+// process is about to delete it.
 func (c *Candidate) isAnnounced(ctx context.Context) bool {
 	r := table.Range{Table: TableTargets, Part: c.cfg.Part, From: c.cfg.Name, To: c.cfg.Name + "\x00"}
 	page, err := c.deps.Store.Read(ctx, r)
@@ -106,7 +113,7 @@
 	}
 	c.deps.Clock.Observe(page.Now)
 	row, err := DecodeTarget(page.Rows[0].Value)
-	return err == nil && row.Address == c.cfg.Address
+	return err == nil && row == Target{Address: c.cfg.Address}
 }
 
 // writeTargetRow writes the target's row and reports whether it is certainly written.
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -51,4 +51,6 @@
 	// EventRowRejected occurs when the store rejects a row or a deletion as invalid; it is not
 	// repeated.
 	EventRowRejected = 656
+	// EventTargetKept occurs when the row of a target has been deleted although its agent answers.
+	EventTargetKept = 657
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -42,6 +42,7 @@
 	watches         map[string]*watch
 	config          *configuration.Holder
 	loadRow         admission.Publisher // of the row of the load
+	deletedRows     []table.Write       // rows of targets that must be written again
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, prev predecessor) *owner {
@@ -251,6 +252,7 @@
 	defer o.mu.Unlock()
 	o.updateConfigLocked()
 	b = o.plan.Plan(time.Now())
+	b.Writes = o.appendDeletedRowsLocked(b.Writes)
 	period := min(max(heartbeatPeriod, slowHeartbeatFactor*o.commitDuration), maxHeartbeatPeriod)
 	heartbeatDue = time.Since(o.confirmedSentAt) >= period
 	if heartbeatDue || len(b.Writes)+len(b.Deletions) > 0 {
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -82,6 +82,9 @@
 // Target is the row by which planners find a target process.
 type Target struct {
 	Address string // of the agent
+	// Leaving is set by a process that is about to delete the row. The next process of the target
+	// writes the row again, so that a deletion that takes effect late finds another version.
+	Leaving bool `json:",omitempty"`
 }
 
 func (t Target) encode() []byte { return table.EncodeValue(t) }
--- a/coordination/shard/shard_test.go
+++ b/coordination/shard/shard_test.go
@@ -644,11 +644,16 @@
 			x.update(func(x *fakeAgent) { x.workerSilence = lapseBound })
 		}, true},
 		{"deleted row", func(s *testSite, x *fakeAgent) {
+			x.update(func(x *fakeAgent) { x.unreachable = true })
 			s.store.Delete(shard.TableTargets, part, x.name, false)
 			time.Sleep(settleTime)
+			x.update(func(x *fakeAgent) { x.unreachable = false })
 			_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, x.name, []byte(`{"Address":"`+x.name+`"}`)))
 			s.c.Assert(err, qt.IsNil)
 		}, true},
+		{"deleted row of a target that answers", func(s *testSite, x *fakeAgent) {
+			s.store.Delete(shard.TableTargets, part, x.name, false)
+		}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -43,6 +43,7 @@
 	panicsFor      string          // planner whose Watch calls panic
 	workerSilence  time.Duration   // time since the worker's last answer to the agent
 	noWorker       bool            // no worker has registered with the agent
+	gone           bool            // the worker has deregistered and no longer answers
 	delay          time.Duration   // of Watch calls, before they arrive
 	boot           uint64          // of the agent
 	epoch          uint64
@@ -165,6 +166,7 @@
 		},
 		SilentMillis: a.workerSilence.Milliseconds(), UngrantedMillis: a.workerSilence.Milliseconds(),
 	}
+	out.Worker.Gone = a.gone
 	if a.noWorker {
 		out.Worker, out.Listed = nil, false
 		return out, nil
@@ -222,7 +224,8 @@
 	// evacuation is the bound on evacuations, which processes follow in evacuationTable if it is
 	// set.
 	evacuation time.Duration
-	mu         sync.Mutex // guards refusing
+	worker     agent.WorkerClient // of the agents in processes that are started; nil for none
+	mu         sync.Mutex         // guards refusing
 }
 
 // Agent implements shard.Agents.
@@ -277,7 +280,7 @@
 // reads the owner's row at each check.
 func (s *testSite) startProcess(name string, store table.Store) *process {
 	ctx, cancel := context.WithCancel(s.c.Context())
-	a := agent.New(agent.Settings{Name: name, LeaseMax: leaseMax}, nil, s.store, zerolog.Nop())
+	a := agent.New(agent.Settings{Name: name, LeaseMax: leaseMax}, s.worker, s.store, zerolog.Nop())
 	cand := shard.NewCandidate(shard.Settings{
 		Part: part, Name: name, Address: name, LeaseMax: leaseMax,
 		Planner: planner.Settings{StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 3, Evacuation: s.evacuation},
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -55,7 +55,7 @@
 			o.watches[r.Key] = w
 			o.goProtected(s.wg, "watch of "+w.name, func() { w.run(s.ctx) })
 		}
-		w.address, w.rowDeleted = t.Address, false
+		w.address, w.rowDeleted, w.deletion = t.Address, false, notDeleted
 		o.mu.Unlock()
 		w.wakeUp()
 	}
@@ -78,7 +78,8 @@
 	refusedBy    uint64         // epoch with which the agent refused that call; 0 if it did not
 	lapsed       bool           // the leases have lapsed since the last answer
 	silentLapsed bool           // the leases have lapsed while the agent answers and the worker does not
-	rowDeleted   bool           // the target's row has been deleted
+	rowDeleted   bool           // the target's row has been deleted, and its runs are given up
+	deletion     deletionState  // of a row that was deleted while the agent answered
 	boot         uint64         // of the agent
 	incarnation  *agentrpc.Life // of the worker
 	recordedEnd  int64          // highest recorded end of the incarnation
@@ -86,6 +87,15 @@
 	revision     uint64         // of the agent's state; 0 if none is known
 }
 
+// deletionState tells what is known of the deletion of a target's row.
+type deletionState int
+
+const (
+	notDeleted     deletionState = iota
+	deletedUnasked               // deleted since the last call was sent
+	deletedAsked                 // a call has been sent since then; its result decides
+)
+
 // assumedLastAnswer returns the time from which the silence of a target that has not
 // answered this owner counts: its entry in the predecessor's Silent, or otherwise the
 // time when the predecessor stopped extending leases, at most the time of the take-over.
@@ -187,24 +197,60 @@
 	return names
 }
 
-// handleTargetDeleted handles the deletion of a target's row, which means that its
-// worker is gone.
+// handleTargetDeleted handles the deletion of a target's row. A process deletes the row when its
+// worker is gone, but the deletion may have been sent by a former process of the target. As long
+// as the agent answers, the next call decides.
 func (o *owner) handleTargetDeleted(name string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if w := o.watches[name]; w != nil {
-		if w.rowDeleted {
-			return
-		}
-		w.rowDeleted = true
-		w.raiseFenceLocked("the target has left")
+	w := o.watches[name]
+	switch {
+	case w == nil:
+		o.retireTargetLocked(name)
+	case w.rowDeleted || w.deletion != notDeleted:
+	case w.connected:
+		w.deletion = deletedUnasked
+	default:
+		w.retireLocked()
 	}
+}
+
+// retireLocked gives up the runs on a target whose row has been deleted and that does not answer, or
+// whose worker is gone.
+func (w *watch) retireLocked() {
+	w.rowDeleted, w.deletion = true, notDeleted
+	w.raiseFenceLocked("the target has left")
+	w.o.retireTargetLocked(w.name)
+}
+
+func (o *owner) retireTargetLocked(name string) {
 	o.deps.Log.Info().Int("Event", EventTargetRetired).Str("Target", name).Msg("row of a target has been deleted")
 	o.plan.LoseRuns(name, "the target has left", time.Now())
 	o.plan.SetConnected(name, false)
 	o.requestPass()
 }
 
+// keepLocked lets the row of a target be written again that has been deleted although its agent
+// answers.
+func (w *watch) keepLocked() {
+	w.deletion = notDeleted
+	w.o.deletedRows = append(w.o.deletedRows, table.Write{Table: TableTargets, Key: w.name, Value: Target{Address: w.address}.encode()})
+	w.o.deps.Log.Warn().Int("Event", EventTargetKept).Str("Target", w.name).Msg("row of a target has been deleted, but the target answers; the row is written again")
+}
+
+// maxRestoredRows bounds the rows of targets that are written again with one batch. With these, the
+// rows of the speeds, the load and the owner, and its condition, a transaction has at most
+// table.MaxEntries entries.
+const maxRestoredRows = 6
+
+// appendDeletedRowsLocked appends rows of targets that must be written again.
+func (o *owner) appendDeletedRowsLocked(writes []table.Write) []table.Write {
+	n := min(len(o.deletedRows), maxRestoredRows)
+	writes = append(writes, o.deletedRows[:n]...)
+	o.deletedRows = o.deletedRows[n:]
+	return writes
+}
+
 func (w *watch) wakeUp() {
 	select {
 	case w.wake <- struct{}{}:
@@ -263,6 +309,9 @@
 	o := w.o
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if w.deletion == deletedUnasked {
+		w.deletion = deletedAsked
+	}
 	sinceConfirmed := time.Since(o.confirmedSentAt)
 	// The monotonic clock stops while the machine is suspended; the wall clock does not.
 	// The larger difference counts.
@@ -320,6 +369,13 @@
 		reply.Listed = false
 	}
 	o.plan.Report(w.name, reply, now)
+	if w.deletion == deletedAsked {
+		if reply.GetWorker().GetGone() {
+			w.retireLocked()
+			return
+		}
+		w.keepLocked()
+	}
 	// The agent extends leases by at most LeaseMax and at most to the cap. Both the last
 	// answer of the worker and the last call that could extend a lease must be older
 	// than that.
@@ -350,6 +406,10 @@
 	o.plan.SetConnected(w.name, false)
 	w.connected, w.revision = false, 0
 	w.callFailed, w.lastErr, w.refusedBy = true, err, reply.GetEpoch()
+	if w.deletion == deletedAsked && !processPaused {
+		w.retireLocked()
+		return
+	}
 	if !processPaused {
 		w.checkLapseLocked(time.Now())
 	}
