Let uncertain leases lapse before the worker's lists are passed on

Cause: the planner counts the lapse of a target that it can't reach from the lease cap. Holds without an answer that were carried out late extended the lease beyond it, so that the end of the given-up run stayed valid and was acknowledged after the task had been started elsewhere.

Change: the agent notes calls without an answer that can extend a lease. Ruled out: a longer wait of the planner for every target that it can't reach.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -107,7 +107,14 @@
 	// ownStops holds the runs for which the agent itself sends stops.
 	ownStops map[runKey]*ownStop
 	// runStarts holds the runs that the worker is known to run, and since when.
-	runStarts    map[runKey]time.Time
+	runStarts map[runKey]time.Time
+	// unansweredGrantAt is when a call that can extend a lease was last sent that got no answer
+	// under the fencing token confirmedFence; zero if all were answered.
+	unansweredGrantAt time.Time
+	// capPassed is set while a higher fencing token is not confirmed yet, if the worker's clock has
+	// passed the lease cap and such a call may have extended a lease beyond it.
+	capPassed    bool
+	lapseBy      time.Time // see awaitsLapseLocked; zero if the ends of all leases are known
 	failingSince time.Time // when the first hold since the last answer failed; zero if none has
 	notListening bool      // the worker's address has had no listener since the last answer
 	otherAnswers bool      // the last answer to a hold was that of another incarnation
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -35,6 +35,9 @@
 	// EventHeartbeatForeign occurs when the incarnation that a heartbeat names is found not to be
 	// the worker.
 	EventHeartbeatForeign = 516
+	// EventLeaseUncertain occurs when a call without an answer may have extended leases beyond the
+	// cap, so that the agent waits until they have lapsed.
+	EventLeaseUncertain = 517
 	// EventPlannerChanged occurs at the first call of a planner with a higher epoch or
 	// another name.
 	EventPlannerChanged = 503
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -73,13 +73,13 @@
 }
 
 // leaseUntilLocked returns the lease end to request: the maximum that the worker
-// grants, but at most the planner's cap. It returns 0, which extends no lease, if the
-// worker's clock is unknown or the last hold failed: the worker may have been
+// grants, but at most the planner's cap. It returns 0, which extends no lease, if the leases must
+// lapse, or if the worker's clock is unknown or the last hold failed: the worker may have been
 // restarted under the same ID, which restarts its clock. A lease end on the former
 // clock can be far in the future on the new one, so that each call that arrives would
 // extend the lease, beyond the time after which the planner considers it lapsed.
 func (a *Agent) leaseUntilLocked() WorkerTime {
-	if a.state.clock == 0 || a.state.holdFailed {
+	if a.state.clock == 0 || a.state.holdFailed || a.state.capPassed || a.awaitsLapseLocked() {
 		return 0
 	}
 	return min(a.state.clock+WorkerTime(a.cfg.LeaseMax.Milliseconds()), a.state.leaseCap)
@@ -115,6 +115,9 @@
 	a.state.holdFailed = err != nil
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
+		if r.Until > 0 {
+			a.recordUnansweredGrantLocked(r.Fence, sent, err)
+		}
 		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
 		a.state.otherAnswers = a.state.otherAnswers || errors.Is(err, ErrOtherIncarnation)
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) || a.leasesLapsedLocked()) {
@@ -141,6 +144,10 @@
 	// A planner that waits for lists under its token must hear of them at once, also if they
 	// are the same as before.
 	changed := r.Fence > a.state.confirmedFence
+	if changed {
+		a.settleGrantsLocked(reply.Clock)
+	}
+	changed = a.endLapseLocked() || changed
 	a.state.confirmedFence = max(a.state.confirmedFence, r.Fence)
 	a.state.ackedEnd = max(a.state.ackedEnd, r.RecordedEnd)
 	changed = changed || !a.state.runsKnown || !sameRuns(a.state.running, reply.Running) || !sameEnds(a.state.ended, reply.Ended)
@@ -196,8 +203,7 @@
 // leasesLapsedLocked reports whether all leases on the worker have certainly lapsed, whether
 // or not it still runs.
 func (a *Agent) leasesLapsedLocked() bool {
-	lapse := time.Duration(float64(a.cfg.LeaseMax)*(1+maxClockDrift)) + lapseMargin
-	return time.Since(a.state.answeredHoldSentAt) > lapse && time.Since(a.state.lastGrantSentAt) > lapse
+	return time.Since(a.state.answeredHoldSentAt) > a.lapseTime() && time.Since(a.state.lastGrantSentAt) > a.lapseTime()
 }
 
 // sameRuns reports whether two lists name the same runs. Progress of a run does not
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -104,8 +104,12 @@
 	}
 	allAnswered, sent := true, false
 	res := a.callWithRetry(ctx, in, func(ctx context.Context) (WorkerTime, error) {
+		sentAt := time.Now()
 		a.recordGrantSent(in.GetLife())
 		clock, err := a.worker.Start(ctx, r)
+		if err != nil {
+			a.recordUnansweredStart(in.GetLife(), r.Fence, sentAt, err)
+		}
 		var refused *RefusedError
 		if !errors.Is(err, ErrNotSent) {
 			sent = true
--- a/coordination/agent/unattended.go
+++ b/coordination/agent/unattended.go
@@ -78,7 +78,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	left := a.leaseLeftLocked()
-	if a.heartbeat.Incarnation == nil || a.gone || a.state.leaseCap == 0 || left > unknownStartMargin || !a.isUnattendedLocked() {
+	lapsing := a.awaitsLapseLocked()
+	if a.heartbeat.Incarnation == nil || a.gone || a.state.leaseCap == 0 || !lapsing && (left > unknownStartMargin || !a.isUnattendedLocked()) {
 		a.state.ownStops = nil
 		return nil, 0, nil
 	}
@@ -95,7 +96,7 @@
 			s = &ownStop{}
 			a.state.ownStops[key] = s
 			a.log.Warn().Int("Event", EventOwnStop).Str("Task", key.task).Int64("Run", key.run).Bool("Unknown", unknown).
-				Dur("Left", left).Msg("no planner is in contact; the run is stopped")
+				Dur("Left", left).Bool("Lapsing", lapsing).Msg("no planner is in contact, or none has been; the run is stopped")
 			a.cfg.Metrics.GetOrCreateCounter(`medlargrade_own_stops_total`).Inc()
 		}
 		if !s.acknowledged && time.Since(s.sentAt) >= period {
@@ -106,7 +107,7 @@
 	for key := range a.state.unknownStarts {
 		add(key, true)
 	}
-	if left <= runStopMargin {
+	if left <= runStopMargin || lapsing {
 		for key := range a.state.runStarts {
 			add(key, false)
 		}
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -92,6 +92,9 @@
 			a.state.recordedEnd = in.GetSeenEnd()
 			wake = true
 		}
+		if a.state.fence > a.state.confirmedFence && a.state.leaseCap != 0 && a.leaseLeftLocked() <= 0 && a.hasUncertainGrantLocked() {
+			a.state.capPassed = true
+		}
 		a.state.leaseCap = max(a.state.leaseCap, WorkerTime(in.GetLeaseCapMillis()))
 	}
 	if wake {
@@ -117,7 +120,7 @@
 	}
 	// What the worker listed under an older fencing token may still be changed by
 	// delayed calls with that token.
-	out.Listed = a.state.runsKnown && a.state.confirmedFence == a.state.fence
+	out.Listed = a.state.runsKnown && a.state.confirmedFence == a.state.fence && !a.awaitsLapseLocked()
 	out.SilentMillis = time.Since(a.state.answeredHoldSentAt).Milliseconds()
 	out.UngrantedMillis = time.Since(a.state.lastGrantSentAt).Milliseconds()
 	out.Crashes = a.crashReportsLocked()
