--- a/coordination/admission/example_test.go
+++ b/coordination/admission/example_test.go
@@ -27,7 +27,7 @@
 	for _, estimate := range []time.Duration{time.Second, 10 * time.Second} {
 		j := job.Job{ID: "5c0e7a21d94b36f8", Kind: "long", Steps: []job.Step{{Tasks: 1, Accelerators: 8, EstimateMillis: estimate.Milliseconds()}}}
 		v := controller.Check(admission.NewDemand(j, kind, 0), time.Minute, time.Now())
-		fmt.Println(v.Reason, v.Wait, v.Limit.Round(time.Millisecond), v.RetryAfter)
+		fmt.Println(v.Reason, v.Wait, v.Limit.Round(time.Second), v.RetryAfter)
 	}
 	// Output:
 	// TooLate 1m30.25s 23s 11s
