Count unanswered grants beside later holds; place nothing of a job that failed

A call that can extend a lease and got no answer was not noted if a later hold had been answered meanwhile: the check for that returned first.

A unit of an occurrence that another unit has found to be stuck, and has failed, could still be placed in the same pass.

--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -108,6 +108,9 @@
 	if !agentrpc.SameLife(a.heartbeat.Incarnation, inc) {
 		return true
 	}
+	if err != nil && r.Until > 0 {
+		a.recordUnansweredGrantLocked(r.Fence, sent, err)
+	}
 	if err != nil && seq < a.state.answeredHoldSeq {
 		// The worker has answered a later hold.
 		return true
@@ -115,9 +118,6 @@
 	a.state.holdFailed = err != nil
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
-		if r.Until > 0 {
-			a.recordUnansweredGrantLocked(r.Fence, sent, err)
-		}
 		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
 		a.state.otherAnswers = a.state.otherAnswers || errors.Is(err, ErrOtherIncarnation)
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) || a.leasesLapsedLocked()) {
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -7,6 +7,10 @@
 
 // placeTasks places a gang as a whole, or the waiting tasks of a step one by one.
 func (p *Planner) placeTasks(u unit, now time.Time) {
+	if u.step.occ.state.Final() {
+		// Another unit of the occurrence has found that it is stuck.
+		return
+	}
 	fit := p.startsThatFit(u.step.occ)
 	switch {
 	case fit == 0 || u.step.spec.Gang && len(u.tasks) > fit:
