Let a cancellation hold that finds no job

Cause: Cancel answered ErrNoJob when the job's row was missing and recorded nothing. The write of that row has the only condition that the row does not exist, so an attempt that the store carries out late, an entry that still repeats it, or a repeated submission records the job after the answer.

Change: a cancellation that finds no job writes a row in the table EarlyCancellations, if there still is no job, and answers only then. A submission is written on the condition that this row has not changed since it was checked, and is refused (409, NotRun Canceled) if a caller who may cancel the job has cancelled it. The planner's process removes rows that are older than the retention and ten minutes. Nothing of it is kept in memory.

Why it works: the store decides both writes. Whichever of them is carried out first makes the condition of the other fail, at any entry and after any delay.

Ruled out: writing the job's row as cancelled (a look-up would show a job that nobody submitted); delaying the 410 (the store's delay has no bound).

--- a/cmd/medlargrade/explain.go
+++ b/cmd/medlargrade/explain.go
@@ -152,6 +152,7 @@
 	platform.EventCallRefused:          "call refused",
 	intake.EventSubmitted:              "submission answered",
 	intake.EventCancelled:              "cancellation recorded",
+	intake.EventCancelledEarly:         "cancelled by a caller before it was recorded",
 	intake.EventStoreSilent:            "store silent for an entry",
 	intake.EventStoreBack:              "store back for an entry",
 	planner.EventJobAdded:              "taken into the plan",
--- a/coordination/intake/doc.go
+++ b/coordination/intake/doc.go
@@ -8,6 +8,9 @@
 // unknown. The caller may then submit the job again under the same ID to any entry;
 // it is recorded at most once. No durable state is kept in memory.
 //
+// A cancellation holds whether or not the job's row is written when it arrives: if it
+// is not, the store carries out no write of it later on (job.EarlyCancellations).
+//
 // # Usage
 //
 //	s := intake.New(store, "0", clock, set, log)
--- a/coordination/intake/events.go
+++ b/coordination/intake/events.go
@@ -16,4 +16,6 @@
 	// EventRefusedByLoad occurs when a submission is refused because the job certainly can't
 	// be served in time.
 	EventRefusedByLoad = 614
+	// EventCancelledEarly occurs when a caller has cancelled a job that is not recorded.
+	EventCancelledEarly = 616
 )
--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -108,8 +108,13 @@
 			return st, nil
 		}
 	}
-	switch res := q.jobs.Submit(ctx, j, demand).(type) {
+	mayCancel := func(workspace string) bool { return workspace == j.Workspace }
+	switch res := q.jobs.Submit(ctx, j, demand, mayCancel).(type) {
 	case Refused:
+		if res.Cancelled {
+			st.Outcome = notRun(outcome.ReasonCanceled, 0, res.Reason)
+			return st, nil
+		}
 		if res.Overloaded {
 			st.Outcome = notRun(outcome.ReasonQueueFull, res.RetryAfter, res.Reason)
 			return st, nil
@@ -285,10 +290,11 @@
 }
 
 // Cancel records the cancellation of a job and returns its status, which shows the
-// cancellation only after the planner has processed it.
+// cancellation only after the planner has processed it. It returns ErrNoJob if there is no
+// such job; a later submission under the key is then refused as cancelled.
 func (q *Requests) Cancel(ctx context.Context, workspace, key string) (Status, error) {
 	id := job.DeriveID(workspace, key)
-	if err := q.jobs.Cancel(ctx, id, "", AnyJob); err != nil {
+	if err := q.jobs.Cancel(ctx, id, Canceller{Workspace: workspace}, AnyJob); err != nil {
 		return Status{}, err
 	}
 	return q.await(ctx, id, 0)
--- a/coordination/shard/events.go
+++ b/coordination/shard/events.go
@@ -53,4 +53,7 @@
 	EventRowRejected = 656
 	// EventTargetKept occurs when the row of a target has been deleted although its agent answers.
 	EventTargetKept = 657
+	// EventEarlyCancellationsKept occurs when early cancellations that are out of date can't be
+	// read or removed.
+	EventEarlyCancellationsKept = 658
 )
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -81,6 +81,7 @@
 		}
 	})
 	o.goProtected(&wg, "requests to take over", func() { o.requestTakeOver(runCtx) })
+	o.goProtected(&wg, "early cancellations", func() { o.removeEarlyCancellations(runCtx) })
 	o.goProtected(&wg, "lapses", func() { o.checkLapses(runCtx) })
 	var err error
 	o.protect("passes", cancel, func() { err = o.planLoop(runCtx) })
--- a/matrix/history_test.go
+++ b/matrix/history_test.go
@@ -34,6 +34,7 @@
 	req         request
 	entry       string
 	existingJob bool // a lookup or a cancellation, not a submission
+	cancels     bool // a cancellation
 	start, end  time.Time
 	resp        callerapi.Response
 	err         string // if the call had no response
--- a/matrix/planted_test.go
+++ b/matrix/planted_test.go
@@ -155,6 +155,13 @@
 			x.dataCentre = "dc1"
 			h.evacuations = []evacuationRecord{{dataCentre: "dc1", requested: x.Start.Add(-evacuationBound - time.Millisecond)}}
 		}},
+		{"starts after its cancellation", "canceled", func(h *history) {
+			x := find(h, "claim")
+			h.calls = append(h.calls, callRecord{label: "claim", existingJob: true, cancels: true, end: x.Start.Add(-cancelBound - time.Millisecond)})
+		}},
+		{"starts although there was no such job", "canceled", func(h *history) {
+			h.calls = append(h.calls, callRecord{label: "claim", existingJob: true, cancels: true, err: noSuchJob, end: find(h, "claim").Start})
+		}},
 		{"two jobs under a key", "keys-linearizable", func(h *history) {
 			other := ranCall(orderRequest("order", 0), 14, 15, "order")
 			other.resp.Job = "other"
--- a/process/logs.go
+++ b/process/logs.go
@@ -18,7 +18,7 @@
 // unlimitedEvents are the events that the limit on log lines does not apply to: the
 // ends of requests.
 var unlimitedEvents = []int{
-	planner.EventJobEnded, intake.EventSubmitted, intake.EventCancelled, platform.EventCallRefused,
+	planner.EventJobEnded, intake.EventSubmitted, intake.EventCancelled, intake.EventCancelledEarly, platform.EventCallRefused,
 }
 
 // LogSettings are the settings of the log. They can change without a restart.
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -25,6 +25,9 @@
 	// TableIdempotencyKeys holds the ID of a job under IdempotencyRowKey, for jobs
 	// with an idempotency key.
 	TableIdempotencyKeys = "Keys"
+	// TableEarlyCancellations holds an EarlyCancellations under each ID that was
+	// cancelled while no job was recorded under it.
+	TableEarlyCancellations = "EarlyCancellations"
 )
 
 // Job is an accepted job. It is immutable.
