Record the cancellation of a recurring job unless all of it has ended

What callers would see: a recurring job is cancelled after one of its occurrences has failed; the answer is 200, and the later occurrences start all the same.

Cause: Cancel recorded nothing for a job whose state is final. One failed, lost or expired occurrence makes the state of a recurring job final, and the planner goes on with the others.

Change: nothing is recorded only if all occurrences have ended.

--- a/coordination/intake/cancel.go
+++ b/coordination/intake/cancel.go
@@ -23,7 +23,7 @@
 }
 
 // Cancel records the cancellation of a job that the caller may access. It does nothing if the job
-// has ended or is cancelled already.
+// has ended, all occurrences of it, or is cancelled already.
 //
 // If no job is recorded under the ID, Cancel records that instead, and then returns ErrNoJob: no
 // submission of the caller's workspace is recorded any more, whether it is on its way, was sent to
@@ -41,7 +41,7 @@
 			return cmp.Or(c.unknown, err)
 		case !may(rec.job):
 			return ErrNoJob
-		case rec.state.Final() || rec.cancelled:
+		case rec.ended() || rec.cancelled:
 			return nil
 		default:
 			err = c.record(ctx, rec)
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -243,6 +243,18 @@
 	progress  []job.Progress // of the recorded occurrences
 }
 
+// ended reports whether all occurrences of the job have ended. The state of a recurring job can be
+// final before, since one failed occurrence determines it.
+func (r jobRecord) ended() bool {
+	n := 0
+	for _, p := range r.progress {
+		if p.State.Final() {
+			n++
+		}
+	}
+	return n >= r.job.Occurrences()
+}
+
 // State returns the state of a job that the caller may access, or ErrNoJob. It reports a job that has not ended as
 // cancelled once its cancellation is recorded. Lookup and Cancel of Requests report it
 // as queued or running until the planner has processed the cancellation.
