Let no late change undo an acknowledged evacuation

What operators would see: a request to evacuate a data centre gets no answer and is withdrawn; the withdrawal is acknowledged, and the request takes effect seconds later. Or a withdrawal without an answer removes a request that was made again and acknowledged.

Cause: Evacuate and Release wrote nothing if the row was as wanted, so that the condition of an earlier write that is still on its way went on to hold.

Change: each change also writes a row of the data centre's changes and is conditional on its version.

--- a/coordination/configuration/evacuate.go
+++ b/coordination/configuration/evacuate.go
@@ -54,16 +54,16 @@
 // Unwrap returns the cause.
 func (e *EvacuationUnknownError) Unwrap() error { return e.Err }
 
-// writeEvacuation writes the row of a data centre, or removes it if value is nil. It reads the row
-// before each attempt, so that it knows whether an attempt without an answer took effect, and makes
-// each attempt conditional on what it read, so that a late one cannot undo a later change.
+// writeEvacuation writes the row of a data centre, or removes it if value is nil. Each attempt is
+// conditional on what was read before it, and changes the row under evacuationChangeKey even if the
+// row of the data centre is as wanted: an earlier request or withdrawal whose answer was lost may
+// still be carried out, and must not undo this one.
 func writeEvacuation(ctx context.Context, s table.Store, dataCentre string, value []byte) error {
-	key := EvacuationPrefix + dataCentre
 	answerLost := false
 	backoff := initialBackoff
 	for attempt := 1; ; attempt++ {
-		done, err := tryEvacuation(ctx, s, key, value)
-		if done {
+		err := tryEvacuation(ctx, s, dataCentre, value)
+		if err == nil {
 			return nil
 		}
 		var lost *table.OutcomeUnknownError
@@ -78,28 +78,41 @@
 	}
 }
 
-// tryEvacuation makes one attempt to write the row. It reports whether the row is as wanted.
-func tryEvacuation(ctx context.Context, s table.Store, key string, value []byte) (bool, error) {
-	p, err := s.Read(ctx, table.Range{Table: Table, From: key, To: key + "\x00"})
+// evacuationChangeKey returns the key of the row that each change for a data centre writes.
+func evacuationChangeKey(dataCentre string) string { return "EvacuationChange/" + dataCentre }
+
+// tryEvacuation makes one attempt of writeEvacuation.
+func tryEvacuation(ctx context.Context, s table.Store, dataCentre string, value []byte) error {
+	key, changeKey := EvacuationPrefix+dataCentre, evacuationChangeKey(dataCentre)
+	changeVersion, err := readVersion(ctx, s, changeKey)
 	if err != nil {
-		return false, err
+		return err
 	}
-	tx := table.Tx{}
-	switch {
-	case len(p.Rows) == 0 && value == nil, len(p.Rows) > 0 && value != nil && string(p.Rows[0].Value) == string(value):
-		return true, nil
-	case len(p.Rows) == 0:
-		tx = tx.WithCondition(Table, key, 0)
-	default:
-		tx = tx.WithCondition(Table, key, p.Rows[0].Version)
+	version, err := readVersion(ctx, s, key)
+	if err != nil {
+		return err
 	}
-	if value == nil {
-		tx = tx.WithDeletion(Table, key)
-	} else {
+	tx := table.Tx{}.
+		WithCondition(Table, changeKey, changeVersion).
+		WithCondition(Table, key, version).
+		WithWrite(Table, changeKey, nil)
+	switch {
+	case value != nil:
 		tx = tx.WithWrite(Table, key, value)
+	case version != 0:
+		tx = tx.WithDeletion(Table, key)
 	}
 	_, err = s.Commit(ctx, tx)
-	return err == nil, err
+	return err
+}
+
+// readVersion returns the version of a row in Table, or 0 if the row does not exist.
+func readVersion(ctx context.Context, s table.Store, key string) (uint64, error) {
+	p, err := s.Read(ctx, table.Range{Table: Table, From: key, To: key + "\x00"})
+	if err != nil || len(p.Rows) == 0 {
+		return 0, err
+	}
+	return p.Rows[0].Version, nil
 }
 
 // CheckDataCentre returns an error that names the known data centres, unless the site of a
--- a/coordination/configuration/evacuate_test.go
+++ b/coordination/configuration/evacuate_test.go
@@ -46,3 +46,47 @@
 		})
 	}
 }
+
+// Guards against a request or a withdrawal that was acknowledged and is undone later, by the write of
+// an earlier one whose answer was lost and that the store carries out late.
+func TestLateEvacuationIsVoid(t *testing.T) {
+	request := evacuation.Request{DataCentre: "dc1", Reason: "power", By: "ops"}
+	evacuate := func(t *testing.T, s table.Store) error { return configuration.Evacuate(t.Context(), s, request) }
+	release := func(t *testing.T, s table.Store) error { return configuration.Release(t.Context(), s, "dc1") }
+	tests := []struct {
+		name      string
+		before    func(t *testing.T, s table.Store) error // acknowledged at once; nil for none
+		late      func(t *testing.T, s table.Store) error // carried out at the end
+		last      func(t *testing.T, s table.Store) error // acknowledged before that
+		evacuated bool                                    // what the last one asks for
+	}{
+		{name: "late request, withdrawn", late: evacuate, last: release},
+		{name: "late withdrawal, requested again", before: evacuate, late: release, last: evacuate, evacuated: true},
+		{name: "late repetition of a request, withdrawn", before: evacuate, late: evacuate, last: release},
+		{name: "late repetition of a withdrawal, requested", late: release, last: evacuate, evacuated: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := tabletest.New()
+				if tt.before != nil {
+					qt.Assert(t, tt.before(t, store), qt.IsNil)
+				}
+				var held []table.Tx
+				store.OnCommit(func(tx table.Tx) tabletest.CommitResult {
+					held = append(held, tx)
+					return tabletest.RequestLost
+				})
+				_ = tt.late(t, store) // Its outcome is unknown, or it had nothing to change.
+				store.OnCommit(nil)
+				qt.Assert(t, tt.last(t, store), qt.IsNil)
+				for _, tx := range held {
+					_, _ = store.Commit(t.Context(), tx)
+				}
+				set, err := configuration.ReadEvacuations(t.Context(), store, configuration.Table, configuration.EvacuationPrefix)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, set.IsEmpty(), qt.Equals, !tt.evacuated)
+			})
+		})
+	}
+}
