Let no earlier change replace a configuration that was confirmed

What operators would see: config apply ends with an unknown outcome; they apply the former configuration again, which is still the current one, and the command succeeds. The store then carries out the first change.

Cause: Apply wrote nothing for an unchanged configuration, so that the condition of the earlier change went on to hold.

Change: Apply writes the current row again with the same value, and config apply calls it also without differences. The generation stays the same.

Evidence: TestConfirmedConfigurationIsKept fails in 3 of 3 cases before the change and passes after it.

--- a/cmd/medlargrade/config.go
+++ b/cmd/medlargrade/config.go
@@ -209,13 +209,13 @@
 	if c.Expect != nil {
 		expected = *c.Expect
 	}
-	if expected == current.Version && c.printDiff(current, cfg) == 0 {
-		return nil
-	}
+	same := expected == current.Version && c.printDiff(current, cfg) == 0
 	generation, err := configuration.Apply(ctx, store, expected, cfg)
 	var conflict *configuration.VersionConflictError
 	var unknown *configuration.OutcomeUnknownError
 	switch {
+	case err == nil && same:
+		return nil
 	case err == nil:
 		printf(c.Stdout, "generation %d accepted\n", generation)
 		return nil
--- a/coordination/configuration/apply.go
+++ b/coordination/configuration/apply.go
@@ -150,30 +150,31 @@
 	return snap, err
 }
 
-// read returns the configuration under key, and the version of its row for use in a
-// condition; 0 if the row does not exist.
-func read(ctx context.Context, s table.Store, key string) (snap *Snapshot, version uint64, err error) {
+// read returns the configuration under key and its row, which has version 0 if it does not
+// exist.
+func read(ctx context.Context, s table.Store, key string) (snap *Snapshot, row table.Row, err error) {
 	p, err := s.Read(ctx, table.Range{Table: Table, From: key, To: key + "\x00"})
 	if err != nil {
-		return nil, 0, outcome.WrapCall("read configuration", storePeer, err)
+		return nil, table.Row{}, outcome.WrapCall("read configuration", storePeer, err)
 	}
 	if len(p.Rows) == 0 {
-		return NewSnapshot(0, operator.NewConfig(operator.NewSite(""))), 0, nil
+		return NewSnapshot(0, operator.NewConfig(operator.NewSite(""))), table.Row{}, nil
 	}
 	st, err := decodeStored(p.Rows[0].Value)
 	if err != nil {
-		return nil, 0, err
+		return nil, table.Row{}, err
 	}
 	cfg, err := operator.Parse(st.Config)
 	if err != nil {
-		return nil, 0, fmt.Errorf("configuration of version %d: %w", st.Version, err)
+		return nil, table.Row{}, fmt.Errorf("configuration of version %d: %w", st.Version, err)
 	}
-	return NewSnapshot(st.Version, cfg), p.Rows[0].Version, nil
+	return NewSnapshot(st.Version, cfg), p.Rows[0], nil
 }
 
 // Apply makes cfg the accepted configuration if the current version is the expected
 // one, and returns the new version. If cfg equals the current configuration, it
-// writes nothing and returns the expected version.
+// returns the expected version, after it has written the current row again: an earlier
+// change whose answer was lost can't take effect then.
 //
 // The change was not accepted if Apply returns an error, unless the error is an
 // *OutcomeUnknownError. An invalid configuration is reported as an
@@ -182,7 +183,7 @@
 	if problems := cfg.Check(); len(problems) > 0 {
 		return 0, &InvalidConfigError{Problems: problems}
 	}
-	current, rowVersion, err := read(ctx, s, CurrentKey)
+	current, row, err := read(ctx, s, CurrentKey)
 	if err != nil {
 		return 0, err
 	}
@@ -190,7 +191,11 @@
 		return 0, &VersionConflictError{Expected: expected, Found: current.Version}
 	}
 	if expected > 0 && current.Config.Equal(cfg) {
-		return expected, nil
+		st, err := decodeStored(row.Value)
+		if err != nil {
+			return 0, err
+		}
+		return commit(ctx, s, table.Tx{}.WithCondition(Table, CurrentKey, row.Version).WithWrite(Table, CurrentKey, row.Value), expected, st)
 	}
 	st := stored{Version: expected + 1, Token: rand.Text(), Config: cfg.JSON()}
 	value, err := st.encode()
@@ -198,18 +203,19 @@
 		return 0, err
 	}
 	tx := table.Tx{}.
-		WithCondition(Table, CurrentKey, rowVersion).
+		WithCondition(Table, CurrentKey, row.Version).
 		WithWrite(Table, CurrentKey, value).
 		WithWrite(Table, versionKey(st.Version), value)
 	if st.Version > retainedVersions {
 		tx = tx.WithDeletion(Table, versionKey(st.Version-retainedVersions))
 	}
-	return commit(ctx, s, tx, st)
+	return commit(ctx, s, tx, expected, st)
 }
 
 // commit commits tx and determines whether it took effect. It retries after a lost
 // answer, which is safe because the condition lets tx take effect at most once.
-func commit(ctx context.Context, s table.Store, tx table.Tx, st stored) (uint64, error) {
+// expected is the version that the change replaces or confirms.
+func commit(ctx context.Context, s table.Store, tx table.Tx, expected uint64, st stored) (uint64, error) {
 	answerLost := false
 	backoff := initialBackoff
 	for attempt := 1; ; attempt++ {
@@ -220,7 +226,7 @@
 		case err == nil:
 			return st.Version, nil
 		case errors.As(err, &conflictErr):
-			return resolveConflict(conflictErr.Row(Table, CurrentKey), st, answerLost)
+			return resolveConflict(conflictErr.Row(Table, CurrentKey), expected, st, answerLost)
 		case errors.As(err, &lostErr):
 			answerLost = true
 		case !answerLost:
@@ -236,7 +242,7 @@
 // resolveConflict decides from the current row whether a change took effect after
 // its commit has failed with a conflict. answerLost tells that the answer to an
 // earlier attempt was lost.
-func resolveConflict(row table.Row, st stored, answerLost bool) (uint64, error) {
+func resolveConflict(row table.Row, expected uint64, st stored, answerLost bool) (uint64, error) {
 	current, err := decodeStored(row.Value)
 	switch {
 	case err != nil:
@@ -247,5 +253,5 @@
 		// The change may have been accepted and then replaced by a later one.
 		return 0, &OutcomeUnknownError{Version: st.Version, Err: fmt.Errorf("the configuration is at version %d already", current.Version)}
 	}
-	return 0, &VersionConflictError{Expected: st.Version - 1, Found: current.Version}
+	return 0, &VersionConflictError{Expected: expected, Found: current.Version}
 }
--- a/coordination/configuration/apply_test.go
+++ b/coordination/configuration/apply_test.go
@@ -230,3 +230,46 @@
 		})
 	}
 }
+
+// Guards against a change whose answer was lost and that takes effect after the operator has
+// confirmed the configuration that it would replace.
+func TestConfirmedConfigurationIsKept(t *testing.T) {
+	tests := []struct {
+		name   string
+		result tabletest.CommitResult // of the first attempt to confirm it
+	}{
+		{"answered", tabletest.Normal},
+		{"answer lost", tabletest.ReplyLost},
+		{"not carried out", tabletest.RequestLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, store := t.Context(), tabletest.New()
+				_, err := Apply(ctx, store, 0, testConfig(1))
+				qt.Assert(t, err, qt.IsNil)
+				var held []table.Tx
+				store.OnCommit(func(tx table.Tx) tabletest.CommitResult {
+					held = append(held, tx)
+					return tabletest.RequestLost
+				})
+				_, err = Apply(ctx, store, 1, testConfig(2))
+				var unknown *OutcomeUnknownError
+				qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+				store.OnCommit(func(table.Tx) tabletest.CommitResult {
+					store.OnCommit(nil)
+					return tt.result
+				})
+				version, err := Apply(ctx, store, 1, testConfig(1))
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, version, qt.Equals, uint64(1))
+				for _, tx := range held {
+					_, _ = store.Commit(ctx, tx)
+				}
+				s, err := Read(ctx, store)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, s.Config.Equal(testConfig(1)), qt.IsTrue)
+			})
+		})
+	}
+}
