Cancel jobs in the soak whose submission got no conclusive answer

A caller whose submission got no answer, 502 or 504 cancels the job in 3 of 10 cases instead of submitting it again, at any entry. checkCancelled reports each run of a job whose cancellation was answered that there is no such job, whatever faults are active; its planted fault is in TestChecksNoticePlantedFaults.

--- a/soak/check.go
+++ b/soak/check.go
@@ -153,18 +153,23 @@
 }
 
 // checkCancelled reports runs of cancelled jobs that start or still run cancelBound
-// after the acknowledgement, if that period was free of faults.
+// after the acknowledgement, if that period was free of faults. If the response to the
+// cancellation was that there is no such job, it reports all runs, whatever faults are active.
 func (h *history) checkCancelled(records []worker.Record, now time.Time) []string {
 	var bad []string
 	for id, r := range h.jobs {
 		limit := r.cancelAckedAt.Add(cancelBound + schedulingSlack)
-		if r.cancelAckedAt.IsZero() || !h.faultFree(r.cancelAckedAt, limit) {
+		if r.cancelAckedAt.IsZero() || !r.cancelledEarly && !h.faultFree(r.cancelAckedAt, limit) {
 			continue
 		}
 		for _, x := range records {
 			if !strings.HasPrefix(x.Task, id+".") {
 				continue
 			}
+			if r.cancelledEarly {
+				bad = append(bad, fmt.Sprintf("%s was started although the cancellation of its job was answered that there is no such job", x.Task))
+				continue
+			}
 			if x.Arrived.After(limit) || x.Arrived.Before(limit) && (x.Ended.IsZero() && now.After(limit) || x.Ended.After(limit)) {
 				bad = append(bad, fmt.Sprintf("%s ran more than %v after the cancellation of its job was acknowledged", x.Task, limit.Sub(r.cancelAckedAt)))
 			}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -109,6 +109,7 @@
 		}},
 		{"completed before it was done", "mixed", func(s *observations) { s.h.jobs["steps"].stateSeenAt = at(7.5) }},
 		{"failed without a failure", "mixed", func(s *observations) { s.h.jobs["steps"].state = "failed" }},
+		{"job starts although there was none to cancel", "cancelled", func(s *observations) { s.h.jobs["gone"].cancelledEarly = true }},
 		{"cancelled without a cancellation", "mixed", func(s *observations) { s.h.jobs["steps"].state = "cancelled" }},
 		{"claim starts late", "reclaim", func(s *observations) { s.records[5] = record("claim.0.0.0", "w2", 17, 18, worker.EndDone) }},
 		{"version takes effect late", "configuration", func(s *observations) {
--- a/soak/history.go
+++ b/soak/history.go
@@ -52,6 +52,7 @@
 	refusals       int       // responses that the job was not accepted
 	cancelSentAt   time.Time // when the first cancellation was sent
 	cancelAckedAt  time.Time
+	cancelledEarly bool   // the response to the cancellation was that there is no such job
 	state          string // from the last lookup
 	stateSeenAt    time.Time
 	finalSeenAt    time.Time // when a lookup first returned a final state
--- a/soak/load.go
+++ b/soak/load.go
@@ -23,6 +23,9 @@
 	unreadRequestSlack = 200 * time.Millisecond
 	// cancelShare is the share of jobs that are cancelled.
 	cancelShare = 0.1
+	// abandonShare is the share of submissions without a conclusive response after which the
+	// caller cancels the job instead of submitting it again.
+	abandonShare = 0.3
 	// crashShare is the share of jobs whose first task crashes the workers that start it.
 	crashShare = 0.04
 	// thinkTimeMax is the longest pause between two jobs of a caller.
@@ -119,19 +122,24 @@
 			return false
 		}
 		retryAfter := resp.RetryAfter
+		unknown := err != nil || resp.Status == http.StatusGatewayTimeout || resp.Status == http.StatusBadGateway
 		c.site.history.update(rec, func(r *jobRecord) {
 			switch {
 			case err == nil && resp.OK():
 				r.acceptedAt = time.Now()
-			case err == nil && resp.Status != http.StatusGatewayTimeout && resp.Status != http.StatusBadGateway:
-				r.refusals++
-			default:
+			case unknown:
 				r.outcomeUnknown = true
+			default:
+				r.refusals++
 			}
 		})
 		if err == nil && resp.OK() {
 			return true
 		}
+		if unknown && c.random.Float64() < abandonShare {
+			c.cancel(ctx, rec, q)
+			return false
+		}
 		select {
 		case <-ctx.Done():
 			return false
@@ -216,7 +224,9 @@
 			return c.api.Cancel(ctx, address, q, rec.job.ID)
 		})
 		if err == nil && (resp.OK() || resp.Status == http.StatusGone) {
-			c.site.history.update(rec, func(r *jobRecord) { r.cancelAckedAt = time.Now() })
+			c.site.history.update(rec, func(r *jobRecord) {
+				r.cancelAckedAt, r.cancelledEarly = time.Now(), resp.Status == http.StatusGone
+			})
 			return
 		}
 	}
