Take no refused connection for the end of the planner's process

Cause: a refused connection counted as proof that the owner's process has ended and extends no more leases. The owner lived and went on for 4 s.

Change: a refused connection is still a reason to take over at once, but the leases count from the owner's last row, as after a silent cut.

Why nothing waits longer after a kill: the new process of a killed planner answers after about a second and ends the time; the case "the second owner's process has ended" keeps its bound.

--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -78,9 +78,8 @@
 type predecessor struct {
 	row     OwnerRow
 	version uint64 // of the row
-	// processEnded reports whether the process has certainly ended, or is this process
-	// and no longer the owner. It is also true, without effect, if the owner has released
-	// the shard.
+	// processEnded reports whether the process has certainly ended, because this is the next
+	// process of the same target. A refused connection does not show that.
 	processEnded bool
 	readAt       time.Duration // the store's monotonic clock when the row was read
 	reason       string        // why it is replaced; empty if there is no row or it can't be decoded
@@ -167,17 +166,19 @@
 		return predecessor{row: row, version: page.Rows[0].Version, readAt: page.Now}, true
 	}
 	c.deps.Agent.RaiseEpoch(row.Epoch)
-	prev := predecessor{row: row, version: page.Rows[0].Version, processEnded: true, readAt: page.Now}
+	prev := predecessor{row: row, version: page.Rows[0].Version, readAt: page.Now}
 	reason := ""
 	switch {
 	case row.Name == "":
 		reason = "the owner has left"
 	case row.Name == c.cfg.Name:
+		prev.processEnded = true
 		reason = "this process was the owner before it started again"
 	case c.deps.Agents.RefusesConnections(ctx, row.Address):
+		// Whoever cuts the owner off may refuse connections in its place, and the owner may
+		// go on extending leases.
 		reason = "the owner refuses connections"
 	case row.age(page.Now) > maxAge && time.Since(c.storeRecoveredAt) > storeRecoveryGrace:
-		prev.processEnded = false
 		reason = "the row is out of date"
 	default:
 		return predecessor{}, false
--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -34,6 +34,15 @@
 			name: "the target was silent for a while", silence: 3 * time.Second, formerOwnerReaches: true, within: lastLapseBound + time.Second,
 			changeOwner: func(s *testSite, _ *fakeAgent) { s.startProcess("b", s.store) },
 		},
+		// Whoever cuts the former owner off refuses connections to it. It reaches the run's target
+		// all the same, as it reaches its own.
+		{
+			name: "connections to the former owner are refused", formerOwnerReaches: true, within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, _ *fakeAgent) {
+				s.setRefusing("c")
+				s.startProcess("b", s.store)
+			},
+		},
 		{name: "two owners later", formerOwnerReaches: true, within: lastLapseBound + time.Second, changeOwner: func(s *testSite, _ *fakeAgent) {
 			b := s.startProcess("b", s.store)
 			time.Sleep(5 * time.Second)
