Bound the wait of lasting work for room kept free

Cause: a lasting task is past its objective for good, and only an idle site or fewer urgent arrivals ended its wait for headroom, by either policy.

Change: a unit of a long-running step waits for headroom for 1.5 s at most.

--- a/coordination/planner/contention_test.go
+++ b/coordination/planner/contention_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,3 +57,59 @@
 		})
 	}
 }
+
+// Guards against lasting work that waits for room kept free for urgent work: it must be at work
+// within 6 s, however full the site is, and a task of it is past its objective for good.
+func TestLastingWorkDoesNotWaitForRoom(t *testing.T) {
+	const bound = 6 * time.Second
+	tests := []struct {
+		name     string
+		adaptive bool
+		again    bool // its first run is lost with its worker, which comes back
+	}{
+		{name: "fixed headroom"},
+		{name: "fixed headroom, after a crash", again: true},
+		{name: "adaptive room", adaptive: true},
+		{name: "adaptive room, after a crash", adaptive: true, again: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			h.p.settings.Policy.AdaptiveRoom = tt.adaptive
+			lasting := func() bool {
+				return slices.ContainsFunc(h.starts, func(s string) bool { return strings.HasPrefix(s, "service.") })
+			}
+			addLasting := func() {
+				h.addJob(newJob("service", "long", job.Step{Tasks: 1, Accelerators: 4, EstimateMillis: 20_000, LongRunning: true}))
+			}
+			if tt.again {
+				addLasting()
+				qt.Assert(t, lasting(), qt.IsTrue)
+			}
+			for i := range 6 {
+				id := fmt.Sprintf("u%d", i)
+				h.addJob(newJob(id, "urgent", job.Step{Tasks: 3, Accelerators: 8, Gang: true, EstimateMillis: 2000}))
+				h.advance(2 * time.Second)
+				for k := range 3 {
+					h.finishTask(fmt.Sprintf("%s.0.0.%d", id, k))
+				}
+				h.advance(time.Second)
+			}
+			h.addJob(newJob("long", "long", job.Step{Tasks: 8, Accelerators: 4, EstimateMillis: 60_000}))
+			h.advance(2 * time.Second)
+			h.addJob(newJob("busy", "urgent", job.Step{Tasks: 1, Accelerators: 8, EstimateMillis: 60_000}))
+			h.advance(time.Second)
+			h.starts = nil
+			if tt.again {
+				h.crash(h.targetOf("service.0.0.0"))
+				h.advance(crashDowntime)
+			} else {
+				addLasting()
+			}
+			for range bound / time.Second {
+				h.advance(time.Second)
+			}
+			qt.Check(t, lasting(), qt.IsTrue, qt.Commentf("%v", h.starts))
+		})
+	}
+}
--- a/coordination/planner/place.go
+++ b/coordination/planner/place.go
@@ -82,14 +82,22 @@
 	// objective to count as having time to spare. A smaller one keeps work waiting until it
 	// may miss its objective; a larger one keeps less headroom.
 	headroomSlack = 1.2
+	// maxLastingWait is how long a unit of a long-running step waits for headroom. It is past its
+	// objective for good, so that nothing else ends the wait, and it must run again 6 s after
+	// its last run, a planner's change and the start included.
+	maxLastingWait = 1500 * time.Millisecond
 )
 
 // mustKeepHeadroom reports whether a unit must wait because too little capacity would be
 // left for urgent work. This pays off when long work with loose objectives runs beside
 // short work that somebody waits for. Units that need no accelerators, are urgent, have no time to
 // spare or are within the guarantee of their workspace never wait for this reason, and
-// neither does any unit while at least half of the accelerators are available.
+// neither does any unit while at least half of the accelerators are available. Units of
+// long-running steps wait for maxLastingWait at most.
 func (p *Planner) mustKeepHeadroom(u unit, s *eligibleTargets, now time.Time) bool {
+	if u.step.spec.LongRunning && now.Sub(u.waitingSince) >= maxLastingWait {
+		return false
+	}
 	if p.settings.Policy.AdaptiveRoom {
 		return p.mustKeepAdaptiveRoom(u, s, now)
 	}
