Send the orders of a pass in pieces

Cause: the orders of a pass for one target were one message, above the limit of the transport. It was never sent, and repeated as large each second.

Change: orders are sent in pieces of at most 1 MiB and 500 orders, each in a call of its own. The limit of a message stands in protocol/agentrpc, from where the sender and the transport take it.

--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 
 	"github.com/medlargrade/medlargrade/coordination/agent"
@@ -183,6 +184,9 @@
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
+	if n := proto.Size(in); n > agentrpc.MaxMessageBytes {
+		return nil, fmt.Errorf("message of %d bytes exceeds the limit", n)
+	}
 	out := &agentrpc.OrderReply{Epoch: in.GetEpoch()}
 	a.update(func(a *fakeAgent) {
 		if in.GetEpoch() < a.epoch || in.GetFence() < a.fence {
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -401,7 +401,9 @@
 	}
 	o.mu.Unlock()
 	for _, t := range b.Orders {
-		o.goProtected(&o.orderCalls, "orders for "+t.Target, func() { o.sendOrders(ctx, t) })
+		for _, piece := range splitOrders(t) {
+			o.goProtected(&o.orderCalls, "orders for "+t.Target, func() { o.sendOrders(ctx, piece) })
+		}
 	}
 }
 
--- a/transport/rpc/limits.go
+++ b/transport/rpc/limits.go
@@ -7,13 +7,14 @@
 	"storj.io/drpc/drpcenc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/medlargrade/medlargrade/protocol/agentrpc"
 )
 
 // Limits of connections and messages.
 const (
-	// MaxMessageBytes limits the size of a message in both directions. It leaves
-	// room for a response of up to 4 MiB and the message that encloses it.
-	MaxMessageBytes = 8 << 20
+	// MaxMessageBytes limits the size of a message in both directions.
+	MaxMessageBytes = agentrpc.MaxMessageBytes
 	// DefaultMaxConns is the limit of connections per address if Settings.MaxConns
 	// is 0.
 	DefaultMaxConns = 16
