Reclaim guaranteed capacity from lasting work

Cause: preemption never chose long-running tasks.

Change: a unit within a guarantee may have them stopped, of each step as many as its disruption budget leaves; a step without a budget gives way like other work. Urgent work without a guarantee stops none, as before.

--- a/coordination/budget/budget.go
+++ b/coordination/budget/budget.go
@@ -68,6 +68,17 @@
 	return away+removed <= b.MayMiss
 }
 
+// Left returns how many tasks of a step may be stopped at once, of which tasks is known.
+func (b Budget) Left(tasks []Task) int {
+	away := 0
+	for _, t := range tasks {
+		if !b.isAtWork(t) {
+			away++
+		}
+	}
+	return max(b.MayMiss-away, 0)
+}
+
 // isAtWork reports whether a task is certainly at work.
 func (b Budget) isAtWork(t Task) bool {
 	return t.MayWork && t.FullPace && !t.Stopping && t.ListedFor >= b.StopTime+settleMargin && t.ListAge <= maxListAge
--- a/coordination/planner/claims.go
+++ b/coordination/planner/claims.go
@@ -121,7 +121,7 @@
 		}
 		p.notePreempted(v)
 		for _, r := range v.runs {
-			p.stopRun(r, "reclaimed for "+u.step.occ.job.job.ID)
+			p.reclaim(r, "reclaimed for "+u.step.occ.job.job.ID, now)
 		}
 	}
 	p.addClaim(u, best.targets, now)
--- a/coordination/planner/disruption.go
+++ b/coordination/planner/disruption.go
@@ -60,6 +60,43 @@
 	return budget.Budget{MayMiss: s.spec.MayMiss, StopTime: p.settings.StopTime}.Allows(stopped, others)
 }
 
+// reclaimable returns the runs of a long-running step that may be stopped at once for a unit within a
+// guarantee: as many as its disruption budget allows, those of the first tasks. The guarantee of a
+// workspace comes before the work of a step without a budget.
+func (p *Planner) reclaimable(s *step, now time.Time) map[*run]struct{} {
+	var known []budget.Task
+	var runs []*run
+	for _, t := range s.tasks {
+		k := budget.Task{}
+		for _, r := range t.runs {
+			k = p.budgetTask(r, now)
+			runs = append(runs, r)
+		}
+		known = append(known, k)
+	}
+	left := len(runs)
+	if s.spec.MayMiss > 0 {
+		left = min(left, budget.Budget{MayMiss: s.spec.MayMiss, StopTime: p.settings.StopTime}.Left(known))
+	}
+	if s.spec.Gang && left < len(runs) {
+		left = 0
+	}
+	out := make(map[*run]struct{}, left)
+	for _, r := range runs[:left] {
+		out[r] = struct{}{}
+	}
+	return out
+}
+
+// reclaim stops a run because a unit within a guarantee, or an urgent one, needs its capacity.
+func (p *Planner) reclaim(r *run, reason string, now time.Time) {
+	if s := r.task.step.spec; s.LongRunning && s.MayMiss > 0 {
+		p.disruptGang(r, reason, now)
+		return
+	}
+	p.stopRun(r, reason)
+}
+
 // budgetTask returns what is known of the task of a run. A run that was not listed yet may be at
 // work unless the lists of its worker are known.
 func (p *Planner) budgetTask(r *run, now time.Time) budget.Task {
--- a/coordination/planner/guarantee.go
+++ b/coordination/planner/guarantee.go
@@ -77,17 +77,14 @@
 // mayPreempt reports whether a unit may preempt a run, and whether the run, or its gang, is
 // partly within the guarantee of its own workspace. The rules are:
 //
-//   - Long-running tasks are never preempted.
+//   - Long-running tasks are preempted only by units within a guarantee, by the last rule.
 //   - An urgent unit may preempt work of lower priority.
 //   - A unit within the guarantee of its workspace may also preempt work that does not count
 //     against a guarantee, and work of other workspaces that use more than their guarantee.
 func (p *Planner) mayPreempt(u *preemptor, r *run) (ok, partlyGuaranteed bool) {
 	s := r.task.step
-	if s.spec.LongRunning {
-		return false, false
-	}
 	k := p.kindOf(s.occ.job)
-	if isUrgent(u.kind) && k.Priority() > u.kind.Priority() {
+	if isUrgent(u.kind) && k.Priority() > u.kind.Priority() && !s.spec.LongRunning {
 		return true, false
 	}
 	if !u.guaranteed {
--- a/coordination/planner/preemption.go
+++ b/coordination/planner/preemption.go
@@ -103,12 +103,21 @@
 	candidates := p.candidates(u.unit, group)
 	s := &preemptionSearch{u: u.unit, candidates: make([]preemptionCandidate, len(candidates)), index: make(map[string]int, len(candidates))}
 	gangs := make(map[*step]*victim)
+	lasting := make(map[*step]map[*run]struct{}) // the runs of long-running steps that may be stopped
 	total := 0
 	for i, c := range candidates {
 		s.index[c.target.name] = i
 		emptied := c
 		s.candidates[i].candidate = c
 		for r := range c.target.runs {
+			if st := r.task.step; st.spec.LongRunning {
+				if _, ok := lasting[st]; !ok {
+					lasting[st] = p.reclaimable(st, now)
+				}
+				if _, ok := lasting[st][r]; !ok {
+					continue
+				}
+			}
 			v := p.victimOf(u, r, gangs, now)
 			if v == nil {
 				continue
--- a/coordination/planner/preemption_test.go
+++ b/coordination/planner/preemption_test.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,3 +130,67 @@
 		})
 	}
 }
+
+// Guards against a guarantee that is withheld because lasting work of others fills the site, and
+// against lasting work that is stopped beyond its disruption budget, or for a unit without a guarantee.
+func TestGuaranteeReclaimsLastingWork(t *testing.T) {
+	const reclaimBound = 2900 * time.Millisecond
+	// Urgent work of w1 and w2 is within their guarantees of 16 accelerators, w3 has none. Jobs of
+	// the kind "long" don't count against a guarantee.
+	tests := []struct {
+		name      string
+		kind      string // of the lasting work
+		workspace string // of the lasting work
+		mayMiss   int    // of each of its four steps with 8 tasks on one accelerator, which fill the site
+		gang      bool   // each step is a gang
+		claimant  string // workspace of an urgent job with 4 tasks on one accelerator
+		want      bool
+		stopped   int // tasks of lasting work at the most
+	}{
+		{name: "without a budget", kind: "long", workspace: "w2", claimant: "w1", want: true, stopped: 4},
+		{name: "of its own workspace", kind: "long", workspace: "w1", claimant: "w1", want: true, stopped: 4},
+		{name: "within a budget", kind: "long", workspace: "w2", mayMiss: 8, claimant: "w1", want: true, stopped: 4},
+		{name: "within the budgets of several steps", kind: "long", workspace: "w2", mayMiss: 1, claimant: "w1", want: true, stopped: 4},
+		{name: "gang within its budget", kind: "long", workspace: "w2", mayMiss: 8, gang: true, claimant: "w1", want: true, stopped: 8},
+		{name: "gang beyond its budget", kind: "long", workspace: "w2", mayMiss: 7, gang: true, claimant: "w1"},
+		{name: "claimant without a guarantee", kind: "long", workspace: "w2", mayMiss: 8, claimant: "w3"},
+		{name: "beyond the guarantee of another", kind: "urgent", workspace: "w2", mayMiss: 8, claimant: "w1", want: true, stopped: 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 4)
+			for i := range 4 {
+				j := newJob(fmt.Sprintf("l%d", i), tt.kind, job.Step{Tasks: 8, Accelerators: 1, LongRunning: true, MayMiss: tt.mayMiss, Gang: tt.gang, EstimateMillis: 60_000})
+				j.Workspace = tt.workspace
+				h.addJob(j)
+			}
+			for range 20 {
+				for _, w := range h.workers {
+					for _, r := range w.running {
+						r.Percent = fullPace
+					}
+				}
+				h.advance(200 * time.Millisecond)
+			}
+			qt.Assert(t, h.starts, qt.HasLen, 32)
+			j := newJob("claim", "urgent", job.Step{Tasks: 4, Accelerators: 1, EstimateMillis: 60_000})
+			j.Workspace = tt.claimant
+			h.addJob(j)
+			for range reclaimBound / (100 * time.Millisecond) {
+				h.advance(100 * time.Millisecond)
+			}
+			began, lasting := 0, 0
+			for _, w := range h.workers {
+				for task := range w.running {
+					if strings.HasPrefix(task, "claim.") {
+						began++
+					} else {
+						lasting++
+					}
+				}
+			}
+			qt.Check(t, began == 4, qt.Equals, tt.want, qt.Commentf("%d tasks of the claim run", began))
+			qt.Check(t, 32-lasting <= tt.stopped, qt.IsTrue, qt.Commentf("%d lasting tasks were stopped", 32-lasting))
+		})
+	}
+}
