Start lasting work on a paused worker if there is no other

Cause: the pause of a worker after failures grows with each failure, only a run that ends done resets it, and nothing ended it for work without another worker.

Evidence: TestLastingWorkOnPausedWorker fails before the change and passes after it.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -49,7 +49,9 @@
 
 // findEligible returns the targets that may run tasks of a unit. The result is valid
 // for a whole pass, and units with the same requirement share it. A single task does not
-// get the targets that it avoids while mayAvoid allows that.
+// get the targets that it avoids while mayAvoid allows that. A long-running one that has been idle
+// for maxAvoidance and has room nowhere else gets targets that are paused after failures, too: it
+// must be started again however often it fails.
 func (p *Planner) findEligible(u unit, now time.Time) *eligibleTargets {
 	q := requirement{pool: u.kind.Pool(), label: u.step.spec.Label}
 	s := p.eligibleCache[q]
@@ -63,6 +65,15 @@
 		s = newEligibleTargets(targets)
 		p.eligibleCache[q] = s
 	}
+	if u.step.spec.LongRunning && len(u.tasks) == 1 && now.Sub(u.tasks[0].idleSince) > maxAvoidance && !p.anyFits(u, s.targets) {
+		var targets []*target
+		for _, t := range p.sortedTargets {
+			if t.acceptsLastingWork(now) && p.mayStartOn(t) && q.isMetBy(t) {
+				targets = append(targets, t)
+			}
+		}
+		return newEligibleTargets(targets)
+	}
 	if len(u.tasks) == 1 && len(u.tasks[0].avoidedTargets) > 0 {
 		others := newEligibleTargets(slices.DeleteFunc(slices.Clone(s.targets), u.avoids))
 		if p.mayAvoid(u, now) || p.anyFits(u, others.targets) {
--- a/coordination/planner/health_test.go
+++ b/coordination/planner/health_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,49 @@
 		})
 	}
 }
+
+// Guards against lasting work that is not started again in time because the only worker that may run
+// it is paused after the failures of that work.
+func TestLastingWorkOnPausedWorker(t *testing.T) {
+	const bound = 6 * time.Second // from the end of its last run
+	h := newHarness(t, 2)
+	h.workers["t01"].worker.Labels = []string{"a", "b"}
+	h.advance(time.Second)
+	for i := range 6 {
+		h.addJob(newJob(fmt.Sprintf("s%d", i), "long", job.Step{Tasks: 1, Accelerators: 1, LongRunning: true, Label: "b", EstimateMillis: 60_000}))
+	}
+	endedAt := make(map[string]time.Time)
+	for round := range 60 {
+		h.advance(500 * time.Millisecond)
+		if task := fmt.Sprintf("s%d.0.0.0", round%6); round%2 == 0 && h.targetOf(task) != "" {
+			h.failTask(task)
+			endedAt[task] = h.now
+		}
+		for failed, at := range endedAt {
+			if h.targetOf(failed) != "" {
+				delete(endedAt, failed)
+			}
+			qt.Assert(t, h.now.Sub(at) <= bound, qt.IsTrue, qt.Commentf("%s was not started again in time", failed))
+		}
+	}
+}
+
+// Guards against lasting work that is started on a paused worker although another has room.
+func TestLastingWorkLeavesPausedWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	for i := range 2 {
+		h.addJob(newJob(fmt.Sprintf("s%d", i), "long", job.Step{Tasks: 1, Accelerators: 1, LongRunning: true, EstimateMillis: 60_000}))
+	}
+	h.advance(time.Second)
+	faulty := h.failTask("s0.0.0.0")
+	qt.Assert(t, h.failTask("s1.0.0.0"), qt.Equals, faulty)
+	for range 8 {
+		h.advance(500 * time.Millisecond)
+		for i := range 2 {
+			qt.Check(t, h.targetOf(fmt.Sprintf("s%d.0.0.0", i)), qt.Not(qt.Equals), faulty)
+		}
+	}
+	for i := range 2 {
+		qt.Check(t, h.targetOf(fmt.Sprintf("s%d.0.0.0", i)), qt.Not(qt.Equals), "")
+	}
+}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -113,8 +113,13 @@
 
 // acceptsWork reports whether a target may run new work, whatever its kind.
 func (t *target) acceptsWork(now time.Time) bool {
+	return t.acceptsLastingWork(now) && !t.health.isPaused(now)
+}
+
+// acceptsLastingWork is acceptsWork without the pause after failures.
+func (t *target) acceptsLastingWork(now time.Time) bool {
 	return t.connected && t.runsKnown && !t.worker.GetDraining() && len(t.foreign) == 0 && !now.Before(t.refusalPauseUntil) &&
-		!t.health.isPaused(now) && t.silentFor <= maxSilence
+		t.silentFor <= maxSilence
 }
 
 // Report handles a report of a target's agent. It ignores reports before SetLoaded is
