Keep the attempts of a job whose kind is removed

Cause: a removed kind counted as one with the default of three attempts.

Change: the attempts are recorded with the job at its acceptance and hold once the kind has been removed.

--- a/coordination/intake/request.go
+++ b/coordination/intake/request.go
@@ -228,8 +228,8 @@
 	j := job.Job{
 		ID: job.DeriveID(r.Workspace, r.Key), Workspace: r.Workspace, Kind: kind.Name(), Queue: kind.Queue(), Pool: kind.Pool(),
 		Payload: string(r.Payload), Token: rand.Text(), Key: r.Key, AtMostOnce: !idempotent,
-		LimitMillis: kind.Limit().Milliseconds(),
-		Steps:       []job.Step{requestStep(r)},
+		LimitMillis: kind.Limit().Milliseconds(), Attempts: kind.Attempts(),
+		Steps: []job.Step{requestStep(r)},
 	}
 	if r.Deadline > 0 {
 		// Relative to the submission; Service.Submit adds the time of the store's clock.
--- a/coordination/planner/jobs.go
+++ b/coordination/planner/jobs.go
@@ -362,12 +362,12 @@
 }
 
 // kindOf returns the configuration of a job's kind, or a default with removedKindPriority if
-// the kind has been removed since the job was accepted.
+// the kind has been removed since the job was accepted, with the attempts of that time.
 func (p *Planner) kindOf(js *jobState) *operator.Kind {
 	if p.config != nil && js.kindConfig == p.config {
 		return &js.kind
 	}
-	js.kind, js.kindConfig = operator.NewKind("", js.job.Kind, operator.ClassLong).WithPool(js.job.Pool).WithPriority(removedKindPriority), p.config
+	js.kind, js.kindConfig = operator.NewKind("", js.job.Kind, operator.ClassLong).WithPool(js.job.Pool).WithPriority(removedKindPriority).WithAttempts(js.job.Attempts), p.config
 	if p.config != nil {
 		if k, ok := p.config.Kind(js.job.Workspace, js.job.Kind); ok {
 			js.kind = k
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -66,6 +66,9 @@
 	DeadlineMillis int64 `json:",omitempty"`
 	// LimitMillis is the maximum run time of a task; 0 for none.
 	LimitMillis int64 `json:",omitempty"`
+	// Attempts is the number of failures of a task at which the job fails, as configured for its
+	// kind at acceptance; 0 if the kind set none. It applies once the kind has been removed.
+	Attempts int `json:",omitempty"`
 }
 
 // Step is a number of identical tasks of a job. Speculative, Image and LatencyMillis are
