Choose lasting work to stop among the workers that help

A unit with a requirement may use only some workers, and the runs that its guarantee reclaims within a disruption budget are now chosen among those on them.

--- a/coordination/planner/candidates.go
+++ b/coordination/planner/candidates.go
@@ -56,23 +56,11 @@
 	q := requirement{pool: u.kind.Pool(), label: u.step.spec.Label}
 	s := p.eligibleCache[q]
 	if s == nil {
-		var targets []*target
-		for _, t := range p.sortedTargets {
-			if t.acceptsWork(now) && p.mayStartOn(t) && q.isMetBy(t) {
-				targets = append(targets, t)
-			}
-		}
-		s = newEligibleTargets(targets)
+		s = p.targetsMeeting(q, func(t *target) bool { return t.acceptsWork(now) })
 		p.eligibleCache[q] = s
 	}
 	if u.step.spec.LongRunning && len(u.tasks) == 1 && now.Sub(u.tasks[0].idleSince) > maxAvoidance && !p.anyFits(u, s.targets) {
-		var targets []*target
-		for _, t := range p.sortedTargets {
-			if t.acceptsLastingWork(now) && p.mayStartOn(t) && q.isMetBy(t) {
-				targets = append(targets, t)
-			}
-		}
-		return newEligibleTargets(targets)
+		return p.targetsMeeting(q, func(t *target) bool { return t.acceptsWorkDespitePause(now) })
 	}
 	if len(u.tasks) == 1 && len(u.tasks[0].avoidedTargets) > 0 {
 		others := newEligibleTargets(slices.DeleteFunc(slices.Clone(s.targets), u.avoids))
@@ -83,6 +71,18 @@
 	return s
 }
 
+// targetsMeeting returns the targets that meet a requirement, on which work may be started, and that
+// accept it.
+func (p *Planner) targetsMeeting(q requirement, accepts func(t *target) bool) *eligibleTargets {
+	var targets []*target
+	for _, t := range p.sortedTargets {
+		if accepts(t) && p.mayStartOn(t) && q.isMetBy(t) {
+			targets = append(targets, t)
+		}
+	}
+	return newEligibleTargets(targets)
+}
+
 // anyFits reports whether a task of the unit fits on one of the targets.
 func (p *Planner) anyFits(u unit, targets []*target) bool {
 	return slices.ContainsFunc(p.candidates(u, targets), func(c candidate) bool { return c.maxTasks(u) > 0 })
--- a/coordination/planner/disruption.go
+++ b/coordination/planner/disruption.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/medlargrade/medlargrade/coordination/budget"
@@ -61,16 +62,19 @@
 }
 
 // reclaimable returns the runs of a long-running step that may be stopped at once for a unit within a
-// guarantee: as many as its disruption budget allows, those of the first tasks. The guarantee of a
-// workspace comes before the work of a step without a budget.
-func (p *Planner) reclaimable(s *step, now time.Time) map[*run]struct{} {
+// guarantee that may be placed on the given targets: as many as the disruption budget of the step
+// allows, those of the first tasks. The guarantee of a workspace comes before the work of a step
+// without a budget.
+func (p *Planner) reclaimable(s *step, targets []*target, now time.Time) map[*run]struct{} {
 	var known []budget.Task
 	var runs []*run
 	for _, t := range s.tasks {
 		k := budget.Task{}
 		for _, r := range t.runs {
 			k = p.budgetTask(r, now)
-			runs = append(runs, r)
+			if s.spec.Gang || slices.Contains(targets, p.targetNamed(r.incarnation.Target)) {
+				runs = append(runs, r)
+			}
 		}
 		known = append(known, k)
 	}
--- a/coordination/planner/preemption.go
+++ b/coordination/planner/preemption.go
@@ -112,7 +112,7 @@
 		for r := range c.target.runs {
 			if st := r.task.step; st.spec.LongRunning {
 				if _, ok := lasting[st]; !ok {
-					lasting[st] = p.reclaimable(st, now)
+					lasting[st] = p.reclaimable(st, group, now)
 				}
 				if _, ok := lasting[st][r]; !ok {
 					continue
--- a/coordination/planner/preemption_test.go
+++ b/coordination/planner/preemption_test.go
@@ -144,6 +144,7 @@
 		mayMiss   int    // of each of its four steps with 8 tasks on one accelerator, which fill the site
 		gang      bool   // each step is a gang
 		claimant  string // workspace of an urgent job with 4 tasks on one accelerator
+		label     string // that it requires; the last worker has "last"
 		want      bool
 		stopped   int // tasks of lasting work at the most
 	}{
@@ -153,12 +154,15 @@
 		{name: "within the budgets of several steps", kind: "long", workspace: "w2", mayMiss: 1, claimant: "w1", want: true, stopped: 4},
 		{name: "gang within its budget", kind: "long", workspace: "w2", mayMiss: 8, gang: true, claimant: "w1", want: true, stopped: 8},
 		{name: "gang beyond its budget", kind: "long", workspace: "w2", mayMiss: 7, gang: true, claimant: "w1"},
+		{name: "within a budget, on one worker only", kind: "long", workspace: "w2", mayMiss: 4, label: "last", claimant: "w1", want: true, stopped: 4},
 		{name: "claimant without a guarantee", kind: "long", workspace: "w2", mayMiss: 8, claimant: "w3"},
 		{name: "beyond the guarantee of another", kind: "urgent", workspace: "w2", mayMiss: 8, claimant: "w1", want: true, stopped: 4},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHarness(t, 4)
+			h.workers["t03"].worker.Labels = []string{"a", "last"}
+			h.advance(time.Second)
 			for i := range 4 {
 				j := newJob(fmt.Sprintf("l%d", i), tt.kind, job.Step{Tasks: 8, Accelerators: 1, LongRunning: true, MayMiss: tt.mayMiss, Gang: tt.gang, EstimateMillis: 60_000})
 				j.Workspace = tt.workspace
@@ -173,7 +177,7 @@
 				h.advance(200 * time.Millisecond)
 			}
 			qt.Assert(t, h.starts, qt.HasLen, 32)
-			j := newJob("claim", "urgent", job.Step{Tasks: 4, Accelerators: 1, EstimateMillis: 60_000})
+			j := newJob("claim", "urgent", job.Step{Tasks: 4, Accelerators: 1, Label: tt.label, EstimateMillis: 60_000})
 			j.Workspace = tt.claimant
 			h.addJob(j)
 			for range reclaimBound / (100 * time.Millisecond) {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -113,11 +113,11 @@
 
 // acceptsWork reports whether a target may run new work, whatever its kind.
 func (t *target) acceptsWork(now time.Time) bool {
-	return t.acceptsLastingWork(now) && !t.health.isPaused(now)
+	return t.acceptsWorkDespitePause(now) && !t.health.isPaused(now)
 }
 
-// acceptsLastingWork is acceptsWork without the pause after failures.
-func (t *target) acceptsLastingWork(now time.Time) bool {
+// acceptsWorkDespitePause is acceptsWork for work that ignores the pause after failures.
+func (t *target) acceptsWorkDespitePause(now time.Time) bool {
 	return t.connected && t.runsKnown && !t.worker.GetDraining() && len(t.foreign) == 0 && !now.Before(t.refusalPauseUntil) &&
 		t.silentFor <= maxSilence
 }
--- a/process/network.go
+++ b/process/network.go
@@ -65,7 +65,7 @@
 
 // HTTPClient returns an HTTP client with its own connection pool.
 func (n Network) HTTPClient() *http.Client {
-	return &http.Client{Transport: &freshTransport{&http.Transport{
+	return &http.Client{Transport: &redialTransport{&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
 		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
@@ -73,13 +73,13 @@
 	}}}
 }
 
-// freshTransport is an http.Transport that closes its idle connections after a call that has timed
+// redialTransport is an http.Transport that closes its idle connections after a call that has timed
 // out. Open connections can go silent for good while new ones work, and each idle one would cost a
 // call its timeout.
-type freshTransport struct{ *http.Transport }
+type redialTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t *freshTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *redialTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, err := t.Transport.RoundTrip(r)
 	if errors.Is(err, context.DeadlineExceeded) {
 		t.CloseIdleConnections()
