Take no machine of the same name for the former planner's

What callers could see: a task is started elsewhere while it runs, up to 4 s before its lease ends. Found by reading; no caller reported it.

Cause: the former process of a target was recognised by its name. A machine that takes the place of another one that is cut off and goes on may have its name. Its take-over, and its agent's answer, counted as proof that the former planner extends no more leases.

Change: both proofs need the name and the address of the owner's row.

Evidence: two new cases of TestLeasesExtendedByFormerOwner fail before, by 2.75 s and 1.7 s, and pass now. The case "the second owner's process has ended", in which the same address answers, keeps its bound.

--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -168,7 +168,7 @@
 	switch {
 	case row.Name == "":
 		reason = "the owner has left"
-	case row.Name == c.cfg.Name:
+	case row.names(c.cfg.Name, c.cfg.Address):
 		reason = "this process was the owner before it started again"
 	case c.deps.Agents.RefusesConnections(ctx, row.Address):
 		// This does not show that the process has ended: whoever cuts the owner off may refuse
@@ -188,7 +188,7 @@
 // would carry out the transactions of all of them before the next one of the new owner. A
 // process that only starts again, and one that was asked to take over, do not wait.
 func (c *Candidate) standsAfterPause(ctx context.Context, prev predecessor) bool {
-	if prev.row.Name == c.cfg.Name || c.deps.Agent.Contact().TakeOverRequested {
+	if prev.row.names(c.cfg.Name, c.cfg.Address) || c.deps.Agent.Contact().TakeOverRequested {
 		return true
 	}
 	if !pause.For(ctx, rand.N(takeOverSpread)) {
--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/state/table"
 	"github.com/medlargrade/medlargrade/state/table/tabletest"
 )
@@ -43,6 +44,27 @@
 				s.startProcess("b", s.store)
 			},
 		},
+		// A machine that takes the place of the former owner's under the same name says nothing of
+		// the process at the former owner's address.
+		{
+			name: "a process with the former owner's name takes over at another address", formerOwnerReaches: true, within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, oldTarget *fakeAgent) {
+				s.targets["c2"] = newFakeAgent("c2")
+				for _, x := range []*fakeAgent{oldTarget, s.targets["c"]} {
+					x.update(func(x *fakeAgent) { x.unreachableFrom = s.ownerRow().Epoch + 1 })
+				}
+				s.startProcessAt("c", "c2", s.store)
+			},
+		},
+		{
+			name: "an agent with the former owner's name answers at another address", formerOwnerReaches: true, within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, _ *fakeAgent) {
+				s.targets["c2"] = newFakeAgent("c2")
+				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, "c", []byte(`{"Address":"c2"}`)))
+				s.c.Assert(err, qt.IsNil)
+				s.startProcess("b", s.store)
+			},
+		},
 		{name: "two owners later", formerOwnerReaches: true, within: lastLapseBound + time.Second, changeOwner: func(s *testSite, _ *fakeAgent) {
 			b := s.startProcess("b", s.store)
 			time.Sleep(5 * time.Second)
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -49,7 +49,7 @@
 	row := OwnerRow{Epoch: prev.row.Epoch + 1, Name: cfg.Name, Address: cfg.Address, OperatorAddress: cfg.OperatorAddress, Boot: boot}
 	// A former process of this target has certainly ended. That connections to another are refused
 	// shows nothing.
-	processEnded := prev.row.Name == cfg.Name
+	processEnded := prev.row.names(cfg.Name, cfg.Address)
 	return &owner{
 		cfg: cfg, deps: deps, predecessorRow: prev.row, grantsMillis: prev.row.nextGrantsMillis(prev.readAt, processEnded), row: row, version: prev.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
--- a/coordination/shard/row.go
+++ b/coordination/shard/row.go
@@ -45,6 +45,10 @@
 	Silent map[string]int64 `json:",omitempty"`
 }
 
+// names reports whether the row names the process of a target at an address. A machine that takes the
+// place of another one may have its name, but not its address, and says nothing of the process there.
+func (r OwnerRow) names(name, address string) bool { return r.Name == name && r.Address == address }
+
 // nextGrantsMillis returns GrantsMillis for the next owner, which takes over at now on
 // the store's monotonic clock. An owner that releases the shard stops extending leases
 // before it writes its last row. One whose process has ended has stopped by now. Any
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -41,26 +41,28 @@
 	mu             sync.Mutex
 	unreachable    bool            // for all planners
 	unreachableFor map[string]bool // by planner; only their Watch calls do not arrive
-	panicsFor      string          // planner whose Watch calls panic
-	workerSilence  time.Duration   // time since the worker's last answer to the agent
-	noWorker       bool            // no worker has registered with the agent
-	gone           bool            // the worker has deregistered and no longer answers
-	delay          time.Duration   // of Watch calls, before they arrive
-	boot           uint64          // of the agent
-	epoch          uint64
-	fence          int64
-	leaseCap       int64
-	incarnation    *agentrpc.Life
-	startedAt      time.Time // of the incarnation
-	running        map[string]int64
-	ended          []*agentrpc.RunEnd
-	lastEnd        int64    // number of the last end
-	starts         []string // "task run"
-	startTimes     []time.Time
-	dataCentre     string
-	revision       uint64
-	changed        chan struct{}
-	process        *process // beside the worker; nil if none has been started
+	// unreachableFrom is the lowest epoch whose Watch calls do not arrive; 0 for none.
+	unreachableFrom uint64
+	panicsFor       string        // planner whose Watch calls panic
+	workerSilence   time.Duration // time since the worker's last answer to the agent
+	noWorker        bool          // no worker has registered with the agent
+	gone            bool          // the worker has deregistered and no longer answers
+	delay           time.Duration // of Watch calls, before they arrive
+	boot            uint64        // of the agent
+	epoch           uint64
+	fence           int64
+	leaseCap        int64
+	incarnation     *agentrpc.Life
+	startedAt       time.Time // of the incarnation
+	running         map[string]int64
+	ended           []*agentrpc.RunEnd
+	lastEnd         int64    // number of the last end
+	starts          []string // "task run"
+	startTimes      []time.Time
+	dataCentre      string
+	revision        uint64
+	changed         chan struct{}
+	process         *process // beside the worker; nil if none has been started
 }
 
 func newFakeAgent(name string) *fakeAgent {
@@ -103,6 +105,12 @@
 	return a.unreachable || a.unreachableFor[planner]
 }
 
+func (a *fakeAgent) isUnreachableFrom(epoch uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unreachableFrom > 0 && epoch >= a.unreachableFrom
+}
+
 func (a *fakeAgent) watchDelay() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -111,7 +119,7 @@
 
 // Watch implements agentrpc.DRPCAgentClient.
 func (a *fakeAgent) Watch(ctx context.Context, in *agentrpc.WatchRequest) (*agentrpc.WatchReply, error) {
-	if a.isUnreachable(in.GetPlanner()) {
+	if a.isUnreachable(in.GetPlanner()) || a.isUnreachableFrom(in.GetEpoch()) {
 		<-ctx.Done()
 		return nil, errUnreachable
 	}
@@ -284,10 +292,15 @@
 // its own, which gets only epochs and requests to take over. Its candidate therefore
 // reads the owner's row at each check.
 func (s *testSite) startProcess(name string, store table.Store) *process {
+	return s.startProcessAt(name, name, store)
+}
+
+// startProcessAt is startProcess for a process at an address of its own.
+func (s *testSite) startProcessAt(name, address string, store table.Store) *process {
 	ctx, cancel := context.WithCancel(s.c.Context())
 	a := agent.New(agent.Settings{Name: name, LeaseMax: leaseMax}, s.worker, s.store, zerolog.Nop())
 	cand := shard.NewCandidate(shard.Settings{
-		Part: part, Name: name, Address: name, LeaseMax: leaseMax,
+		Part: part, Name: name, Address: address, LeaseMax: leaseMax,
 		Planner: planner.Settings{StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 3, Evacuation: s.evacuation, Retention: s.retention},
 	}, shard.Deps{
 		Store: store, Clock: &table.Clock{}, Agents: s, Agent: a, Log: zerolog.Nop(),
@@ -312,7 +325,7 @@
 		<-done
 	}
 	s.c.Cleanup(p.stop)
-	s.targets[name].update(func(x *fakeAgent) { x.process = p })
+	s.targets[address].update(func(x *fakeAgent) { x.process = p })
 	return p
 }
 
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -216,7 +216,7 @@
 		}
 		if err == nil && !reply.GetRefused() {
 			delay = watchRetryPause
-			w.handleReply(req.GetFence(), reply)
+			w.handleReply(req.GetFence(), address, reply)
 			continue
 		}
 		// A call that exceeded its timeout by far did so because this process was
@@ -273,9 +273,9 @@
 	w.o.deps.Log.Info().Int("Event", EventFenceRaised).Str("Target", w.name).Int64("Fence", w.fence).Str("Reason", reason).Send()
 }
 
-// handleReply stores the state in the answer to a request with the given fencing token and
-// reports it to the planner.
-func (w *watch) handleReply(sentFence int64, reply *agentrpc.WatchReply) {
+// handleReply stores the state in the answer to a request with the given fencing token to the given
+// address, and reports it to the planner.
+func (w *watch) handleReply(sentFence int64, address string, reply *agentrpc.WatchReply) {
 	o := w.o
 	now := time.Now()
 	o.mu.Lock()
@@ -286,7 +286,7 @@
 		// carry the old token.
 		w.fence++
 	}
-	if w.name == o.predecessorRow.Name {
+	if o.predecessorRow.names(w.name, address) {
 		o.endPredecessorGrantsLocked()
 	}
 	w.lastAnswerAt, w.answeredOnce, w.connected, w.callFailed, w.lapsed = now, true, true, false, false
