Count the planner's grants from the time in its row

What callers could see: a task is started elsewhere while it runs, after a suspension or pause of the planner that is followed by a cut. Found by reading; no caller reported it.

Cause: the planner extended leases until 4 s after it had sent its last confirmed transaction, by its own clock. Its successor counts the 4 s from the time in the row, an estimate of the store's clock that is behind by a suspension, or by a pause between reading the estimate and sending.

Change: the planner also counts from the time in the row, by the estimate that the answer to the transaction has brought up to date. The moment of sending is taken before the estimate is read.

Evidence: the new test TestLeasesExtendedWithOtherClocks fails before, by 1.95 s after a suspension of 3 s, and passes now.

--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -141,6 +141,11 @@
 // the store of c and the target that runs the job's task, which is not that of c.
 func (s *testSite) startOwnerWithRun() (*processStore, *fakeAgent) {
 	ownerStore := &processStore{Store: s.store}
+	return ownerStore, s.startOwnerWithRunOn(ownerStore)
+}
+
+// startOwnerWithRunOn is startOwnerWithRun with a given store of process c.
+func (s *testSite) startOwnerWithRunOn(ownerStore *processStore) *fakeAgent {
 	s.startProcess("c", ownerStore)
 	time.Sleep(settleTime)
 	s.submit()
@@ -148,7 +153,7 @@
 	t := s.targetRunningJob()
 	s.c.Assert(t, qt.IsNotNil)
 	s.c.Assert(t.name, qt.Not(qt.Equals), "c")
-	return ownerStore, t
+	return t
 }
 
 // startsExcept returns the number of starts on all targets but one.
@@ -202,3 +207,39 @@
 		})
 	})
 }
+
+// Guards against a run that is started elsewhere before its lease has ended, because the former owner
+// and its successor count its time without confirmation by clocks that differ.
+func TestLeasesExtendedWithOtherClocks(t *testing.T) {
+	const difference = 3 * time.Second
+	tests := []struct {
+		name      string
+		suspended time.Duration // of the former owner, just before the transaction that is confirmed last
+	}{
+		{name: "the former owner was suspended before its last transaction", suspended: difference},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runSite(t, 3, func(s *testSite) {
+				ownerStore := &processStore{Store: s.store, clockLag: tt.suspended}
+				oldTarget := s.startOwnerWithRunOn(ownerStore)
+				for _, x := range []*fakeAgent{oldTarget, s.targets["c"]} {
+					x.update(func(x *fakeAgent) { x.unreachableFor = map[string]bool{"b": true} })
+				}
+				ownerStore.resumeAndCut()
+				time.Sleep(time.Second)
+				cutAt := time.Now()
+				s.startProcess("b", s.store)
+				for time.Since(cutAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
+					time.Sleep(50 * time.Millisecond)
+				}
+				s.c.Assert(s.startsExcept(oldTarget), qt.Equals, 1)
+				oldTarget.view(func(x *fakeAgent) {
+					clock := time.Since(x.startedAt)
+					lease := time.Duration(x.leaseCap) * time.Millisecond
+					s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
+				})
+			})
+		})
+	}
+}
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -292,10 +292,12 @@
 		o.mu.Lock()
 		row.Silent, row.GrantsMillis = o.silentTargetsLocked(), o.grantsMillis
 		o.mu.Unlock()
+		// A pause of the process between the two makes the time in the row later, so that a
+		// successor waits for longer.
+		sent := time.Now()
 		if current, ok := o.deps.Clock.Now(); ok {
 			row.BeatMillis = current.Milliseconds()
 		}
-		sent := time.Now()
 		c, err := o.attempt(ctx, tx.WithWrite(TableShard, OwnerKey, row.encode()))
 		var conflict *table.ConflictError
 		var lost *table.OutcomeUnknownError
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -354,7 +354,12 @@
 // processStore is the store of one process, whose calls can be made to fail.
 type processStore struct {
 	table.Store
-	mu          sync.Mutex
+	mu sync.Mutex
+	// clockLag is how far the times in answers are behind the store's clock. It stands for a
+	// suspension of the machine, in which the process's own clock stands still: all the answers from
+	// before it appear to be that much earlier.
+	clockLag    time.Duration
+	cutAfter    bool          // the next commit is answered without clockLag, and is the last call that is
 	unreachable bool          // calls fail after unreachableTimeout
 	refusing    bool          // calls fail at once
 	commitDelay time.Duration // of the next commit
@@ -425,14 +430,50 @@
 	if d := p.takeCommitDelay(); d > 0 {
 		time.Sleep(d)
 	}
-	return p.Store.Commit(ctx, tx)
+	c, err := p.Store.Commit(ctx, tx)
+	if err == nil {
+		p.cutIfDue()
+	}
+	c.Now -= p.lag()
+	return c, err
+}
+
+// cutIfDue makes the store unreachable after the commit that ends the suspension.
+func (p *processStore) cutIfDue() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cutAfter {
+		p.clockLag, p.unreachable = 0, true
+	}
+}
+
+func (p *processStore) lag() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clockLag
+}
+
+// resumeAndCut ends the suspension just before the next commit, after which the store can't be
+// reached any more.
+func (p *processStore) resumeAndCut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutAfter = true
+}
+
+func (p *processStore) Watch(ctx context.Context, name string, after uint64, wait time.Duration) (table.Changes, error) {
+	c, err := p.Store.Watch(ctx, name, after, wait)
+	c.Now -= p.lag()
+	return c, err
 }
 
 func (p *processStore) Read(ctx context.Context, r table.Range) (table.Page, error) {
 	if err := p.injectFault(ctx); err != nil {
 		return table.Page{}, err
 	}
-	return p.Store.Read(ctx, r)
+	page, err := p.Store.Read(ctx, r)
+	page.Now -= p.lag()
+	return page, err
 }
 
 // refuseProgress makes the store refuse commits that write the progress of jobs.
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -252,6 +252,11 @@
 	// The monotonic clock stops while the machine is suspended; the wall clock does not.
 	// The larger difference counts.
 	maxSinceConfirmed := max(sinceConfirmed, time.Now().Round(0).Sub(o.confirmedSentAt.Round(0)))
+	// A successor counts from the time in the row. That time is earlier than the transaction if the
+	// process was paused or suspended before it.
+	if storeNow, ok := o.deps.Clock.Now(); ok {
+		maxSinceConfirmed = max(maxSinceConfirmed, o.row.age(storeNow))
+	}
 	r := &agentrpc.WatchRequest{
 		Epoch: o.row.Epoch, Planner: o.cfg.Name, Fence: w.fence, Life: w.incarnation, SeenEnd: w.recordedEnd,
 		WaitMillis: watchWait.Milliseconds(), Boot: w.boot, Revision: w.revision, UnconfirmedMillis: sinceConfirmed.Milliseconds(),
