Count lapses by the answer that showed the owner's row

Cause: table.Clock kept the highest estimate of the store's clock for good.

Change: the successor converts the times in the row by the answer to the read that showed it, and keeps what it learns after that on its own clock. table.Clock takes back an estimate that is ahead of what an answer allows.

Evidence: the new case of TestLeasesExtendedWithOtherClocks fails before, by 1.9 s with a clock 3 s ahead, and passes now.

--- a/coordination/follow/follow.go
+++ b/coordination/follow/follow.go
@@ -167,7 +167,7 @@
 
 func (f *Follower) apply(r reply) {
 	if f.cfg.Clock != nil {
-		f.cfg.Clock.Observe(r.now)
+		f.cfg.Clock.Observe(r.now, r.sent)
 	}
 	switch {
 	case r.full:
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -152,12 +152,13 @@
 	earlyVersion := uint64(0) // of the row of early cancellations, none of which concerns the job
 	answerLost := false
 	for {
+		sent := time.Now()
 		c, err := s.store.Commit(ctx, tx.WithCondition(job.TableEarlyCancellations, j.ID, earlyVersion))
 		var conflictErr *table.ConflictError
 		var lostErr *table.OutcomeUnknownError
 		switch {
 		case err == nil:
-			s.clock.Observe(c.Now)
+			s.clock.Observe(c.Now, sent)
 			s.reportSubmission(j, "accepted", nil)
 			return Accepted{}
 		case errors.As(err, &conflictErr):
@@ -326,9 +327,10 @@
 		}
 		return s.breaker.readPage(ctx, r)
 	}
+	sent := time.Now()
 	p, err := table.ReadUpTo(ctx, readPage, r, maxRows)
 	if err == nil {
-		s.clock.Observe(p.Now)
+		s.clock.Observe(p.Now, sent)
 	}
 	return p, err
 }
--- a/coordination/shard/candidate.go
+++ b/coordination/shard/candidate.go
@@ -79,7 +79,9 @@
 	row     OwnerRow
 	version uint64        // of the row
 	readAt  time.Duration // the store's monotonic clock when the row was read
-	reason  string        // why it is replaced; empty if there is no row or it can't be decoded
+	// receivedAt is when the answer to that read arrived, at readAt or later.
+	receivedAt time.Time
+	reason     string // why it is replaced; empty if there is no row or it can't be decoded
 }
 
 // keepAnnounced makes sure that the row by which planners find the agent of this process
@@ -103,11 +105,12 @@
 // process is about to delete it.
 func (c *Candidate) isAnnounced(ctx context.Context) bool {
 	r := table.Range{Table: TableTargets, Part: c.cfg.Part, From: c.cfg.Name, To: c.cfg.Name + "\x00"}
+	sent := time.Now()
 	page, err := c.deps.Store.Read(ctx, r)
 	if err != nil || len(page.Rows) == 0 {
 		return false
 	}
-	c.deps.Clock.Observe(page.Now)
+	c.deps.Clock.Observe(page.Now, sent)
 	row, err := DecodeTarget(page.Rows[0].Value)
 	return err == nil && row == Target{Address: c.cfg.Address}
 }
@@ -115,11 +118,12 @@
 // writeTargetRow writes the target's row and reports whether it is certainly written.
 func (c *Candidate) writeTargetRow(ctx context.Context) bool {
 	tx := table.Tx{Part: c.cfg.Part}.WithWrite(TableTargets, c.cfg.Name, Target{Address: c.cfg.Address}.encode())
+	sent := time.Now()
 	commit, err := c.deps.Store.Commit(ctx, tx)
 	if err != nil {
 		return false
 	}
-	c.deps.Clock.Observe(commit.Now)
+	c.deps.Clock.Observe(commit.Now, sent)
 	c.deps.Log.Info().Int("Event", EventAnnounced).Str("Address", c.cfg.Address).Msg("row of the target written")
 	return true
 }
@@ -150,20 +154,22 @@
 		maxAge = requestedStaleRowAge
 	}
 	maxAge += slowStoreFactor * time.Since(sent)
-	c.deps.Clock.Observe(page.Now)
+	c.deps.Clock.Observe(page.Now, sent)
+	prev := predecessor{readAt: page.Now, receivedAt: time.Now()}
 	if len(page.Rows) == 0 {
-		return predecessor{readAt: page.Now}, true
+		return prev, true
 	}
+	prev.version = page.Rows[0].Version
 	row, err := DecodeOwner(page.Rows[0].Value)
 	if err != nil {
 		c.deps.Log.Error().Int("Event", EventRowMalformed).Err(err).Send()
 		// The owner is unknown and may still be running. Its epoch is at most the version
 		// of the row, since each change of the owner takes a transaction.
-		row = OwnerRow{Epoch: max(contact.Epoch, page.Rows[0].Version), Name: "unknown", BeatMillis: page.Now.Milliseconds()}
-		return predecessor{row: row, version: page.Rows[0].Version, readAt: page.Now}, true
+		prev.row = OwnerRow{Epoch: max(contact.Epoch, prev.version), Name: "unknown", BeatMillis: page.Now.Milliseconds()}
+		return prev, true
 	}
 	c.deps.Agent.RaiseEpoch(row.Epoch)
-	prev := predecessor{row: row, version: page.Rows[0].Version, readAt: page.Now}
+	prev.row = row
 	reason := ""
 	switch {
 	case row.Name == "":
--- a/coordination/shard/early_cancellations.go
+++ b/coordination/shard/early_cancellations.go
@@ -28,12 +28,13 @@
 	}
 	keep = max(keep, job.MinEarlyCancellationTime)
 	for pause.For(ctx, earlyCancellationCheck) {
+		sent := time.Now()
 		p, err := table.ReadAll(ctx, o.deps.Store, table.Range{Table: job.TableEarlyCancellations, Part: o.cfg.Part})
 		if err != nil {
 			o.deps.Log.Info().Int("Event", EventEarlyCancellationsKept).Err(err).Msg("early cancellations can't be read; trying again later")
 			continue
 		}
-		o.deps.Clock.Observe(p.Now)
+		o.deps.Clock.Observe(p.Now, sent)
 		old := slices.DeleteFunc(p.Rows, func(r table.Row) bool { return !o.earlyCancellationOld(r, p.Now, keep) })
 		for batch := range slices.Chunk(old, maxRemovals) {
 			o.removeUnchanged(ctx, batch)
--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -215,8 +215,10 @@
 	tests := []struct {
 		name      string
 		suspended time.Duration // of the former owner, just before the transaction that is confirmed last
+		ahead     time.Duration // by which the successor's estimate of the store's clock is ahead
 	}{
 		{name: "the former owner was suspended before its last transaction", suspended: difference},
+		{name: "the successor's clock has been fast for a long time", ahead: difference},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -227,6 +229,10 @@
 					x.update(func(x *fakeAgent) { x.unreachableFor = map[string]bool{"b": true} })
 				}
 				ownerStore.resumeAndCut()
+				page, err := s.store.Read(s.c.Context(), table.Range{Table: shard.TableShard, Part: part})
+				s.c.Assert(err, qt.IsNil)
+				s.clock = &table.Clock{}
+				s.clock.Observe(page.Now+tt.ahead, time.Now())
 				time.Sleep(time.Second)
 				cutAt := time.Now()
 				s.startProcess("b", s.store)
--- a/coordination/shard/owner.go
+++ b/coordination/shard/owner.go
@@ -23,26 +23,30 @@
 	cfg  Settings
 	deps Deps
 
-	predecessorRow OwnerRow      // as the owner directly before this one left it
-	wake           chan struct{} // requests a planning pass
-	orderCalls     sync.WaitGroup
-	cancel         context.CancelCauseFunc // ends the ownership; set by run
-
-	mu              sync.Mutex
-	acquiredAt      time.Time // when the shard was taken over
-	grantsMillis    int64     // OwnerRow.GrantsMillis, in milliseconds; 0 if every former owner has released the shard
-	row             OwnerRow  // as last confirmed, except before the first write and during release; changed only by the goroutine of run
-	version         uint64    // of the row
-	plan            *planner.Planner
-	confirmedSentAt time.Time                 // when the last confirmed transaction was sent
-	commitDuration  time.Duration             // of the last attempt that the store answered
-	commitStart     time.Time                 // first attempt of the transaction in progress; zero for none
-	endAttempt      context.CancelFunc        // of the last attempt of a transaction; nil before the first
-	progress        map[string][]job.Progress // of recorded jobs that are not loaded yet, by job ID
-	watches         map[string]*watch
-	config          *configuration.Holder
-	loadRow         admission.Publisher // of the row of the load
-	missingRows     []table.Write       // rows of targets to write again
+	predecessor predecessor   // the owner directly before this one
+	wake        chan struct{} // requests a planning pass
+	orderCalls  sync.WaitGroup
+	cancel      context.CancelCauseFunc // ends the ownership; set by run
+
+	mu           sync.Mutex
+	acquiredAt   time.Time // when the shard was taken over
+	grantsMillis int64     // OwnerRow.GrantsMillis, in milliseconds; 0 if every former owner has released the shard
+	grantsUntil  time.Time // by the clock of this process; earlier than grantsMillis if the predecessor was found to have stopped
+	// predecessorStoppedAt is when it was found that the predecessor extends no more leases; zero
+	// before that.
+	predecessorStoppedAt time.Time
+	row                  OwnerRow // as last confirmed, except before the first write and during release; changed only by the goroutine of run
+	version              uint64   // of the row
+	plan                 *planner.Planner
+	confirmedSentAt      time.Time                 // when the last confirmed transaction was sent
+	commitDuration       time.Duration             // of the last attempt that the store answered
+	commitStart          time.Time                 // first attempt of the transaction in progress; zero for none
+	endAttempt           context.CancelFunc        // of the last attempt of a transaction; nil before the first
+	progress             map[string][]job.Progress // of recorded jobs that are not loaded yet, by job ID
+	watches              map[string]*watch
+	config               *configuration.Holder
+	loadRow              admission.Publisher // of the row of the load
+	missingRows          []table.Write       // rows of targets to write again
 }
 
 func newOwner(cfg Settings, deps Deps, boot uint64, prev predecessor) *owner {
@@ -50,8 +54,9 @@
 	// A former process of this target has certainly ended. That connections to another are refused
 	// shows nothing.
 	processEnded := prev.row.names(cfg.Name, cfg.Address)
+	grantsMillis := prev.row.nextGrantsMillis(prev.readAt, processEnded)
 	return &owner{
-		cfg: cfg, deps: deps, predecessorRow: prev.row, grantsMillis: prev.row.nextGrantsMillis(prev.readAt, processEnded), row: row, version: prev.version, wake: make(chan struct{}, 1),
+		cfg: cfg, deps: deps, predecessor: prev, grantsMillis: grantsMillis, grantsUntil: prev.localTime(grantsMillis), row: row, version: prev.version, wake: make(chan struct{}, 1),
 		plan: planner.New(cfg.Planner, deps.Log), progress: make(map[string][]job.Progress), watches: make(map[string]*watch),
 	}
 }
@@ -303,8 +308,9 @@
 		var lost *table.OutcomeUnknownError
 		switch {
 		case err == nil:
-			o.deps.Clock.Observe(c.Now)
+			o.deps.Clock.Observe(c.Now, sent)
 			o.recordCommit(row, c.Version, sent, time.Since(sent))
+			o.lowerGrantsMillis(sent, c.Now)
 			return nil
 		case errors.As(err, &conflict):
 			current := conflict.Row(TableShard, OwnerKey)
@@ -453,6 +459,16 @@
 	o.row, o.version, o.confirmedSentAt, o.commitDuration = row, version, sent, duration
 }
 
+// lowerGrantsMillis lowers GrantsMillis after a transaction that was sent at the given time and
+// answered at storeNow on the store's clock, if the predecessor had stopped before that.
+func (o *owner) lowerGrantsMillis(sent time.Time, storeNow time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.predecessorStoppedAt.IsZero() && o.predecessorStoppedAt.Before(sent) {
+		o.grantsMillis = min(o.grantsMillis, max(o.predecessor.row.GrantsMillis, storeNow.Milliseconds()))
+	}
+}
+
 // release removes the name from the owner's row, so that another process can take over
 // at once.
 func (o *owner) release(ctx context.Context) {
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -237,6 +237,7 @@
 	// set.
 	evacuation time.Duration
 	retention  time.Duration      // of the rows of ended jobs
+	clock      *table.Clock       // of the next process that is started; nil for one without an estimate
 	worker     agent.WorkerClient // of the agents in processes that are started; nil for none
 	mu         sync.Mutex         // guards refusing
 }
@@ -297,13 +298,17 @@
 
 // startProcessAt is startProcess for a process at an address of its own.
 func (s *testSite) startProcessAt(name, address string, store table.Store) *process {
+	clock := s.clock
+	if clock == nil {
+		clock = &table.Clock{}
+	}
 	ctx, cancel := context.WithCancel(s.c.Context())
 	a := agent.New(agent.Settings{Name: name, LeaseMax: leaseMax}, s.worker, s.store, zerolog.Nop())
 	cand := shard.NewCandidate(shard.Settings{
 		Part: part, Name: name, Address: address, LeaseMax: leaseMax,
 		Planner: planner.Settings{StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, FarFactor: 3, Evacuation: s.evacuation, Retention: s.retention},
 	}, shard.Deps{
-		Store: store, Clock: &table.Clock{}, Agents: s, Agent: a, Log: zerolog.Nop(),
+		Store: store, Clock: clock, Agents: s, Agent: a, Log: zerolog.Nop(),
 		NewConfig: func() (*configuration.Holder, func(context.Context)) {
 			h := configuration.NewHolder("c", func([]byte) (uint64, operator.Config, error) { return 1, snapshot().Config, nil }, zerolog.Nop()).WithEvacuations(evacuationPrefix)
 			if s.evacuation > 0 {
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -92,37 +92,45 @@
 // Without a predecessor it is the time of the take-over. The target may have answered
 // the predecessor later than its entry says; lastGrantLocked covers that by GrantsMillis.
 func (o *owner) assumedLastAnswer(name string) time.Time {
-	if millis, ok := o.predecessorRow.Silent[name]; ok {
-		return o.localTime(millis, o.acquiredAt)
+	row := o.predecessor.row
+	if millis, ok := row.Silent[name]; ok {
+		return o.predecessor.localTime(millis)
 	}
-	if o.predecessorRow.Epoch == 0 {
+	if row.Epoch == 0 {
 		return o.acquiredAt
 	}
-	until := o.predecessorRow.BeatMillis
-	if o.predecessorRow.Name != "" {
+	until := row.BeatMillis
+	if row.Name != "" {
 		until += unconfirmedGrantLimit.Milliseconds()
 	}
-	if answer := o.localTime(until, o.acquiredAt); answer.Before(o.acquiredAt) {
+	if answer := o.predecessor.localTime(until); answer.Before(o.acquiredAt) {
 		return answer
 	}
 	return o.acquiredAt
 }
 
-// localTime converts a time on the store's monotonic clock, in milliseconds, to the
-// clock of this process. It returns fallback if the store's clock is not known.
-func (o *owner) localTime(millis int64, fallback time.Time) time.Time {
-	now, known := o.deps.Clock.Now()
-	if !known {
-		return fallback
-	}
-	return time.Now().Add(time.Duration(millis)*time.Millisecond - now)
+// localTime converts a time on the store's monotonic clock, in milliseconds, to the clock of this
+// process. The result is later than the true time by at most the delay of the answer to the read of
+// the row. table.Clock would not do: it may be ahead of the store's clock if the clock of this
+// process is faster, and then leases would count as lapsed too early.
+func (p predecessor) localTime(millis int64) time.Time {
+	return p.receivedAt.Add(time.Duration(millis)*time.Millisecond - p.readAt)
 }
 
 // endPredecessorGrantsLocked records that the predecessor has stopped extending leases,
 // because the agent in its process has accepted this owner's epoch.
-func (o *owner) endPredecessorGrantsLocked() {
-	if now, ok := o.deps.Clock.Now(); ok {
-		o.grantsMillis = min(o.grantsMillis, max(o.predecessorRow.GrantsMillis, now.Milliseconds()))
+func (o *owner) endPredecessorGrantsLocked(now time.Time) {
+	if !o.predecessorStoppedAt.IsZero() {
+		return
+	}
+	o.predecessorStoppedAt = now
+	// The owners before the predecessor may go on for longer.
+	until := now
+	if earlier := o.predecessor.localTime(o.predecessor.row.GrantsMillis); earlier.After(now) {
+		until = earlier
+	}
+	if until.Before(o.grantsUntil) {
+		o.grantsUntil = until
 	}
 }
 
@@ -130,11 +138,8 @@
 // on a target that last answered this one at lastAnswerAt. Former owners may still reach
 // the target.
 func (o *owner) lastGrantLocked(lastAnswerAt time.Time) time.Time {
-	if o.grantsMillis == 0 {
-		return lastAnswerAt
-	}
-	if lastFormerGrant := o.localTime(o.grantsMillis, o.acquiredAt.Add(unconfirmedGrantLimit)); lastFormerGrant.After(lastAnswerAt) {
-		return lastFormerGrant
+	if o.grantsUntil.After(lastAnswerAt) {
+		return o.grantsUntil
 	}
 	return lastAnswerAt
 }
@@ -291,8 +296,8 @@
 		// carry the old token.
 		w.fence++
 	}
-	if o.predecessorRow.names(w.name, address) {
-		o.endPredecessorGrantsLocked()
+	if o.predecessor.row.names(w.name, address) {
+		o.endPredecessorGrantsLocked(now)
 	}
 	w.lastAnswerAt, w.answeredOnce, w.connected, w.callFailed, w.lapsed = now, true, true, false, false
 	w.boot, w.revision = reply.GetBoot(), reply.GetRevision()
