Let a refused connection end no worker that may run something

What callers could see: a task is started elsewhere while it runs on a worker that has said that it leaves, and that goes on because the answer to its notice was lost, if connections to it are refused meanwhile.

Change: it does so only if the worker has listed, under the fencing token in force, that nothing runs, and no start may have been carried out since. Otherwise the leases must lapse. The comments of RefusesConnections and ErrNotListening no longer claim a proof.

Evidence: two new cases of TestDeregisteredWorkerIsGone fail before. The case of a worker without runs is as strict as before. TestRemovalIsVoidAfterNextStart now lets the agent ask the worker for its runs first: an agent that knows nothing of them waits for the lapse.

--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -354,19 +354,41 @@
 func TestDeregisteredWorkerIsGone(t *testing.T) {
 	// The lease of 10 s, 2 % for the drift of the worker's clock and a margin of 0.5 s.
 	const lapse = 10700 * time.Millisecond
+	noListener := func(w *fakeWorker) { w.notListening = true }
+	run := func(r *harness) {
+		r.c.Assert(r.startRun().GetOutcome(), qt.Equals, agentrpc.Outcome_DONE)
+		r.worker.withLock(func(w *fakeWorker) { w.running = []*agentrpc.RunStatus{{Task: "j.0.0.0", Run: 1}} })
+	}
 	tests := []struct {
-		name  string
-		fault func(w *fakeWorker)
-		after time.Duration // no earlier than this it is gone
+		name   string
+		before func(r *harness) // what the worker was ordered before; nil for nothing
+		fault  func(w *fakeWorker)
+		after  time.Duration // no earlier than this it is gone
 	}{
-		{"its address has no listener", func(w *fakeWorker) { w.notListening = true }, 0},
-		{"it does not answer", func(w *fakeWorker) { w.unresponsive = true }, lapse},
+		{"its address has no listener", nil, noListener, 0},
+		{"it does not answer", nil, func(w *fakeWorker) { w.unresponsive = true }, lapse},
+		{"its address refuses connections under a run", run, noListener, lapse},
+		{"its address refuses connections after a start without an answer", func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) { w.startResult = func() error { return errNoAnswer } })
+			r.c.Assert(r.startRun().GetOutcome(), qt.Equals, agentrpc.Outcome_UNKNOWN)
+		}, noListener, lapse},
+		{"its run has ended", func(r *harness) {
+			run(r)
+			time.Sleep(time.Second)
+			r.worker.withLock(func(w *fakeWorker) {
+				w.running, w.ended = nil, []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
+			})
+		}, noListener, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			withAgent(t, func(r *harness) {
 				r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
 				time.Sleep(maxCallTime)
+				if tt.before != nil {
+					tt.before(r)
+					time.Sleep(maxCallTime)
+				}
 				r.agent.WorkerDeregistered("w-1")
 				r.c.Check(r.agent.WorkerGone(), qt.IsFalse)
 				r.worker.withLock(tt.fault)
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -120,7 +120,9 @@
 	if err != nil {
 		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
 		a.state.otherAnswers = a.state.otherAnswers || errors.Is(err, ErrOtherIncarnation)
-		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) || a.leasesLapsedLocked()) {
+		// A refused connection alone shows nothing: whoever cuts the worker off may refuse connections
+		// in its place, and a worker whose notice got no answer goes on for some seconds.
+		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) && a.runsNothingLocked() || a.leasesLapsedLocked()) {
 			a.gone = true
 			a.log.Info().Int("Event", EventWorkerGone).Str("Worker", inc.GetWorker()).Err(err).Msg("deregistered worker no longer answers")
 			a.bumpRevisionLocked()
@@ -200,6 +202,12 @@
 	a.hold(ctx, inc, r)
 }
 
+// runsNothingLocked reports whether the worker has listed that nothing runs, under the fencing token
+// in force, and nothing may have been started since.
+func (a *Agent) runsNothingLocked() bool {
+	return a.state.listHoldSeq > 0 && a.state.confirmedFence == a.state.fence && len(a.state.runStarts) == 0 && len(a.state.unknownStarts) == 0
+}
+
 // leasesLapsedLocked reports whether all leases on the worker have certainly lapsed, whether
 // or not it still runs.
 func (a *Agent) leasesLapsedLocked() bool {
--- a/coordination/agent/worker.go
+++ b/coordination/agent/worker.go
@@ -17,7 +17,7 @@
 // *RefusedError if the worker did not carry out the call, and ErrOtherIncarnation if
 // another incarnation of the worker answered. All methods return ErrNotSent if the call
 // was certainly not sent, and ErrNotListening, which is an ErrNotSent, if the worker's
-// address has no listener. After any other error the call may have been carried out or
+// address refuses connections. After any other error the call may have been carried out or
 // may still be.
 type WorkerClient interface {
 	// Hold renews the leases of all runs up to r.Until, makes the worker discard the
@@ -87,8 +87,9 @@
 // ErrNotSent reports a call that was certainly not sent to the worker.
 var ErrNotSent = errors.New("not sent to the worker")
 
-// ErrNotListening reports a call that was not sent because the worker's address has no
-// listener, so that no worker runs there.
+// ErrNotListening reports a call that was not sent because a connection to the worker's address
+// was refused. In most cases no worker runs there, but whoever cuts it off may refuse connections
+// in its place.
 var ErrNotListening = fmt.Errorf("%w: no listener", ErrNotSent)
 
 // RefusedError reports a call that the worker did not carry out.
--- a/coordination/shard/removal_test.go
+++ b/coordination/shard/removal_test.go
@@ -118,6 +118,9 @@
 				defer cancel()
 				go p.agent.Run(ctx)
 				p.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: &agentrpc.Life{Worker: "w", Born: 1}, Clock: 1, Sequence: 1})
+				// With a fencing token the agent asks the worker for its runs, of which there are none.
+				_, err := p.agent.Watch(ctx, &agentrpc.WatchRequest{Epoch: 1, Fence: 1})
+				s.c.Assert(err, qt.IsNil)
 				time.Sleep(time.Second)
 				p.agent.WorkerDeregistered("w")
 				w.leave()
@@ -146,7 +149,7 @@
 				s.worker = nil
 				s.startProcess("b", s.store)
 				time.Sleep(time.Second)
-				_, err := s.store.Commit(s.c.Context(), removals[0])
+				_, err = s.store.Commit(s.c.Context(), removals[0])
 				var conflict *table.ConflictError
 				s.c.Check(err, qt.ErrorAs, &conflict)
 				row, ok = s.targetRow("b")
--- a/coordination/shard/settings.go
+++ b/coordination/shard/settings.go
@@ -134,7 +134,8 @@
 type Agents interface {
 	// Agent returns a client of the agent at an address.
 	Agent(address string) agentrpc.DRPCAgentClient
-	// RefusesConnections reports whether an address certainly has no listener.
+	// RefusesConnections reports whether a connection to an address is refused. The process there
+	// may go on all the same.
 	RefusesConnections(ctx context.Context, address string) bool
 }
 
--- a/transport/agent/clients.go
+++ b/transport/agent/clients.go
@@ -54,8 +54,9 @@
 	return out, err
 }
 
-// RefusesConnections reports whether a connection attempt is refused, which proves that
-// nothing listens on the address. After any other failure it returns false.
+// RefusesConnections reports whether a connection attempt is refused. That does not prove that the
+// process has ended: whoever cuts it off may refuse connections in its place. After any other failure
+// RefusesConnections returns false.
 func (c *Clients) RefusesConnections(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
--- a/transport/agent/clients_test.go
+++ b/transport/agent/clients_test.go
@@ -246,8 +246,8 @@
 	})
 }
 
-// Guards against a take-over because of an address that may still be served: only a refused
-// connection proves that nothing listens.
+// Guards against a take-over at once because of an address that is only slow or unreachable for this
+// process: only a refused connection is a reason for that.
 func TestRefusesConnections(t *testing.T) {
 	tests := []struct {
 		name string
