Take no refused connections of a worker that goes on for its crash

What callers could see: a job that ends as failed after refused connections between workers and their agents, though no task of it crashes workers.

Cause: what the worker ran was noted at the first refused connection and reported as crashed when the next incarnation came, even if the worker had gone on for longer than its leases.

Change: a heartbeat that the worker has sent after the refusal, by its own clock, drops the note.

Evidence: the new case of TestCrashReports fails before; one with a late heartbeat guards the other side. A real crash is reported as before.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -116,8 +116,10 @@
 	capPassed    bool
 	lapseBy      time.Time // see awaitsLapseLocked; zero if the ends of all leases are known
 	failingSince time.Time // when the first hold since the last answer failed; zero if none has
-	notListening bool      // the worker's address has had no listener since the last answer
-	otherAnswers bool      // the last answer to a hold was that of another incarnation
+	notListening bool      // the worker's address has refused connections since the last answer
+	// refusedAt is the worker's clock when notListening was set, at the latest.
+	refusedAt    WorkerTime
+	otherAnswers bool // the last answer to a hold was that of another incarnation
 	// crashedRuns is what the worker may have run, as of when notListening was set.
 	crashedRuns []*agentrpc.CrashedRun
 }
--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -51,7 +51,8 @@
 }
 
 // recordFailedHoldLocked records a hold that got no answer. Watchers are notified if the
-// worker's address has no listener, so that nothing is placed there before it answers again.
+// worker's address has no listener, so that nothing is placed there before it answers again. That
+// ends no run: only the next incarnation, or the lapse of the leases, shows that the worker has ended.
 func (a *Agent) recordFailedHoldLocked(notListening bool) {
 	if a.state.failingSince.IsZero() {
 		a.state.failingSince = time.Now()
@@ -60,12 +61,22 @@
 		return
 	}
 	a.state.notListening, a.state.runsKnown = true, false
+	a.state.refusedAt = a.state.clock + WorkerTime(time.Since(a.state.answeredHoldSentAt).Milliseconds())
 	a.state.crashedRuns = a.runsAtCrashLocked()
 	a.log.Info().Int("Event", EventWorkerDown).Str("Worker", a.heartbeat.Incarnation.GetWorker()).
 		Int("Runs", len(a.state.crashedRuns)).Msg("the worker's address has no listener")
 	a.bumpRevisionLocked()
 }
 
+// recordSignOfLifeLocked records a heartbeat that the worker has sent at the given time on its clock.
+// If its address refused connections before that, the worker has not crashed then, and the tasks that
+// it ran are not suspected.
+func (a *Agent) recordSignOfLifeLocked(clock WorkerTime) {
+	if a.state.notListening && clock > a.state.refusedAt {
+		a.state.notListening, a.state.crashedRuns, a.state.failingSince = false, nil, time.Time{}
+	}
+}
+
 // runsAtCrashLocked returns what the worker may have run when its calls began to fail:
 // nothing if the leases have lapsed meanwhile, since the runs may have ended by that.
 func (a *Agent) runsAtCrashLocked() []*agentrpc.CrashedRun {
--- a/coordination/agent/crash_test.go
+++ b/coordination/agent/crash_test.go
@@ -38,6 +38,22 @@
 			time.Sleep(leaseMax + 3*time.Second)
 			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
 		}},
+		{name: "refuses connections until the leases have lapsed, and goes on", end: func(r *harness) {
+			r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+			for i := range uint64(10) {
+				time.Sleep(1500 * time.Millisecond)
+				r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: r.incarnation, Clock: r.worker.clock(), Sequence: 2 + i})
+			}
+		}},
+		{
+			name: "no listener, and a late heartbeat from before", end: func(r *harness) {
+				clock := r.worker.clock()
+				r.worker.withLock(func(w *fakeWorker) { w.notListening = true })
+				time.Sleep(2 * time.Second)
+				r.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: r.incarnation, Clock: clock, Sequence: 2})
+			},
+			runs: []*agentrpc.CrashedRun{{Task: "j.0.0.0", Run: 1, AgeMillis: 3000, Confirmed: true}},
+		},
 		{name: "run has ended", end: func(r *harness) {
 			r.worker.withLock(func(w *fakeWorker) {
 				w.running, w.ended = nil, []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
--- a/coordination/agent/registration.go
+++ b/coordination/agent/registration.go
@@ -187,6 +187,7 @@
 			Dur("Remaining", heartbeat.Remaining).Msg("worker is draining")
 	}
 	a.heartbeat, a.heartbeatReceivedAt = heartbeat, receivedAt
+	a.recordSignOfLifeLocked(heartbeat.Clock)
 	// An incarnation that drains does not become ready again. One that has only deregistered
 	// does: workers drain first, so that the notice was a late one of a former incarnation.
 	a.reportedDraining = a.reportedDraining || heartbeat.Draining
