Let the leaving worker of a test wait as it is asked

Cause: with the agent of TestRemovalIsVoidAfterNextStart holds a fencing token, so that it calls its worker again and again, and that answered at once: the clock of the bubble stood still and the test could hang. Before that the token was lost by chance if the watch came before the worker was registered, and the test failed.

Change: the worker waits as the call says, the watch comes after the registration, and the test waits for the call in progress.

--- a/coordination/shard/removal_test.go
+++ b/coordination/shard/removal_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -80,7 +81,8 @@
 	left bool
 }
 
-func (w *leavingWorker) Hold(context.Context, agent.HoldRequest) (agent.HoldReply, error) {
+func (w *leavingWorker) Hold(_ context.Context, r agent.HoldRequest) (agent.HoldReply, error) {
+	time.Sleep(r.Wait)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.left {
@@ -118,13 +120,15 @@
 				defer cancel()
 				go p.agent.Run(ctx)
 				p.agent.RecordHeartbeat(agent.WorkerHeartbeat{Incarnation: &agentrpc.Life{Worker: "w", Born: 1}, Clock: 1, Sequence: 1})
+				synctest.Wait()
 				// With a fencing token the agent asks the worker for its runs, of which there are none.
 				_, err := p.agent.Watch(ctx, &agentrpc.WatchRequest{Epoch: 1, Fence: 1})
 				s.c.Assert(err, qt.IsNil)
 				time.Sleep(time.Second)
 				p.agent.WorkerDeregistered("w")
 				w.leave()
-				time.Sleep(time.Second)
+				// The call in progress takes up to a second, the next one shows that the worker is gone.
+				time.Sleep(2 * time.Second)
 				s.c.Assert(p.agent.WorkerGone(), qt.IsTrue)
 
 				var removals []table.Tx
