Await the leases of an agent whose name moves to another address

What callers could see: a task is started elsewhere while it runs, up to 10 s before its lease ends, if a machine takes the place of one that is cut off, under its name.

Cause: a target is known by its name. An agent at another address that knows another worker, or none, counted as proof that the worker at the former address has ended.

Change: the planner doesn't listen to the agent at a new address before the leases have lapsed that the former one may extend.

Evidence: TestTargetMovesToAnotherAddress fails before, by 9.2 s in both cases, and passes now, within the bound on lapses.

--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -49,7 +49,7 @@
 		{
 			name: "a process with the former owner's name takes over at another address", formerOwnerReaches: true, within: lastLapseBound + time.Second,
 			changeOwner: func(s *testSite, oldTarget *fakeAgent) {
-				s.targets["c2"] = newFakeAgent("c2")
+				s.addTarget("c2")
 				for _, x := range []*fakeAgent{oldTarget, s.targets["c"]} {
 					x.update(func(x *fakeAgent) { x.unreachableFrom = s.ownerRow().Epoch + 1 })
 				}
@@ -59,7 +59,7 @@
 		{
 			name: "an agent with the former owner's name answers at another address", formerOwnerReaches: true, within: lastLapseBound + time.Second,
 			changeOwner: func(s *testSite, _ *fakeAgent) {
-				s.targets["c2"] = newFakeAgent("c2")
+				s.addTarget("c2")
 				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, "c", []byte(`{"Address":"c2"}`)))
 				s.c.Assert(err, qt.IsNil)
 				s.startProcess("b", s.store)
@@ -249,3 +249,36 @@
 		})
 	}
 }
+
+// Guards against a run that is started elsewhere while it runs, because an agent at another address
+// has taken the name of its target and knows another worker or none.
+func TestTargetMovesToAnotherAddress(t *testing.T) {
+	tests := []struct {
+		name   string
+		update func(x *fakeAgent) // the agent at the new address
+	}{
+		{"with another worker", func(*fakeAgent) {}},
+		{"without a worker", func(x *fakeAgent) { x.noWorker, x.workerSilence = true, time.Minute }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runSite(t, 3, func(s *testSite) {
+				_, oldTarget := s.startOwnerWithRun()
+				next := s.addTarget(oldTarget.name + "-next")
+				next.update(tt.update)
+				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, oldTarget.name, []byte(`{"Address":"`+next.name+`"}`)))
+				s.c.Assert(err, qt.IsNil)
+				movedAt := time.Now()
+				for time.Since(movedAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
+					time.Sleep(50 * time.Millisecond)
+				}
+				elapsed := time.Since(movedAt)
+				oldTarget.view(func(x *fakeAgent) {
+					clock, lease := time.Since(x.startedAt), time.Duration(x.leaseCap)*time.Millisecond
+					s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
+				})
+				s.c.Check(elapsed < lapseBound+time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %v", elapsed))
+			})
+		})
+	}
+}
--- a/coordination/shard/site_test.go
+++ b/coordination/shard/site_test.go
@@ -239,11 +239,24 @@
 	retention  time.Duration      // of the rows of ended jobs
 	clock      *table.Clock       // of the next process that is started; nil for one without an estimate
 	worker     agent.WorkerClient // of the agents in processes that are started; nil for none
-	mu         sync.Mutex         // guards refusing
+	mu         sync.Mutex         // guards refusing, and targets while processes run
 }
 
 // Agent implements shard.Agents.
-func (s *testSite) Agent(address string) agentrpc.DRPCAgentClient { return s.targets[address] }
+func (s *testSite) Agent(address string) agentrpc.DRPCAgentClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets[address]
+}
+
+// addTarget adds the agent of a further target, without a row.
+func (s *testSite) addTarget(address string) *fakeAgent {
+	a := newFakeAgent(address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets[address] = a
+	return a
+}
 
 // RefusesConnections implements shard.Agents.
 func (s *testSite) RefusesConnections(_ context.Context, address string) bool {
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -55,12 +56,17 @@
 			o.watches[r.Key] = w
 			o.goProtected(s.wg, "watch of "+w.name, func() { w.run(s.ctx) })
 		}
-		w.address, w.row = t.Address, rowPresent
+		w.setAddressLocked(t.Address)
+		w.row = rowPresent
 		o.mu.Unlock()
 		w.wakeUp()
 	}
 }
 
+// errFormerLeases reports an answer of an agent that has taken the name of another one, whose leases
+// may not have lapsed.
+var errFormerLeases = errors.New("leases may last that an agent at a former address of the target has extended")
+
 // watch polls the agent of one target.
 type watch struct {
 	o    *owner
@@ -68,22 +74,43 @@
 	wake chan struct{} // ends a pause early
 
 	// The owner's mutex guards the rest.
-	address      string
-	fence        int64
-	lastAnswerAt time.Time // when the last answer arrived; assumedLastAnswer before the first
-	answeredOnce bool      // this owner has had an answer from the target
-	connected    bool      // the last call was answered
-	callFailed   bool      // the last call failed or was refused
-	lastErr      error     // of the last call that failed
-	refusedBy    uint64    // epoch with which the agent refused that call; 0 if it did not
-	lapsed       bool      // the leases have lapsed since the last answer
-	silentLapsed bool      // the leases have lapsed while the agent answers and the worker does not
-	row          rowState
-	boot         uint64         // of the agent
-	incarnation  *agentrpc.Life // of the worker
-	recordedEnd  int64          // highest recorded end of the incarnation
-	leaseCap     int64          // on the worker's clock, in milliseconds
-	revision     uint64         // of the agent's state; 0 if none is known
+	address string
+	// formerLapseAt is when the leases that the agent at a former address may extend have certainly
+	// lapsed; zero if there was none.
+	formerLapseAt time.Time
+	fence         int64
+	lastAnswerAt  time.Time // when the last answer arrived; assumedLastAnswer before the first
+	answeredOnce  bool      // this owner has had an answer from the target
+	connected     bool      // the last call was answered
+	callFailed    bool      // the last call failed or was refused
+	lastErr       error     // of the last call that failed
+	refusedBy     uint64    // epoch with which the agent refused that call; 0 if it did not
+	lapsed        bool      // the leases have lapsed since the last answer
+	silentLapsed  bool      // the leases have lapsed while the agent answers and the worker does not
+	row           rowState
+	boot          uint64         // of the agent
+	incarnation   *agentrpc.Life // of the worker
+	recordedEnd   int64          // highest recorded end of the incarnation
+	leaseCap      int64          // on the worker's clock, in milliseconds
+	revision      uint64         // of the agent's state; 0 if none is known
+}
+
+// setAddressLocked sets the address of the target's agent. An agent at another address knows nothing
+// of what the former one has started or may still extend, so it is not listened to before that has
+// lapsed.
+func (w *watch) setAddressLocked(address string) {
+	if w.address != "" && w.address != address {
+		w.formerLapseAt = w.o.lastGrantLocked(w.lastAnswerAt).Add(lapseAfter(leaseSpan))
+	}
+	w.address = address
+}
+
+// awaitsFormerLapse reports whether the leases that the agent at a former address may extend have not
+// lapsed yet.
+func (w *watch) awaitsFormerLapse() bool {
+	w.o.mu.Lock()
+	defer w.o.mu.Unlock()
+	return time.Now().Before(w.formerLapseAt)
 }
 
 // assumedLastAnswer returns the time from which the silence of a target that has not
@@ -219,6 +246,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && w.awaitsFormerLapse() {
+			err = errFormerLeases
+		}
 		if err == nil && !reply.GetRefused() {
 			delay = watchRetryPause
 			w.handleReply(req.GetFence(), address, reply)
