--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -29,6 +29,7 @@
 		silence            time.Duration // of the target before the owner is cut off
 		changeOwner        func(s *testSite, oldTarget *fakeAgent)
 		formerOwnerReaches bool          // the former owner still reaches the run's target and extends its lease after it is cut off from the store
+		storeReachable     bool          // the former owner is not cut off from the store
 		within             time.Duration // after the owner is cut off
 	}{
 		{
@@ -44,6 +45,30 @@
 				s.startProcess("b", s.store)
 			},
 		},
+		// Only the successor can't reach the former owner, which learns from its next transaction that
+		// it has been replaced.
+		{
+			name: "connections to the former owner are refused in one direction", storeReachable: true, within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, _ *fakeAgent) {
+				s.setRefusing("c")
+				s.startProcess("b", s.store)
+			},
+		},
+		{
+			name: "the row of the former owner can't be decoded", formerOwnerReaches: true, within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, _ *fakeAgent) {
+				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableShard, shard.OwnerKey, []byte("{")))
+				s.c.Assert(err, qt.IsNil)
+				s.startProcess("b", s.store)
+			},
+		},
+		{
+			name: "calls of the former owner arrive late", within: lastLapseBound + time.Second,
+			changeOwner: func(s *testSite, oldTarget *fakeAgent) {
+				oldTarget.update(func(x *fakeAgent) { x.delay = 6 * time.Second })
+				s.startProcess("b", s.store)
+			},
+		},
 		// A machine that takes the place of the former owner's under the same name says nothing of
 		// the process at the former owner's address.
 		{
@@ -118,7 +143,7 @@
 						x.unreachable, x.unreachableFor = false, map[string]bool{"b": true, "a": tt.formerOwnerReaches}
 					})
 				}
-				ownerStore.setUnreachable(true)
+				ownerStore.setUnreachable(!tt.storeReachable)
 				cutAt := time.Now()
 				tt.changeOwner(s, oldTarget)
 				for time.Since(cutAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -11,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/medlargrade/medlargrade/coordination/pause"
 	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/process"
 )
@@ -47,7 +49,8 @@
 // cutOffPlanner cuts the process that plans off from the store and all other processes, and
 // returns the function that ends that. Connections to and from it are reset, and new ones to it are
 // refused. It keeps its connections to its own agent and to its worker, so that it can go on to
-// extend the leases there. In one variant of two it is also stopped for a part of the time.
+// extend the leases there. In one variant of three it is also stopped for a part of the time, and in
+// another one its successor is.
 func (s *site) cutOffPlanner(f fault) (end func()) {
 	m := s.busyPlanner()
 	if m == nil {
@@ -63,24 +66,43 @@
 			ends = append(ends, other.agent.Impose(linkFault{state: linkReset, affects: fromPlanner}))
 		}
 	}
-	if f.variant%2 == 1 {
-		// The stop begins while the process may still extend leases, and ends before the cut does.
-		stop := time.Duration(f.selector) * plannerStopWithin / maxSelector
-		resume := stop + f.duration/4
-		ends = append(ends, m.program.stopBetween(stop, resume))
+	// The stop begins while the process may still extend leases, and ends before the cut does.
+	stop := time.Duration(f.selector) * plannerStopWithin / maxSelector
+	length := f.duration / 4
+	switch f.variant % 3 {
+	case 1:
+		ends = append(ends, stopAfter(stop, length, func() *program { return m.program }))
+	case 2:
+		ends = append(ends, stopAfter(stop, length, func() *program {
+			if i := s.plannerIndex(); i >= 0 && s.targets[i] != m {
+				return s.targets[i].program
+			}
+			return nil
+		}))
 	}
 	return callAll(ends)
 }
 
-// stopBetween sends SIGSTOP to the process after the time from and SIGCONT after the time to. The
-// returned function ends that.
-func (p *program) stopBetween(from, to time.Duration) (end func()) {
-	stop := time.AfterFunc(from, func() { p.signal(syscall.SIGSTOP) })
-	resume := time.AfterFunc(to, func() { p.signal(syscall.SIGCONT) })
+// stopAfter sends SIGSTOP to a process after a delay, and SIGCONT after the given length of time or
+// when the returned function is called. selected returns the process when it is to be stopped, or nil
+// for none.
+func stopAfter(delay, length time.Duration, selected func() *program) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if !pause.For(ctx, delay) {
+			return
+		}
+		if p := selected(); p != nil {
+			p.signal(syscall.SIGSTOP)
+			pause.For(ctx, length)
+			p.signal(syscall.SIGCONT)
+		}
+	}()
 	return func() {
-		stop.Stop()
-		resume.Stop()
-		p.signal(syscall.SIGCONT)
+		cancel()
+		<-done
 	}
 }
 
