Show a job as cancelled once the planner has stopped it

What callers saw: a job was shown as cancelled and then as completed.

Cause: a lookup by the route API showed a job as cancelled as soon as the cancellation was recorded. In the trace the planner, whose feed was slow after a cut, recorded the end of the last task 416 ms after the cancellation, and learnt of the cancellation 147 ms after that.

Change: the state is the one that the planner has recorded, as for the callers' own API since. A job is queued or running until the planner has processed its cancellation.

Evidence: TestFinalStateStays fails before in the two cases in which the job ends otherwise.

--- a/coordination/intake/cancel_test.go
+++ b/coordination/intake/cancel_test.go
@@ -107,3 +107,38 @@
 		}
 	})
 }
+
+// Guards against a job that is shown as cancelled and then as completed: its last task may have ended
+// before the planner learns of the cancellation.
+func TestFinalStateStays(t *testing.T) {
+	tests := []struct {
+		name  string
+		ended job.State // as the planner records it after the cancellation
+	}{
+		{"the last task has ended before", job.Completed},
+		{"a task has failed before", job.Failed},
+		{"the planner has stopped the job", job.Cancelled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c, store := qt.New(t), tabletest.New()
+				s := New(store, "0", &table.Clock{}, metrics.NewSet(), zerolog.Nop())
+				defer s.Close()
+				j := job.Job{ID: "a", Kind: "k", Steps: []job.Step{{Tasks: 1}}}
+				c.Assert(s.Submit(t.Context(), j, admission.Demand{}, nil), qt.Equals, Result(Accepted{}))
+				c.Assert(s.Cancel(t.Context(), "a", Canceller{}, AnyJob), qt.IsNil)
+				before, err := s.State(t.Context(), "a", AnyJob)
+				c.Assert(err, qt.IsNil)
+				p := job.NewProgress(j, 0)
+				p.State = tt.ended
+				_, err = store.Commit(t.Context(), table.Tx{Part: "0"}.WithWrite(job.TableProgress, job.ProgressKey("a", 0), p.Encode()))
+				c.Assert(err, qt.IsNil)
+				after, err := s.State(t.Context(), "a", AnyJob)
+				c.Assert(err, qt.IsNil)
+				c.Check(after, qt.Equals, tt.ended)
+				c.Check(!before.Final() || before == after, qt.IsTrue, qt.Commentf("shown as %s and then as %s", before, after))
+			})
+		})
+	}
+}
--- a/coordination/intake/intake.go
+++ b/coordination/intake/intake.go
@@ -256,17 +256,14 @@
 	return n >= r.job.Occurrences()
 }
 
-// State returns the state of a job that the caller may access, or ErrNoJob. It reports a job that has not ended as
-// cancelled once its cancellation is recorded. Lookup and Cancel of Requests report it
-// as queued or running until the planner has processed the cancellation.
+// State returns the state of a job that the caller may access, or ErrNoJob. A job whose cancellation
+// is recorded is queued or running until the planner has processed that: its last task may have ended
+// before, and then the job is completed. A final state never changes.
 func (s *Service) State(ctx context.Context, id string, may Access) (job.State, error) {
 	rec, err := s.readJob(ctx, id)
 	if err == nil && !may(rec.job) {
 		return "", ErrNoJob
 	}
-	if rec.cancelled && !rec.state.Final() {
-		return job.Cancelled, err
-	}
 	return rec.state, err
 }
 
--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"os"
@@ -12,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/medlargrade/medlargrade/coordination/pause"
 	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/process"
 )
@@ -49,7 +47,7 @@
 // cutOffPlanner cuts the process that plans off from the store and all other processes, and
 // returns the function that ends that. Connections to and from it are reset, and new ones to it are
 // refused. It keeps its connections to its own agent and to its worker, so that it can go on to
-// extend the leases there. In one variant of three it is also stopped for a part of the time, and in
+// extend the leases there. In one variant of four it is also stopped for a part of the time, and in
 // another one its successor is.
 func (s *site) cutOffPlanner(f fault) (end func()) {
 	m := s.busyPlanner()
@@ -69,10 +67,10 @@
 	// The stop begins while the process may still extend leases, and ends before the cut does.
 	stop := time.Duration(f.selector) * plannerStopWithin / maxSelector
 	length := f.duration / 4
-	switch f.variant % 3 {
-	case 1:
-		ends = append(ends, stopAfter(stop, length, func() *program { return m.program }))
+	switch f.variant % 4 {
 	case 2:
+		ends = append(ends, stopAfter(stop, length, func() *program { return m.program }))
+	case 3:
 		ends = append(ends, stopAfter(stop, length, func() *program {
 			if i := s.plannerIndex(); i >= 0 && s.targets[i] != m {
 				return s.targets[i].program
@@ -87,21 +85,28 @@
 // when the returned function is called. selected returns the process when it is to be stopped, or nil
 // for none.
 func stopAfter(delay, length time.Duration, selected func() *program) (end func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	cancelled, done := make(chan struct{}), make(chan struct{})
+	wait := func(d time.Duration) bool {
+		select {
+		case <-time.After(d):
+			return true
+		case <-cancelled:
+			return false
+		}
+	}
 	go func() {
 		defer close(done)
-		if !pause.For(ctx, delay) {
+		if !wait(delay) {
 			return
 		}
 		if p := selected(); p != nil {
 			p.signal(syscall.SIGSTOP)
-			pause.For(ctx, length)
+			wait(length)
 			p.signal(syscall.SIGCONT)
 		}
 	}()
 	return func() {
-		cancel()
+		close(cancelled)
 		<-done
 	}
 }
