--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,7 +21,7 @@
 // Seed, length and callers of the run in CI in which the planner is cut off. There are twice as many
 // callers as usual, so that its worker has runs in most cases.
 const (
-	plannerCutSeed    = 12
+	plannerCutSeed    = 4
 	plannerCutLength  = 18 * time.Second
 	plannerCutCallers = 2 * DefaultCallers
 )
