--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -146,16 +146,9 @@
 				ownerStore.setUnreachable(!tt.storeReachable)
 				cutAt := time.Now()
 				tt.changeOwner(s, oldTarget)
-				for time.Since(cutAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
-					time.Sleep(50 * time.Millisecond)
-				}
+				lease := s.checkStartElsewhere(oldTarget)
 				elapsed := time.Since(cutAt)
-				oldTarget.view(func(x *fakeAgent) {
-					clock := time.Since(x.startedAt)
-					lease := time.Duration(x.leaseCap) * time.Millisecond
-					s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
-					s.c.Check(!tt.formerOwnerReaches || lease > cutAt.Sub(x.startedAt)+lapseBound, qt.IsTrue, qt.Commentf("the former owner did not extend the lease"))
-				})
+				s.c.Check(!tt.formerOwnerReaches || lease > cutAt.Sub(oldTarget.startedAt)+lapseBound, qt.IsTrue, qt.Commentf("the former owner did not extend the lease"))
 				s.c.Check(elapsed < tt.within, qt.IsTrue, qt.Commentf("started elsewhere after %v", elapsed))
 			})
 		})
@@ -181,6 +174,22 @@
 	return t
 }
 
+// checkStartElsewhere waits until a task is started on another target, and checks that the lease on
+// the given one has ended by then. It returns when that lease ends, on the worker's clock.
+func (s *testSite) checkStartElsewhere(oldTarget *fakeAgent) (lease time.Duration) {
+	s.c.Helper()
+	for begin := time.Now(); time.Since(begin) < time.Minute && s.startsExcept(oldTarget) == 0; {
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.c.Assert(s.startsExcept(oldTarget), qt.Equals, 1)
+	oldTarget.view(func(x *fakeAgent) {
+		clock := time.Since(x.startedAt)
+		lease = time.Duration(x.leaseCap) * time.Millisecond
+		s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
+	})
+	return lease
+}
+
 // startsExcept returns the number of starts on all targets but one.
 func (s *testSite) startsExcept(excluded *fakeAgent) int {
 	n := 0
@@ -219,17 +228,8 @@
 		ownerStore.setRefusing(false)
 		time.Sleep(100 * time.Millisecond)
 		ownerStore.setUnreachable(true)
-		cutAt := time.Now()
 		s.startProcess("b", s.store)
-		for time.Since(cutAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
-			time.Sleep(50 * time.Millisecond)
-		}
-		s.c.Assert(s.startsExcept(oldTarget), qt.Equals, 1)
-		oldTarget.view(func(x *fakeAgent) {
-			clock := time.Since(x.startedAt)
-			lease := time.Duration(x.leaseCap) * time.Millisecond
-			s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
-		})
+		s.checkStartElsewhere(oldTarget)
 	})
 }
 
@@ -259,17 +259,8 @@
 				s.clock = &table.Clock{}
 				s.clock.Observe(page.Now+tt.ahead, time.Now())
 				time.Sleep(time.Second)
-				cutAt := time.Now()
 				s.startProcess("b", s.store)
-				for time.Since(cutAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
-					time.Sleep(50 * time.Millisecond)
-				}
-				s.c.Assert(s.startsExcept(oldTarget), qt.Equals, 1)
-				oldTarget.view(func(x *fakeAgent) {
-					clock := time.Since(x.startedAt)
-					lease := time.Duration(x.leaseCap) * time.Millisecond
-					s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
-				})
+				s.checkStartElsewhere(oldTarget)
 			})
 		})
 	}
@@ -294,14 +285,8 @@
 				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, oldTarget.name, []byte(`{"Address":"`+next.name+`"}`)))
 				s.c.Assert(err, qt.IsNil)
 				movedAt := time.Now()
-				for time.Since(movedAt) < time.Minute && s.startsExcept(oldTarget) == 0 {
-					time.Sleep(50 * time.Millisecond)
-				}
+				s.checkStartElsewhere(oldTarget)
 				elapsed := time.Since(movedAt)
-				oldTarget.view(func(x *fakeAgent) {
-					clock, lease := time.Since(x.startedAt), time.Duration(x.leaseCap)*time.Millisecond
-					s.c.Check(clock > lease, qt.IsTrue, qt.Commentf("started elsewhere %v before the end of the lease", lease-clock))
-				})
 				s.c.Check(elapsed < lapseBound+time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %v", elapsed))
 			})
 		})
