Listen to an agent at a new address that has the same worker

A target process that is only given another port would lose its worker's runs by that, which nobody needs.

Change: an agent that answers for the worker that the planner knows, by ID and start, is listened to at once. busyPlanner of the soak is easier to read.

Measured: the new case of TestTargetMovesToAnotherAddress fails without the change and passes with it; the others pass as before.

--- a/coordination/shard/grants_test.go
+++ b/coordination/shard/grants_test.go
@@ -270,11 +270,13 @@
 // has taken the name of its target and knows another worker or none.
 func TestTargetMovesToAnotherAddress(t *testing.T) {
 	tests := []struct {
-		name   string
-		update func(x *fakeAgent) // the agent at the new address
+		name       string
+		update     func(x *fakeAgent) // the agent at the new address
+		sameWorker bool               // the worker and its runs are those of the former agent
 	}{
-		{"with another worker", func(*fakeAgent) {}},
-		{"without a worker", func(x *fakeAgent) { x.noWorker, x.workerSilence = true, time.Minute }},
+		{name: "with another worker", update: func(*fakeAgent) {}},
+		{name: "without a worker", update: func(x *fakeAgent) { x.noWorker, x.workerSilence = true, time.Minute }},
+		{name: "with the same worker", update: func(x *fakeAgent) { x.running["j1.0.0.0"] = 1 }, sameWorker: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -282,9 +284,17 @@
 				_, oldTarget := s.startOwnerWithRun()
 				next := s.addTarget(oldTarget.name + "-next")
 				next.update(tt.update)
+				if tt.sameWorker {
+					next.update(func(x *fakeAgent) { x.incarnation, x.startedAt = oldTarget.incarnation, oldTarget.startedAt })
+				}
 				_, err := s.store.Commit(s.c.Context(), table.Tx{Part: part}.WithWrite(shard.TableTargets, oldTarget.name, []byte(`{"Address":"`+next.name+`"}`)))
 				s.c.Assert(err, qt.IsNil)
 				movedAt := time.Now()
+				if tt.sameWorker {
+					time.Sleep(lapseBound + settleTime)
+					s.c.Check(s.startsExcept(oldTarget), qt.Equals, 0)
+					return
+				}
 				s.checkStartElsewhere(oldTarget)
 				elapsed := time.Since(movedAt)
 				s.c.Check(elapsed < lapseBound+time.Second, qt.IsTrue, qt.Commentf("started elsewhere after %v", elapsed))
--- a/coordination/shard/watch.go
+++ b/coordination/shard/watch.go
@@ -95,9 +95,9 @@
 	revision      uint64         // of the agent's state; 0 if none is known
 }
 
-// setAddressLocked sets the address of the target's agent. An agent at another address knows nothing
-// of what the former one has started or may still extend, so it is not listened to before that has
-// lapsed.
+// setAddressLocked sets the address of the target's agent. An agent at another address that has
+// another worker, or none, knows nothing of what the former one has started or may still extend, so it
+// is not listened to before that has lapsed.
 func (w *watch) setAddressLocked(address string) {
 	if w.address != "" && w.address != address {
 		w.formerLapseAt = w.o.lastGrantLocked(w.lastAnswerAt).Add(lapseAfter(leaseSpan))
@@ -105,12 +105,13 @@
 	w.address = address
 }
 
-// awaitsFormerLapse reports whether the leases that the agent at a former address may extend have not
-// lapsed yet.
-func (w *watch) awaitsFormerLapse() bool {
+// awaitsFormerLapse reports whether an answer comes from an agent at a new address that is not that of
+// the known worker, while leases may last that the agent at the former address has extended.
+func (w *watch) awaitsFormerLapse(reply *agentrpc.WatchReply) bool {
 	w.o.mu.Lock()
 	defer w.o.mu.Unlock()
-	return time.Now().Before(w.formerLapseAt)
+	sameWorker := agentrpc.SameLife(w.incarnation, reply.GetWorker().GetLife())
+	return time.Now().Before(w.formerLapseAt) && !sameWorker
 }
 
 // assumedLastAnswer returns the time from which the silence of a target that has not
@@ -246,7 +247,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && w.awaitsFormerLapse() {
+		if err == nil && w.awaitsFormerLapse(reply) {
 			err = errFormerLeases
 		}
 		if err == nil && !reply.GetRefused() {
--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -18,17 +18,15 @@
 // busyPlanner returns the machine of the process that plans, once its worker runs a task, or after
 // plannerBusyWait. It returns nil if no process plans.
 func (s *site) busyPlanner() *machine {
-	deadline := time.Now().Add(plannerBusyWait)
-	for {
-		i := s.plannerIndex()
-		if time.Now().After(deadline) || i >= 0 && len(s.workers[i].RunningTasks()) > 0 {
-			if i < 0 {
-				return nil
-			}
+	for deadline := time.Now().Add(plannerBusyWait); time.Now().Before(deadline); time.Sleep(plannerBusyPoll) {
+		if i := s.plannerIndex(); i >= 0 && len(s.workers[i].RunningTasks()) > 0 {
 			return s.targets[i]
 		}
-		time.Sleep(plannerBusyPoll)
 	}
+	if i := s.plannerIndex(); i >= 0 {
+		return s.targets[i]
+	}
+	return nil
 }
 
 // plannerIndex returns the index of the target whose process plans, by the store, or -1.
