Ask outside a link's lock whose connection it is

Cause: a link of the soak looked up the process behind each new connection while it held its lock, by splitting all lines of /proc/net/tcp.

Change: the lookup is made without the lock, and splits only the line of the connection.

--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -1,13 +1,12 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -145,21 +144,21 @@
 	if err != nil {
 		return "", false
 	}
-	for line := range strings.Lines(string(table)) {
-		// The fields are a number, the two ends as ADDRESS:PORT in hexadecimal digits, seven others
-		// and the inode.
-		const localField, remoteField, inodeField = 1, 2, 9
-		fields := strings.Fields(line)
-		if len(fields) > inodeField && hasPort(fields[localField], localAddr.Port) && hasPort(fields[remoteField], remoteAddr.Port) {
-			return fields[inodeField], true
-		}
+	// The fields of a line are a number, the two ends as ADDRESS:PORT in hexadecimal digits, seven
+	// others and the inode. The table may have thousands of lines, so that only one is split.
+	const loopback = "0100007F"
+	ends := fmt.Sprintf(" %s:%04X %s:%04X ", loopback, localAddr.Port, loopback, remoteAddr.Port)
+	_, rest, found := bytes.Cut(table, []byte(ends))
+	if !found {
+		return "", false
 	}
-	return "", false
+	const inodeField = 6 // after the two ends
+	fields := bytes.Fields(rest[:min(len(rest), maxTableLine)])
+	if len(fields) <= inodeField {
+		return "", false
+	}
+	return string(fields[inodeField]), true
 }
 
-// hasPort reports whether an end of a connection in /proc/net/tcp has a port.
-func hasPort(end string, port int) bool {
-	_, digits, _ := strings.Cut(end, ":")
-	n, err := strconv.ParseUint(digits, 16, 16)
-	return err == nil && int(n) == port
-}
+// maxTableLine is more than the length of a line of /proc/net/tcp.
+const maxTableLine = 256
--- a/soak/link.go
+++ b/soak/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -102,12 +104,14 @@
 // Impose starts a fault and returns the function that ends it.
 func (l *Link) Impose(f linkFault) (lift func()) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.faults[&f] = struct{}{}
-	for c := range l.conns {
-		c.addFault(&f)
-	}
+	open := slices.Collect(maps.Keys(l.conns))
 	l.faultsChangedLocked()
+	l.mu.Unlock()
+	// Connections that are accepted from now on look at the fault themselves.
+	for _, c := range open {
+		l.applyFault(c, &f)
+	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -199,9 +203,20 @@
 	}
 }
 
-func (c *linkConn) addFault(f *linkFault) {
-	if f.affects == nil || f.affects(c.client) {
-		c.faults[f] = struct{}{}
+// applyFault lets a fault affect a connection if it is to. It does not hold the lock while it asks for
+// that, since an answer may take some milliseconds.
+func (l *Link) applyFault(c *linkConn, f *linkFault) {
+	if f.affects != nil && !f.affects(c.client) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, imposed := l.faults[f]; !imposed {
+		return
+	}
+	c.faults[f] = struct{}{}
+	if c.state() >= linkReset {
+		c.reset()
 	}
 }
 
@@ -240,10 +255,11 @@
 	c := &linkConn{client: client, faults: make(map[*linkFault]struct{}), done: make(chan struct{})}
 	l.mu.Lock()
 	l.conns[c] = struct{}{}
-	for f := range l.faults {
-		c.addFault(f)
-	}
+	faults := slices.Collect(maps.Keys(l.faults))
 	l.mu.Unlock()
+	for _, f := range faults {
+		l.applyFault(c, f)
+	}
 	defer func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
