Let a bubble outlast the store's last transaction

Cause: the stand-in store carries out a transaction that it has received also if its client has gone, which takes 5 ms.

Change: the bubble ends a second later.

--- a/process/path_test.go
+++ b/process/path_test.go
@@ -67,6 +67,9 @@
 func runPathSite(t *testing.T, admission bool, f func(s *pathSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
+		// The store carries out a transaction that it has received also if the client has gone, which
+		// takes some milliseconds. The bubble must not end before that.
+		t.Cleanup(func() { time.Sleep(time.Second) })
 		s := &pathSite{t: t, admission: admission, store: platform.New(platform.Settings{}, zerolog.Nop())}
 		s.workers = worker.NewSite(func(id string) (job.Job, bool) { return s.store.Job(process.ShardPart, id) })
 		s.store.Put("op", "config", []byte(pathConfig))
