--- a/matrix/history_test.go
+++ b/matrix/history_test.go
@@ -53,8 +53,7 @@
 	Began       time.Time // the work began; zero if it never did
 	End         time.Time // zero if it had not ended
 	EndReason   string
-	// VoidAt is when the lease lapsed or the incarnation ended while the worker still
-	// listed the end of the run; zero if neither happened.
+	// VoidAt is worker.Record.Void.
 	VoidAt time.Time
 	// CrashesWorker, Excess and CapacityAge are as in worker.Record.
 	CrashesWorker, Excess bool
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -204,7 +204,7 @@
 	delete(w.incarnation.runs, r.task)
 	if how != EndCrashed {
 		w.incarnation.lastEnd++
-		w.incarnation.listedEnds = append(w.incarnation.listedEnds, runEnd{w.incarnation.lastEnd, r, how})
+		w.incarnation.listedEnds = append(w.incarnation.listedEnds, runEnd{number: w.incarnation.lastEnd, run: r, how: how})
 		w.incarnation.lastRun[r.task] = max(w.incarnation.lastRun[r.task], r.number)
 		w.notifyEndsLocked()
 	}
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -44,7 +44,8 @@
 	CapacityAge time.Duration
 	// Void is when the end became void: the lease expired or the incarnation ended
 	// while the end was still listed. From then on the task may be run again. Zero if
-	// neither happened.
+	// neither happened. If calls that were carried out late have extended the lease from
+	// then, which no planner knows, Void is when it would have expired without that.
 	Void time.Time
 }
 
