--- a/soak/faults.go
+++ b/soak/faults.go
@@ -86,6 +86,14 @@
 	// plannerStopWithin is the time from the start of a cut within which the planner is stopped, in
 	// the variant that does so.
 	plannerStopWithin = 6 * time.Second
+	// In the variant in which the planner is killed, the cut is longer, so that it ends after the runs
+	// of its worker are given up and before the leases lapse that late calls have extended.
+	// plannerLateShare of its calls to its worker are late, by
+	// plannerLateMin to lateMax, for plannerLateTime from the start of the cut on.
+	plannerLateShare   = 0.7
+	plannerLateMin     = 7 * time.Second
+	plannerLateTime    = 3 * time.Second
+	plannerKilledExtra = 4 * time.Second
 	// A cut begins when the planner's worker runs a task, or after plannerBusyWait.
 	plannerBusyWait = 3 * time.Second
 	plannerBusyPoll = 10 * time.Millisecond
@@ -100,6 +108,16 @@
 	return rand.New(rand.NewPCG(seed, stream)) //nolint:gosec // reproducible draws
 }
 
+// The variants of a cut of the planner: it is killed behind the cut, nothing else happens, it is stopped
+// for a while, or its successor is.
+const (
+	variantKilled = iota
+	variantPlain
+	variantStopped
+	variantSuccessorStopped
+	plannerCutVariants
+)
+
 // plannerCutStream is the stream of a seed from which cuts of the planner are drawn. They have one
 // of their own, so that the other faults of a seed stay the same. Callers use the lower streams.
 const plannerCutStream = 1 << 32
@@ -131,10 +149,14 @@
 }
 
 func drawPlannerCut(r *rand.Rand, at time.Duration) fault {
-	return fault{
+	f := fault{
 		at: at, duration: randDuration(r, plannerCutMin, plannerCutMax), kind: faultPlannerCut,
 		selector: r.IntN(maxSelector), variant: r.IntN(maxSelector),
 	}
+	if f.variant%plannerCutVariants == variantKilled {
+		f.duration += plannerKilledExtra
+	}
+	return f
 }
 
 // drawFaults draws the faults of a run but for cuts of the planner, and returns them in the order of
--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -12,6 +12,7 @@
 
 	"github.com/medlargrade/medlargrade/coordination/shard"
 	"github.com/medlargrade/medlargrade/process"
+	"github.com/medlargrade/medlargrade/standin/worker"
 )
 
 // busyPlanner returns the machine of the process that plans, once its worker runs a task, or after
@@ -44,8 +45,9 @@
 // cutOffPlanner cuts the process that plans off from the store and all other processes, and
 // returns the function that ends that. Connections to and from it are reset, and new ones to it are
 // refused. It keeps its connections to its own agent and to its worker, so that it can go on to
-// extend the leases there. In one variant of four it is also stopped for a part of the time, and in
-// another one its successor is.
+// extend the leases there. In one variant of four it is also stopped for a part of the time, in
+// another one its successor is, and in a third one it is killed and started again behind the cut, while
+// calls of its first seconds to its worker are still carried out.
 func (s *site) cutOffPlanner(f fault) (end func()) {
 	m := s.busyPlanner()
 	if m == nil {
@@ -64,10 +66,12 @@
 	// The stop begins while the process may still extend leases, and ends before the cut does.
 	stop := time.Duration(f.selector) * plannerStopWithin / maxSelector
 	length := f.duration / 4
-	switch f.variant % 4 {
-	case 2:
+	switch f.variant % plannerCutVariants {
+	case variantKilled:
+		ends = append(ends, s.killAfterLateCalls(m, stop))
+	case variantStopped:
 		ends = append(ends, stopAfter(stop, length, func() *program { return m.program }))
-	case 3:
+	case variantSuccessorStopped:
 		ends = append(ends, stopAfter(stop, length, func() *program {
 			if i := s.plannerIndex(); i >= 0 && s.targets[i] != m {
 				return s.targets[i].program
@@ -78,6 +82,41 @@
 	return callAll(ends)
 }
 
+// killAfterLateCalls makes the calls of a target to its worker late for a while, with leases that count
+// from their execution, and kills the target's process after that and at least the given delay. The
+// process starts again at once. The returned function ends the late calls if they have not ended.
+func (s *site) killAfterLateCalls(m *machine, delay time.Duration) (end func()) {
+	w := s.workers[slices.Index(s.targets, m)]
+	w.SetFaults(worker.Faults{
+		LateShare: plannerLateShare, LateMillis: plannerLateMin.Milliseconds(), LateMaxMillis: lateMax.Milliseconds(), LateHolds: true, LeaseFromArrival: true,
+	})
+	endLate := afterDelay(plannerLateTime, func() { w.SetFaults(worker.Faults{}) })
+	endKill := afterDelay(max(delay, plannerLateTime), func() { m.program.signal(syscall.SIGKILL) })
+	return func() {
+		endKill()
+		if !endLate() {
+			w.SetFaults(worker.Faults{})
+		}
+	}
+}
+
+// afterDelay calls f after a delay, unless the returned function is called before. That function
+// waits for f if it has been called, and reports whether it has.
+func afterDelay(delay time.Duration, f func()) (stop func() (called bool)) {
+	done := make(chan struct{})
+	t := time.AfterFunc(delay, func() {
+		defer close(done)
+		f()
+	})
+	return func() bool {
+		if t.Stop() {
+			return false
+		}
+		<-done
+		return true
+	}
+}
+
 // stopAfter sends SIGSTOP to a process after a delay, and SIGCONT after the given length of time or
 // when the returned function is called. selected returns the process when it is to be stopped, or nil
 // for none.
