--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,10 +18,9 @@
 	shortSeed   = 7
 )
 
-// Seed, length and callers of the run in CI in which the planner is cut off. There are twice as many
+// Length and callers of the runs in CI in which the planner is cut off. There are twice as many
 // callers as usual, so that its worker has runs in most cases.
 const (
-	plannerCutSeed    = 4
 	plannerCutLength  = 18 * time.Second
 	plannerCutCallers = 2 * DefaultCallers
 )
@@ -66,10 +65,22 @@
 	runSeed(t, buildBinary(t), shortSeed, shortLength)
 }
 
-// Guards against a planner that is taken for ended because its address refuses connections, while it
-// goes on beside its worker and extends the leases there: tasks that are done are done again.
+// Guards against tasks that are done again after their planner was cut off from all other processes,
+// while it went on beside its worker or was restarted there.
 func TestPlannerIsCutOff(t *testing.T) {
-	runConfig(t, Config{Binary: buildBinary(t), Seed: plannerCutSeed, Length: plannerCutLength, Callers: plannerCutCallers, PlannerCuts: true})
+	tests := []struct {
+		name string
+		seed uint64
+	}{
+		{name: "its address refuses connections, and it counts as ended", seed: 4},
+		{name: "its next process does not know which of its calls may have extended leases", seed: 701},
+	}
+	binary := buildBinary(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			runConfig(t, Config{Binary: binary, Seed: tt.seed, Length: plannerCutLength, Callers: plannerCutCallers, PlannerCuts: true})
+		})
+	}
 }
 
 // Guards against failures that earlier runs found. Only the newest regression runs
