Keep no room for urgent work while half of the service is not in use

Cause: a unit waits for adaptive room for 1.5 s at most while half of the accelerators are available. Both were counted on the workers that accept work: 259 of 520 on 65 workers in the trace, one too few. The service has 69 workers and 552 accelerators, of which 261 were in use, less than half.

Change: the wait also ends if at most half of the accelerators of all workers of the pool are in use.

Measured: TestRoomIsNotKeptOnHalfIdleService fails in its two cases with a worker that accepts no work, on the code before.

--- a/coordination/planner/contention.go
+++ b/coordination/planner/contention.go
@@ -156,7 +156,7 @@
 	// stop: it frees its capacity soon by itself.
 	cheapRunTime = 1500 * time.Millisecond
 	// idleSiteWait is how long a unit waits for room while half of the accelerators are
-	// available. It is half of the 3 s for which a job may wait while less than half of the
+	// available, or not in use. It is half of the 3 s for which a job may wait while less than half of the
 	// capacity is in use.
 	idleSiteWait = 1500 * time.Millisecond
 )
@@ -173,7 +173,7 @@
 	}
 	free := p.freeFor(u, s)
 	site := p.roomOf(u, s, now)
-	if free.total >= site.site.Total.Accelerators/2 && now.Sub(u.waitingSince) >= idleSiteWait {
+	if now.Sub(u.waitingSince) >= idleSiteWait && (free.total >= site.site.Total.Accelerators/2 || p.isHalfIdle(u)) {
 		return false
 	}
 	room := site.costly
@@ -187,6 +187,21 @@
 	return !p.isGuaranteed(u)
 }
 
+// isHalfIdle reports whether at most half of the accelerators are in use of all workers that meet the
+// requirement of a unit, whether or not they accept work now. The capacity of a service includes
+// workers that drain, are paused or can't be reached, so that half of it is more than half of what
+// the others have.
+func (p *Planner) isHalfIdle(u unit) bool {
+	used, total := 0, 0
+	for _, t := range p.sortedTargets {
+		if p.meetsRequirement(t, u) {
+			used += t.used.accelerators
+			total += t.capacity.accelerators
+		}
+	}
+	return 2*used <= total
+}
+
 // freeCapacity is what is available on a set of targets.
 type freeCapacity struct {
 	total   int // accelerators
--- a/coordination/planner/contention_test.go
+++ b/coordination/planner/contention_test.go
@@ -111,3 +111,59 @@
 		})
 	}
 }
+
+// Guards against work that waits for room kept free for urgent work for longer than a job may have
+// nothing at work while less than half of a service's capacity is in use: workers that accept no work
+// are a part of that capacity.
+func TestRoomIsNotKeptOnHalfIdleService(t *testing.T) {
+	const bound = 3 * time.Second
+	tests := []struct {
+		name   string
+		reject func(h *harness, target string) // makes a target accept no work
+		used   int                             // accelerators, of the 40 that accept work
+		want   bool
+	}{
+		{name: "all accept work, under half in use", used: 19, want: true},
+		{name: "all accept work, more than half in use", used: 21},
+		{name: "one drains, under half in use", reject: func(h *harness, name string) { h.workers[name].worker.Draining = true }, used: 23, want: true},
+		{name: "one can't be reached, under half in use", reject: func(h *harness, name string) { h.p.SetConnected(name, false) }, used: 23, want: true},
+		{name: "one drains, more than half in use", reject: func(h *harness, name string) { h.workers[name].worker.Draining = true }, used: 25},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			workers := 5
+			if tt.reject != nil {
+				workers++
+			}
+			h := newHarness(t, workers)
+			h.p.settings.Policy.AdaptiveRoom = true
+			h.addJob(newJob("first", "fill", job.Step{Tasks: 1, EstimateMillis: 1}))
+			h.finishTask("first.0.0.0")
+			for i := range 6 {
+				h.playUrgentGang(fmt.Sprintf("u%d", i))
+			}
+			reporting := h.names
+			if tt.reject != nil {
+				last := h.names[len(h.names)-1]
+				tt.reject(h, last)
+				h.report(last)
+				tt.reject(h, last)
+				reporting = h.names[:len(h.names)-1]
+			}
+			wait := func() {
+				for range int(bound / time.Second) {
+					h.now = h.now.Add(time.Second)
+					h.report(reporting...)
+					h.runPass()
+				}
+			}
+			// Lasting work does not wait for room.
+			h.addJob(newJob("lasting", "long", job.Step{Tasks: tt.used, Accelerators: 1, EstimateMillis: 60_000, LongRunning: true}))
+			wait()
+			qt.Assert(t, h.startsOf(fmt.Sprintf("lasting.0.0.%d", tt.used-1)), qt.Equals, 1)
+			h.addJob(newJob("long", "fill", job.Step{Tasks: 1, Accelerators: 1, EstimateMillis: 20_000}))
+			wait()
+			qt.Check(t, h.startsOf("long.0.0.0") == 1, qt.Equals, tt.want)
+		})
+	}
+}
