Await a late call of the wait for a lapse also if the planner changes meanwhile

Cause: if a hold that was in progress when the agent began to await the lapse gets no answer, the wait is extended, but a new planner's fencing token settled that call and left the end of the wait as it was. The call may have extended the lease until the token was confirmed.

Change: the wait begins anew then. Comments of the room on a half idle service are reflowed.

--- a/coordination/agent/lapse.go
+++ b/coordination/agent/lapse.go
@@ -57,7 +57,7 @@
 // that has passed, the leases must lapse before anything is done with the lists of the worker.
 func (a *Agent) settleGrantsLocked(clock WorkerTime) {
 	uncertain := a.hasUncertainGrantLocked()
-	outlived := uncertain && (a.state.capPassed || a.state.leaseCap != 0 && clock >= a.state.leaseCap)
+	outlived := uncertain && (a.state.capPassed || a.state.leaseCap != 0 && clock >= a.state.leaseCap || a.awaitsLapseLocked())
 	a.state.uncertainEnds = a.state.uncertainEnds || uncertain || a.mayFollowGrant()
 	lapseBy := time.Now().Add(a.lapseTime())
 	if latest := a.state.unansweredGrantAt.Add(maxCallDelay + a.lapseTime()); latest.Before(lapseBy) {
--- a/coordination/agent/lapse_test.go
+++ b/coordination/agent/lapse_test.go
@@ -88,6 +88,7 @@
 		ended     bool          // the worker lists an end by then
 		awaits    bool          // the planner asks for the lapse
 		lost      time.Duration // the worker answers nothing for so long after the planner asks
+		changes   bool          // another planner takes up contact after that
 		uncertain bool
 		waits     time.Duration // at least; 0 for not at all
 	}{
@@ -96,6 +97,7 @@
 		{name: "the worker lists no end", awaits: true},
 		{name: "the agent is so old that a lease from before it has lapsed", age: latest + lapse + time.Second, ended: true, awaits: true},
 		{name: "a call in progress gets no answer", ended: true, awaits: true, lost: 3 * time.Second, uncertain: true, waits: latest + lapse - time.Second},
+		{name: "a call in progress gets no answer, and the planner changes", ended: true, awaits: true, lost: 3 * time.Second, changes: true, uncertain: true, waits: 3*time.Second + lapse},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -106,9 +108,10 @@
 						w.ended = []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
 					})
 				}
+				epoch := uint64(2)
 				watch := func(awaits bool) *agentrpc.WatchReply {
 					return r.watch(&agentrpc.WatchRequest{
-						Epoch: 2, Fence: 1 << 20, Planner: "target-2", Life: r.incarnation, AwaitLapse: awaits,
+						Epoch: epoch, Fence: int64(epoch) << 20, Planner: "target-2", Life: r.incarnation, AwaitLapse: awaits,
 						LeaseCapMillis: int64(r.worker.clock()) + leaseMax.Milliseconds(),
 					})
 				}
@@ -126,6 +129,9 @@
 				watch(tt.awaits)
 				time.Sleep(tt.lost)
 				r.worker.withLock(func(w *fakeWorker) { w.unresponsive, w.holds = false, nil })
+				if tt.changes {
+					epoch++
+				}
 				synctest.Wait()
 				out := watch(tt.awaits)
 				for !out.GetListed() && time.Since(begin) < time.Minute {
--- a/coordination/planner/contention.go
+++ b/coordination/planner/contention.go
@@ -156,8 +156,8 @@
 	// stop: it frees its capacity soon by itself.
 	cheapRunTime = 1500 * time.Millisecond
 	// idleSiteWait is how long a unit waits for room while half of the accelerators are
-	// available, or not in use. It is half of the 3 s for which a job may wait while less than half of the
-	// capacity is in use.
+	// available, or not in use. It is half of the 3 s for which a job may wait while less
+	// than half of the capacity is in use.
 	idleSiteWait = 1500 * time.Millisecond
 )
 
@@ -187,10 +187,9 @@
 	return !p.isGuaranteed(u)
 }
 
-// isHalfIdle reports whether at most half of the accelerators are in use of all workers that meet the
-// requirement of a unit, whether or not they accept work now. The capacity of a service includes
-// workers that drain, are paused or can't be reached, so that half of it is more than half of what
-// the others have.
+// isHalfIdle reports whether at most half of the accelerators of all workers that meet the requirement
+// of a unit are in use. Workers that drain, are paused or can't be reached are a part of the capacity
+// of a service, although nothing is started on them.
 func (p *Planner) isHalfIdle(u unit) bool {
 	used, total := 0, 0
 	for _, t := range p.sortedTargets {
--- a/coordination/planner/contention_test.go
+++ b/coordination/planner/contention_test.go
@@ -147,7 +147,7 @@
 				last := h.names[len(h.names)-1]
 				tt.reject(h, last)
 				h.report(last)
-				tt.reject(h, last)
+				tt.reject(h, last) // again, since the report has connected the target
 				reporting = h.names[:len(h.names)-1]
 			}
 			wait := func() {
