Test the late calls of a silent worker, too

If a worker is silent for longer than a lease while its agent is in contact, its runs are given up before the lease cap has passed, as workers of the platform grant 6 s and the cap allows 10 s. The end of such a run was acknowledged at once.

Change: TestUncertainEnds has the case.

--- a/coordination/agent/lapse_test.go
+++ b/coordination/agent/lapse_test.go
@@ -85,6 +85,7 @@
 	tests := []struct {
 		name      string
 		age       time.Duration // of the agent when a planner takes up contact
+		silent    bool          // another planner was in contact by then, and the worker was silent
 		ended     bool          // the worker lists an end by then
 		awaits    bool          // the planner asks for the lapse
 		lost      time.Duration // the worker answers nothing for so long after the planner asks
@@ -96,6 +97,7 @@
 		{name: "the planner has given up no such run", ended: true, uncertain: true},
 		{name: "the worker lists no end", awaits: true},
 		{name: "the agent is so old that a lease from before it has lapsed", age: latest + lapse + time.Second, ended: true, awaits: true},
+		{name: "the agent is as old, and a call of its own got no answer", age: latest + lapse + time.Second, silent: true, ended: true, awaits: true, uncertain: true, waits: lapse},
 		{name: "a call in progress gets no answer", ended: true, awaits: true, lost: 3 * time.Second, uncertain: true, waits: latest + lapse - time.Second},
 		{name: "a call in progress gets no answer, and the planner changes", ended: true, awaits: true, lost: 3 * time.Second, changes: true, uncertain: true, waits: 3*time.Second + lapse},
 	}
@@ -103,6 +105,17 @@
 		t.Run(tt.name, func(t *testing.T) {
 			withAgent(t, func(r *harness) {
 				time.Sleep(tt.age)
+				if tt.silent {
+					extend := func() {
+						r.watch(&agentrpc.WatchRequest{LeaseCapMillis: int64(r.worker.clock()) + leaseMax.Milliseconds()})
+					}
+					extend()
+					time.Sleep(time.Second)
+					r.worker.withLock(func(w *fakeWorker) { w.unresponsive = true })
+					extend()
+					time.Sleep(3 * time.Second)
+					r.worker.withLock(func(w *fakeWorker) { w.unresponsive = false })
+				}
 				if tt.ended {
 					r.worker.withLock(func(w *fakeWorker) {
 						w.ended = []*agentrpc.RunEnd{{Number: 1, Task: "j.0.0.0", Run: 1, How: "done"}}
