--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -162,6 +162,7 @@
 	}
 	a.state.running, a.state.ended = reply.Running, reply.Ended
 	if listedEnds == 0 {
+		// Later ends come after the fencing token that makes earlier calls ineffective.
 		a.state.uncertainEnds = false
 	}
 	a.state.recordRunsLocked(reply.Running, sent)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -86,10 +86,10 @@
 	// plannerStopWithin is the time from the start of a cut within which the planner is stopped, in
 	// the variant that does so.
 	plannerStopWithin = 6 * time.Second
-	// In the variant in which the planner is killed, the cut is longer, so that it ends after the runs
-	// of its worker are given up and before the leases lapse that late calls have extended.
-	// plannerLateShare of its calls to its worker are late, by
-	// plannerLateMin to lateMax, for plannerLateTime from the start of the cut on.
+	// In the variant in which the planner is killed, plannerLateShare of its calls to its worker are
+	// late, by plannerLateMin to lateMax, for plannerLateTime from the start of the cut on. The cut is
+	// longer by plannerKilledExtra, so that it ends after the runs of its worker are given up and before
+	// the leases lapse that late calls have extended.
 	plannerLateShare   = 0.7
 	plannerLateMin     = 7 * time.Second
 	plannerLateTime    = 3 * time.Second
--- a/soak/isolate.go
+++ b/soak/isolate.go
@@ -84,36 +84,32 @@
 
 // killAfterLateCalls makes the calls of a target to its worker late for a while, with leases that count
 // from their execution, and kills the target's process after that and at least the given delay. The
-// process starts again at once. The returned function ends the late calls if they have not ended.
+// process starts again at once. The returned function ends both.
 func (s *site) killAfterLateCalls(m *machine, delay time.Duration) (end func()) {
 	w := s.workers[slices.Index(s.targets, m)]
 	w.SetFaults(worker.Faults{
 		LateShare: plannerLateShare, LateMillis: plannerLateMin.Milliseconds(), LateMaxMillis: lateMax.Milliseconds(), LateHolds: true, LeaseFromArrival: true,
 	})
-	endLate := afterDelay(plannerLateTime, func() { w.SetFaults(worker.Faults{}) })
-	endKill := afterDelay(max(delay, plannerLateTime), func() { m.program.signal(syscall.SIGKILL) })
-	return func() {
-		endKill()
-		if !endLate() {
-			w.SetFaults(worker.Faults{})
-		}
-	}
+	endLate := func() { w.SetFaults(worker.Faults{}) }
+	return callAll([]func(){
+		afterDelay(plannerLateTime, endLate),
+		afterDelay(max(delay, plannerLateTime), func() { m.program.signal(syscall.SIGKILL) }),
+		endLate,
+	})
 }
 
 // afterDelay calls f after a delay, unless the returned function is called before. That function
-// waits for f if it has been called, and reports whether it has.
-func afterDelay(delay time.Duration, f func()) (stop func() (called bool)) {
+// waits for f if it has been called.
+func afterDelay(delay time.Duration, f func()) (stop func()) {
 	done := make(chan struct{})
 	t := time.AfterFunc(delay, func() {
 		defer close(done)
 		f()
 	})
-	return func() bool {
-		if t.Stop() {
-			return false
+	return func() {
+		if !t.Stop() {
+			<-done
 		}
-		<-done
-		return true
 	}
 }
 
