Take a start that the next incarnation answers for no run of the former one

What callers saw: a gang is reported as failed after one crash of a worker under it.

Cause: a worker restarts under its ID when a run is started, and the start reaches the next incarnation. The agent, which did not know of the restart yet, recorded the run as running in the former one and reported it with that one's crash. The next crash soon after the start was the second, for which a job is given up.

Change: the answer has the worker's clock, which begins anew. If it is behind the last known one by more than a call lasts, the run is not recorded for the former incarnation.

Ruled out: to leave out the runs of a crash that the next incarnation lists. A run that has crashed the former incarnation may have been started again in the next one.

Measured on x86-64: TestStartInNextIncarnationIsNoCrash fails on the code before.

--- a/coordination/agent/crash_test.go
+++ b/coordination/agent/crash_test.go
@@ -128,3 +128,41 @@
 		r.c.Check(reply.GetListed(), qt.IsTrue)
 	})
 }
+
+// Guards against a sound task that is given up because its worker crashed before it began: the start
+// reaches the next incarnation, which has the same ID, and counts as running in the former one.
+func TestStartInNextIncarnationIsNoCrash(t *testing.T) {
+	tests := []struct {
+		name string
+		next bool // the worker restarts before the start arrives
+		runs int  // reported with the crash
+	}{
+		{name: "started before the worker restarts", runs: 1},
+		{name: "started after the worker has restarted", next: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			withAgent(t, func(r *harness) {
+				r.watch(&agentrpc.WatchRequest{LeaseCapMillis: int64(r.worker.clock()) + leaseMax.Milliseconds()})
+				time.Sleep(5 * time.Second)
+				r.watch(&agentrpc.WatchRequest{LeaseCapMillis: int64(r.worker.clock()) + leaseMax.Milliseconds()})
+				restart := func() {
+					r.worker.withLock(func(w *fakeWorker) { w.start, w.born = time.Now(), w.born+1 })
+				}
+				if tt.next {
+					restart()
+				}
+				r.c.Assert(r.startRun().GetOutcome(), qt.Equals, agentrpc.Outcome_DONE)
+				if !tt.next {
+					restart()
+				}
+				next := &agentrpc.Life{Worker: "w-1", Born: r.worker.born}
+				r.restart(next)
+				time.Sleep(3 * time.Second)
+				out := r.watch(&agentrpc.WatchRequest{Epoch: 1, Fence: 1, Planner: "target-2", Life: next})
+				r.c.Assert(out.GetCrashes(), qt.HasLen, 1)
+				r.c.Check(out.GetCrashes()[0].GetRuns(), qt.HasLen, tt.runs)
+			})
+		})
+	}
+}
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -103,10 +103,12 @@
 		Checkpoint: s.GetCheckpoint(), Ticket: s.GetTicket(), Until: until,
 	}
 	allAnswered, sent := true, false
+	var clock WorkerTime // in the last answer
 	res := a.callWithRetry(ctx, in, func(ctx context.Context) (WorkerTime, error) {
 		sentAt := time.Now()
 		a.recordGrantSent(in.GetLife())
-		clock, err := a.worker.Start(ctx, r)
+		var err error
+		clock, err = a.worker.Start(ctx, r)
 		if err != nil {
 			a.recordUnansweredStart(in.GetLife(), r.Fence, sentAt, err)
 		}
@@ -126,17 +128,21 @@
 		res.Outcome = agentrpc.Outcome_UNKNOWN
 	}
 	if res.GetOutcome() != agentrpc.Outcome_UNKNOWN {
-		a.recordOutcome(in.GetLife(), key, res.GetOutcome())
+		a.recordOutcome(in.GetLife(), key, res.GetOutcome(), clock)
 	}
 	return res
 }
 
-// recordOutcome records the known outcome of a start.
-func (a *Agent) recordOutcome(inc *agentrpc.Life, key runKey, outcome agentrpc.Outcome) {
+// recordOutcome records the known outcome of a start on an incarnation, with the worker's clock in the
+// answer. The next incarnation, which may have the same ID, answers with a clock that began anew: the
+// run is one of its own then, and has no part in the end of the former one.
+func (a *Agent) recordOutcome(inc *agentrpc.Life, key runKey, outcome agentrpc.Outcome, clock WorkerTime) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.state.unknownStarts, key)
-	if outcome == agentrpc.Outcome_DONE && agentrpc.SameLife(a.heartbeat.Incarnation, inc) {
+	// Answers on different connections overtake each other, but none that is used is older than a call lasts.
+	fromNext := clock+WorkerTime(callTimeout.Milliseconds()) < a.state.clock
+	if outcome == agentrpc.Outcome_DONE && agentrpc.SameLife(a.heartbeat.Incarnation, inc) && !fromNext {
 		a.state.recordStartLocked(key)
 	}
 }
