--- a/review/site3/cases.go
+++ b/review/site3/cases.go
@@ -18,6 +18,8 @@
 var cases = map[string]caseSpec{
 	"loop":   {siteSettings{workers: 11, entries: 1}, playCrashLoop},
 	"gone":   {siteSettings{workers: 11, entries: 1}, playWorkerGone},
+	"life":   {siteSettings{workers: 11, entries: 1}, playNextLife},
+	"kind":   {siteSettings{workers: 11, entries: 1}, playOtherKind},
 	"budget": {siteSettings{workers: 7, entries: 1}, playTwoCutOff},
 	"ends":   {siteSettings{workers: 4, entries: 1}, playManyEnds},
 }
--- a/review/site3/main.go
+++ b/review/site3/main.go
@@ -28,6 +28,9 @@
 // maxDuration bounds a case, in which all processes are started and ended.
 const maxDuration = 115 * time.Second
 
+// maxTries is how often the site is started until it serves.
+const maxTries = 3
+
 // errBroken reports that the rule of a case was broken.
 var errBroken = errors.New("the rule was broken")
 
@@ -67,6 +70,12 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.add("case %s, disruption %t", os.Args[1], trouble)
 	s, err := newSite(ctx, c.settings, rec)
+	for try := 1; err != nil && try < maxTries; try++ {
+		// Another program may have taken one of the ports.
+		rec.add("the site could not be started: %v", err)
+		s.close()
+		s, err = newSite(ctx, c.settings, rec)
+	}
 	if err == nil {
 		err = c.play(ctx, s, trouble)
 	}
--- a/review/site3/site.go
+++ b/review/site3/site.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,6 +37,9 @@
 	apiKey        = "key-roller"
 )
 
+// readyTimeout bounds the start of all programs.
+const readyTimeout = 5 * time.Second
+
 // siteSettings are the settings of a site.
 type siteSettings struct {
 	workers, entries int
@@ -58,15 +62,23 @@
 // host is a machine with a worker and its target process.
 type host struct {
 	name    string
+	id      string // of the worker without the number of its incarnation
+	rack    string
+	kind    string // of the worker
 	worker  *worker.Worker
 	address string // of the worker
 	target  *program
 	front   *http.Server // of the worker; closed while it is down
 	agent   *link        // from planners to the target process
 	store   *link        // from the target process to the store
+	app     *link        // from the target process to the worker
+	report  *link        // from the worker to the target process
 	// endsLeft is how many ends the worker kept when it was last asked: those that have not been taken
 	// note of.
-	endsLeft atomic.Int64
+	endsLeft   atomic.Int64
+	endReports context.CancelFunc // ends the heartbeats of the worker
+	// logHold is called with each hold and its answer; nil for no call.
+	logHold atomic.Pointer[func(request string, status int, answer string)]
 }
 
 // entryProcess is an entry.
@@ -134,9 +146,9 @@
 	numPorts  = 18_000
 )
 
-// nextPort counts the ports that were tried. It starts at a number that depends on the process ID, so
-// that cases that run at the same time use different ports.
-var nextPort = os.Getpid() * 97
+// nextPort counts the ports that were tried. It starts at random, so that cases that run at the same
+// time use different ports.
+var nextPort = rand.N(numPorts)
 
 // freeAddress returns a loopback address that nothing listens on and that was not returned before.
 func freeAddress() (string, error) {
@@ -168,29 +180,22 @@
 	if err != nil {
 		return err
 	}
-	h := &host{name: fmt.Sprintf("side-nash-a-%d", i+1), address: a[3]}
-	h.worker = worker.New(s.runs, worker.Settings{
-		Name: fmt.Sprintf("i-%d", i+1), Pool: poolName, DataCentre: "nash-a", Rack: fmt.Sprintf("r%d", i/6+1), CPU: 128_000, Accelerators: 8,
-		Address: h.address, ReportAddress: a[0], HeartbeatInterval: heartbeat, LeaseMax: leaseMax, StopTime: stopTime, GangWait: gangWait,
-		CheckpointInterval: saveInterval, RestoreWork: restoreTime,
-	}, &http.Client{}, zerolog.Nop())
-	if err := s.serveWorker(h); err != nil {
-		return err
-	}
-	if h.agent, err = newLink(a[1]); err != nil {
-		return err
+	h := &host{name: fmt.Sprintf("side-nash-a-%d", i+1), id: fmt.Sprintf("i-%d", i+1), rack: fmt.Sprintf("r%d", i/6+1), address: a[3]}
+	for _, l := range []struct {
+		link     **link
+		upstream string
+	}{{&h.agent, a[1]}, {&h.store, s.storeAddress}, {&h.app, h.address}, {&h.report, a[0]}} {
+		if *l.link, err = newLink(l.upstream); err != nil {
+			return err
+		}
+		s.closers = append(s.closers, (*l.link).close)
 	}
-	s.closers = append(s.closers, h.agent.close)
-	if h.store, err = newLink(s.storeAddress); err != nil {
+	if err := s.startWorker(ctx, h, "a"); err != nil {
 		return err
 	}
-	s.closers = append(s.closers, h.store.close)
-	wctx, cancel := context.WithCancel(ctx)
-	s.closers = append(s.closers, cancel)
-	s.wg.Go(func() { h.worker.Run(wctx) })
 	h.target, err = newProgram(s.dir, "target", h.name, map[string]any{
 		"Name": h.name, "DataCentre": "nash-a", "Address": a[1], "ReachedAt": h.agent.address(), "ReportAddress": a[0], "OperatorAddress": a[2],
-		"Worker": "http://" + h.address, "Platform": "http://" + h.store.address(), "Config": "platform",
+		"Worker": "http://" + h.app.address(), "Platform": "http://" + h.store.address(), "Config": "platform",
 		"Policy": map[string]bool{"LearnSpeeds": true, "AdaptiveRoom": true, "WeighVictims": true},
 		"Bounds": map[string]any{
 			"ConfigInForce": configInForce.String(), "LeaseMax": leaseMax.String(), "StopTime": stopTime.String(), "GangWait": gangWait.String(),
@@ -205,6 +210,25 @@
 	return h.target.start()
 }
 
+// startWorker starts the first incarnation of a new worker on a host. A worker that takes the place of
+// another one on the host has its Id, but may be of another kind, which is its first label.
+func (s *site) startWorker(ctx context.Context, h *host, kind string) error {
+	h.kind = kind
+	h.worker = worker.New(s.runs, worker.Settings{
+		Name: h.id, Pool: poolName, DataCentre: "nash-a", Rack: h.rack, HardwareType: kind, CPU: 128_000, Accelerators: 8,
+		Address: h.address, ReportAddress: h.report.address(), HeartbeatInterval: heartbeat, LeaseMax: leaseMax, StopTime: stopTime,
+		GangWait: gangWait, CheckpointInterval: saveInterval, RestoreWork: restoreTime,
+	}, &http.Client{}, zerolog.Nop())
+	if err := s.serveWorker(h); err != nil {
+		return err
+	}
+	ctx, h.endReports = context.WithCancel(ctx)
+	s.closers = append(s.closers, h.endReports)
+	w := h.worker
+	s.wg.Go(func() { w.Run(ctx) })
+	return nil
+}
+
 // serveWorker makes a worker listen at its address.
 func (s *site) serveWorker(h *host) error {
 	var lis net.Listener
@@ -271,12 +295,18 @@
 			if err == nil && status == http.StatusOK {
 				break
 			}
-			if time.Since(begin) > 20*time.Second {
+			if time.Since(begin) > readyTimeout {
 				return errors.New("the entries do not get ready")
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	for len(s.store.Rows("Targets", process.ShardPart)) < len(s.hosts) {
+		if time.Since(begin) > readyTimeout {
+			return errors.New("some target processes do not start")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
 	// Workers send a heartbeat each 1.5 s.
 	time.Sleep(4 * time.Second)
 	s.rec.add("%d entries and %d workers are ready; logs in %s", len(s.entries), len(s.hosts), s.dir)
--- a/review/site3/truncate.go
+++ b/review/site3/truncate.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,9 +22,17 @@
 			h.worker.ServeHTTP(w, r)
 			return
 		}
+		request, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(request))
 		a := &answer{header: make(http.Header), status: http.StatusOK}
 		h.worker.ServeHTTP(a, r)
 		body := h.limitEnds(a.body.Bytes())
+		if log := h.logHold.Load(); log != nil {
+			(*log)(string(request), a.status, string(body))
+		}
 		for k, v := range a.header {
 			w.Header()[k] = v
 		}
