--- a/review/site3/cases.go
+++ b/review/site3/cases.go
@@ -21,6 +21,7 @@
 	"life":   {siteSettings{workers: 11, entries: 1}, playNextLife},
 	"kind":   {siteSettings{workers: 11, entries: 1}, playOtherKind},
 	"budget": {siteSettings{workers: 7, entries: 1}, playTwoCutOff},
+	"saved":  {siteSettings{workers: 3, entries: 1}, playLongCheckpoints},
 	"ends":   {siteSettings{workers: 4, entries: 1}, playManyEnds},
 }
 
--- a/review/site3/site.go
+++ b/review/site3/site.go
@@ -75,8 +75,9 @@
 	report  *link        // from the worker to the target process
 	// endsLeft is how many ends the worker kept when it was last asked: those that have not been taken
 	// note of.
-	endsLeft   atomic.Int64
-	endReports context.CancelFunc // ends the heartbeats of the worker
+	endsLeft        atomic.Int64
+	endReports      context.CancelFunc // ends the heartbeats of the worker
+	longCheckpoints atomic.Bool        // the worker's checkpoints have checkpointBytes
 	// logHold is called with each hold and its answer; nil for no call.
 	logHold atomic.Pointer[func(request string, status int, answer string)]
 }
--- a/review/site3/truncate.go
+++ b/review/site3/truncate.go
@@ -19,6 +19,9 @@
 func (h *host) serveLimited() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/medlargrade/hold" {
+			if h.longCheckpoints.Load() {
+				unpadCheckpoint(r)
+			}
 			h.worker.ServeHTTP(w, r)
 			return
 		}
@@ -30,6 +33,9 @@
 		a := &answer{header: make(http.Header), status: http.StatusOK}
 		h.worker.ServeHTTP(a, r)
 		body := h.limitEnds(a.body.Bytes())
+		if h.longCheckpoints.Load() {
+			body = padCheckpoints(body)
+		}
 		if log := h.logHold.Load(); log != nil {
 			(*log)(string(request), a.status, string(body))
 		}
