--- a/review/site3/main.go
+++ b/review/site3/main.go
@@ -7,9 +7,9 @@
 //
 // # Usage
 //
-//	target/review3 CASE DIRECTORY
+//	target/review3 CASE RECORD
 //
-// CASE is the number of the case and DIRECTORY the folder for record.txt. It exits with 1 if the
+// CASE is the name of the case and RECORD the file for what was sent, answered and run. It exits with 1 if the
 // rule was broken, with 0 if it held, and with 2 if the case could not run. With TROUBLE=0 in the
 // environment it leaves out the disruption.
 package main
@@ -20,7 +20,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -49,7 +48,7 @@
 
 func run() int {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review3 CASE DIRECTORY")
+		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
 		return 2
 	}
 	c, ok := cases[os.Args[1]]
@@ -57,7 +56,7 @@
 		fmt.Fprintf(os.Stderr, "there is no case %q\n", os.Args[1])
 		return 2
 	}
-	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
