Bind calls to a worker to the incarnation that they are for

Cause: a call names the worker by its ID, which its next incarnation keeps. A worker that is cut off for 0.4 s and starts again under its ID meanwhile takes the repeated start, runs the task, and discards the end, since the agent goes on to send holds with the number of the last end of the former incarnation. The planner takes a list without the run for the proof that it was never started.

Change: a connection ends with the process at its other end, so the client of the worker keeps its connections by incarnation, and asks on each new one who answers before the first call on it (platform.WorkerDialer). A hold carries the number of a recorded end only while the last list has that end. A run that an agent of an older version starts in the next incarnation is stopped if the worker lacks the label or is in another pool. Event 518 tells of answers of another incarnation. The stand-in's workers end their connections with the incarnation.

Ruled out: to ask before each repeated start, since the connection of a first attempt can be opened during a cut, too; to compare clocks, which shows the fault but does not prevent it.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -91,7 +91,6 @@
 	lastGrantSentAt    time.Time  // when the last call that can extend a lease was sent; initially as answeredHoldSentAt
 	holdFailed         bool       // the last hold got no answer from this incarnation
 	recordedEnd        int64      // number of the last end that the planner has recorded
-	ackedEnd           int64      // highest recordedEnd that the worker has received
 	runsKnown          bool       // running and ended are known
 	running            []*agentrpc.RunStatus
 	ended              []*agentrpc.RunEnd
--- a/coordination/agent/events.go
+++ b/coordination/agent/events.go
@@ -38,6 +38,8 @@
 	// EventLeaseUncertain occurs when a call without an answer may have extended leases beyond the
 	// cap, so that the agent waits until they have lapsed.
 	EventLeaseUncertain = 517
+	// EventOtherAnswers occurs when another incarnation of the worker answers than the registered one.
+	EventOtherAnswers = 518
 	// EventPlannerChanged occurs at the first call of a planner with a higher epoch or
 	// another name.
 	EventPlannerChanged = 503
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -44,10 +45,10 @@
 		return
 	}
 	r := HoldRequest{
-		CallHeader: CallHeader{Worker: inc.GetWorker(), Fence: a.state.fence},
-		Until:      a.leaseUntilLocked(), RecordedEnd: a.state.recordedEnd, Wait: holdWait,
+		CallHeader: callHeader(inc, a.state.fence),
+		Until:      a.leaseUntilLocked(), RecordedEnd: a.endToDiscardLocked(), Wait: holdWait,
 	}
-	endsPending := a.state.resultPending || len(a.state.ended) > 0 && a.state.recordedEnd == a.state.ackedEnd
+	endsPending := a.state.resultPending || len(a.state.ended) > 0 && r.RecordedEnd == 0
 	// The worker is to answer at once to confirm a new fencing token, or to show
 	// whether it answers again.
 	immediate := a.state.confirmedFence != a.state.fence || a.state.holdFailed
@@ -60,7 +61,7 @@
 	}
 	if endsPending {
 		a.mu.Lock()
-		r.RecordedEnd, r.Until, r.Fence = a.state.recordedEnd, a.leaseUntilLocked(), a.state.fence
+		r.RecordedEnd, r.Until, r.Fence = a.endToDiscardLocked(), a.leaseUntilLocked(), a.state.fence
 		replaced := !agentrpc.SameLife(a.heartbeat.Incarnation, inc)
 		a.mu.Unlock()
 		if replaced || ctx.Err() != nil {
@@ -85,6 +86,22 @@
 	return min(a.state.clock+WorkerTime(a.cfg.LeaseMax.Milliseconds()), a.state.leaseCap)
 }
 
+// endToDiscardLocked returns the number of the last end that the worker is to discard: of the ends in
+// its last list, the last one that is recorded, or 0 if none is. A hold without an answer may be
+// carried out seconds later, so that the number is sent only until the end is no longer listed.
+func (a *Agent) endToDiscardLocked() int64 {
+	last := int64(0)
+	if a.state.holdFailed {
+		return last
+	}
+	for _, e := range a.state.ended {
+		if e.GetNumber() <= a.state.recordedEnd {
+			last = max(last, e.GetNumber())
+		}
+	}
+	return last
+}
+
 // hold makes one hold call and records the reply. It returns false if this
 // incarnation of the worker did not answer, unless a newer one has registered.
 func (a *Agent) hold(ctx context.Context, inc *agentrpc.Life, r HoldRequest) bool {
@@ -119,7 +136,9 @@
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
 		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening))
-		a.state.otherAnswers = a.state.otherAnswers || errors.Is(err, ErrOtherIncarnation)
+		if errors.Is(err, ErrOtherIncarnation) {
+			a.recordOtherAnswerLocked(err)
+		}
 		// A refused connection alone shows nothing: whoever cuts the worker off may refuse connections
 		// in its place, and a worker whose notice got no answer goes on for some seconds.
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) && a.runsNothingLocked() || a.leasesLapsedLocked()) {
@@ -130,10 +149,9 @@
 		return false
 	}
 	if reply.Born != 0 && reply.Born != inc.GetBorn() {
-		// The worker has been restarted under the same ID. Its next heartbeat
-		// registers the new incarnation.
-		a.state.holdFailed, a.state.otherAnswers = true, true
+		a.state.holdFailed = true
 		a.recordFailedHoldLocked(false)
+		a.recordOtherAnswerLocked(fmt.Errorf("born %d", reply.Born))
 		return false
 	}
 	a.state.failingSince, a.state.notListening, a.state.otherAnswers, a.state.crashedRuns = time.Time{}, false, false, nil
@@ -151,7 +169,6 @@
 	}
 	changed = a.endLapseLocked() || changed
 	a.state.confirmedFence = max(a.state.confirmedFence, r.Fence)
-	a.state.ackedEnd = max(a.state.ackedEnd, r.RecordedEnd)
 	changed = changed || !a.state.runsKnown || !sameRuns(a.state.running, reply.Running) || !sameEnds(a.state.ended, reply.Ended)
 	a.state.runsKnown = true
 	a.state.resultPending = len(reply.Ended) < listedEnds
@@ -175,6 +192,17 @@
 	return true
 }
 
+// recordOtherAnswerLocked records that another incarnation than the registered one has answered, as err
+// says. The worker has started again; its next heartbeat registers the new incarnation.
+func (a *Agent) recordOtherAnswerLocked(err error) {
+	if a.state.otherAnswers {
+		return
+	}
+	a.state.otherAnswers = true
+	a.log.Info().Int("Event", EventOtherAnswers).Str("Worker", a.heartbeat.Incarnation.GetWorker()).
+		Int64("Born", a.heartbeat.Incarnation.GetBorn()).Err(err).Msg("another incarnation of the worker answers")
+}
+
 // confirmTokens makes a hold whenever a new fencing token arrives, until ctx ends. The hold of
 // Run that is in progress then carries the old token, and the worker may wait with its answer
 // for holdWait.
@@ -200,7 +228,7 @@
 	a.mu.Lock()
 	inc := a.heartbeat.Incarnation
 	r := HoldRequest{
-		CallHeader: CallHeader{Worker: inc.GetWorker(), Fence: a.state.fence}, Until: a.leaseUntilLocked(), RecordedEnd: a.state.recordedEnd,
+		CallHeader: callHeader(inc, a.state.fence), Until: a.leaseUntilLocked(), RecordedEnd: a.endToDiscardLocked(),
 	}
 	a.mu.Unlock()
 	a.hold(ctx, inc, r)
--- a/coordination/agent/order.go
+++ b/coordination/agent/order.go
@@ -51,7 +51,7 @@
 
 // execute sends one order to the worker and counts and logs its outcome.
 func (a *Agent) execute(ctx context.Context, in *agentrpc.OrderRequest, o *agentrpc.Order) *agentrpc.OrderResult {
-	call := CallHeader{Worker: in.GetLife().GetWorker(), Fence: in.GetFence()}
+	call := callHeader(in.GetLife(), in.GetFence())
 	var res *agentrpc.OrderResult
 	switch o := o.GetOrder().(type) {
 	case *agentrpc.Order_Start:
--- a/coordination/agent/registration.go
+++ b/coordination/agent/registration.go
@@ -125,7 +125,7 @@
 	defer cancel()
 	a.mu.Lock()
 	// Without a lease end the call extends no lease.
-	r := HoldRequest{CallHeader: CallHeader{Worker: inc.GetWorker(), Fence: a.state.fence}}
+	r := HoldRequest{CallHeader: callHeader(inc, a.state.fence)}
 	a.mu.Unlock()
 	reply, err := a.worker.Hold(ctx, r)
 	result := identificationOf(inc, reply, err)
--- a/coordination/agent/unattended.go
+++ b/coordination/agent/unattended.go
@@ -66,7 +66,7 @@
 		inc, fence, due := a.dueOwnStops()
 		for _, key := range due {
 			wg.Go(func() {
-				a.sendOwnStop(ctx, inc, StopRequest{CallHeader: CallHeader{Worker: inc.GetWorker(), Fence: fence}, Task: key.task, Run: key.run})
+				a.sendOwnStop(ctx, inc, StopRequest{CallHeader: callHeader(inc, fence), Task: key.task, Run: key.run})
 			})
 		}
 	}
--- a/coordination/agent/worker.go
+++ b/coordination/agent/worker.go
@@ -13,6 +13,9 @@
 // fencing token; the worker ignores calls with a token lower than the highest it has
 // seen.
 //
+// A call reaches only the incarnation that its header names, also if the worker starts again under
+// the same ID while the call is under way.
+//
 // Start, Stop and Pace return the worker's clock in its answer. They return a
 // *RefusedError if the worker did not carry out the call, and ErrOtherIncarnation if
 // another incarnation of the worker answered. All methods return ErrNotSent if the call
@@ -35,14 +38,20 @@
 // CallHeader has the fields that are common to all calls to a worker.
 type CallHeader struct {
 	Worker string // ID of the worker that the call is for
+	Born   int64  // its start time, Unix milliseconds
 	Fence  int64
 }
 
+// callHeader returns the header of a call to an incarnation of the worker.
+func callHeader(inc *agentrpc.Life, fence int64) CallHeader {
+	return CallHeader{Worker: inc.GetWorker(), Born: inc.GetBorn(), Fence: fence}
+}
+
 // HoldRequest is a request to renew leases and return the worker's state.
 type HoldRequest struct {
 	CallHeader
 	Until       WorkerTime // lease end; 0 to leave the leases unchanged
-	RecordedEnd int64      // number of the last end that the planner has recorded
+	RecordedEnd int64      // number of the last listed end that the planner has recorded; 0 for none
 	Wait        time.Duration
 }
 
--- a/coordination/planner/proof_test.go
+++ b/coordination/planner/proof_test.go
@@ -12,6 +12,40 @@
 	"github.com/medlargrade/medlargrade/state/job"
 )
 
+// Guards against a run that goes on in the next incarnation of its worker, which was not chosen for it and
+// lacks the label that its step requires, or is in another pool.
+func TestFollowedRunMeetsItsRequirement(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(next *agentrpc.Worker)
+		kept   bool
+	}{
+		{name: "the same label and pool", change: func(*agentrpc.Worker) {}, kept: true},
+		{name: "another label", change: func(next *agentrpc.Worker) { next.Labels = []string{"a"} }},
+		{name: "another pool", change: func(next *agentrpc.Worker) { next.Pool = "other" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.workers["t00"].worker.Labels = []string{"b"}
+			h.report(h.names...)
+			h.addJob(newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4, Label: "b", EstimateMillis: 60_000}))
+			h.advance(time.Second)
+			qt.Assert(t, h.targetOf("j1.0.0.0"), qt.Equals, "t00")
+			w := h.workers["t00"]
+			next, ok := proto.Clone(w.worker).(*agentrpc.Worker)
+			qt.Assert(t, ok, qt.IsTrue)
+			next.Life.Born++
+			tt.change(next)
+			w.worker = next
+			for range 3 {
+				h.advance(time.Second)
+			}
+			qt.Check(t, h.targetOf("j1.0.0.0") == "t00", qt.Equals, tt.kept)
+		})
+	}
+}
+
 // Guards against a run that is given up without the proof that it is over, so that its task runs
 // twice, and against one that is kept in spite of the proof, so that its task never runs again.
 // shard.TestRunOnUnreachableTarget, TestSilentWorker and TestLateRemovalOfTargetRow guard the paths
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -227,6 +227,9 @@
 				Int64("Born", current.Born).Msg("run was started in the next incarnation of its worker")
 			r.incarnation = current
 			p.markDirty(r.task.step.occ)
+			if !p.meetsRequirement(t, unit{step: r.task.step, kind: p.kindOf(r.task.step.occ.job)}) {
+				p.stopGang(r, "the next incarnation of its worker may not run it")
+			}
 		default:
 			p.loseRun(r, "worker started again under its ID", now)
 		}
--- a/process/network.go
+++ b/process/network.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/medlargrade/medlargrade/platform"
 )
 
 const (
@@ -63,6 +65,14 @@
 	}
 }
 
+// newWorkerClient returns a new client for a platform.WorkerClient.
+func (c *clients) newWorkerClient() *http.Client {
+	n := Network{Dial: platform.WorkerDialer(c.network.Dial), Listen: c.network.Listen}
+	h := n.HTTPClient()
+	c.list = append(c.list, h)
+	return h
+}
+
 // HTTPClient returns an HTTP client with its own connection pool.
 func (n Network) HTTPClient() *http.Client {
 	return &http.Client{Transport: &redialTransport{&http.Transport{
--- a/process/target.go
+++ b/process/target.go
@@ -46,7 +46,7 @@
 		func(s *platform.Store, m *metrics.Set) table.Store { return table.Instrumented(s, m) },
 		func() *agent.Clients { return agent.NewClients(n.Dial) },
 		func(s *platform.Store, c *clients, m *metrics.Set, log zerolog.Logger) *coordagent.Agent {
-			w := platform.NewWorkerClient(c.newClient(), settings.Worker)
+			w := platform.NewWorkerClient(c.newWorkerClient(), settings.Worker)
 			return coordagent.New(coordagent.Settings{
 				Name: settings.Name, LeaseMax: time.Duration(settings.Bounds.LeaseMax), Metrics: m,
 			}, w, s, log)
--- a/standin/worker/check.go
+++ b/standin/worker/check.go
@@ -194,3 +194,14 @@
 	}
 	return violations
 }
+
+// CheckLabels returns the starts on workers without the label that the step requires.
+func CheckLabels(records []Record) []string {
+	var violations []string
+	for _, r := range records {
+		if r.LacksLabel {
+			violations = append(violations, fmt.Sprintf("run %d of %s was started on %s, which lacks the required label", r.Run, r.Task, r.Incarnation()))
+		}
+	}
+	return violations
+}
--- a/standin/worker/handlers.go
+++ b/standin/worker/handlers.go
@@ -12,8 +12,12 @@
 
 const maxBodyBytes = 1 << 20
 
-// maxHoldWait is the longest time that a hold call waits for the end of a run.
-const maxHoldWait = 2 * time.Second
+const (
+	// maxHoldWait is the longest time that a hold call waits for the end of a run.
+	maxHoldWait = 2 * time.Second
+	// maxListedEnds is how many ends a response lists at most.
+	maxListedEnds = 500
+)
 
 // order is the request body of all calls to a worker. Each call uses some fields.
 type order struct {
@@ -40,13 +44,15 @@
 }
 
 // checkIncarnation refuses calls that are meant for another incarnation, and starts on
-// an unhealthy worker. It aborts all calls to a worker that is down.
+// an unhealthy worker. It aborts all calls to a worker that is down, and those on connections
+// to a former incarnation, which have ended with its process.
 func (w *Worker) checkIncarnation(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		w.site.mu.Lock()
 		down, id, unhealthy := w.down, w.incarnation.id, w.faults.Unhealthy
+		ended := !down && !w.usesConnLocked(r.RemoteAddr)
 		w.site.mu.Unlock()
-		if down {
+		if down || ended {
 			panic(http.ErrAbortHandler)
 		}
 		if wantID := r.Header.Get("Expect-Instance"); wantID != "" && wantID != id {
@@ -62,6 +68,19 @@
 	})
 }
 
+// usesConnLocked reports whether a connection belongs to the current incarnation, given its other
+// end. A new connection does from its first call on. The address of one that has ended may be that of
+// a new one later.
+func (w *Worker) usesConnLocked(peer string) bool {
+	inc := w.incarnation
+	if served, ok := w.conns[peer]; ok && served != inc {
+		delete(w.conns, peer)
+		return false
+	}
+	w.conns[peer] = inc
+	return true
+}
+
 func decodeOrder(rw http.ResponseWriter, r *http.Request) (order, bool) {
 	var o order
 	if err := jsonhttp.Decode(rw, r, maxBodyBytes, &o); err != nil {
@@ -183,6 +202,7 @@
 		r.workDone = min(workDone, r.totalWork)
 		r.totalWork += w.cfg.RestoreWork
 	}
+	r.record.LacksLabel = step.Label != "" && step.Label != w.cfg.Rack && step.Label != w.incarnation.hardwareType
 	r.record.CrashesWorker = r.behaviour.CrashMillis > 0 && name.Index == 0
 	w.incarnation.runs[o.Task] = r
 	if !w.capacityLocked().holds(w.usageLocked()) {
@@ -330,8 +350,8 @@
 	}
 }
 
-// runListLocked returns the current runs and the listed ends. The columns of their rows
-// are:
+// runListLocked returns the current runs and the first maxListedEnds of the listed ends. The columns
+// of their rows are:
 //
 //	Running  task, run, checkpoint, percent, CPU in thousandths of a core
 //	Ended    number of the end, task, run, how, checkpoint, and the result or error if any
@@ -341,7 +361,7 @@
 	for _, r := range inc.runs {
 		out.Running = append(out.Running, []any{r.task, r.number, r.checkpointLocked(), r.percentLocked(), r.step.CPU})
 	}
-	for _, e := range inc.listedEnds {
+	for _, e := range inc.listedEnds[:min(len(inc.listedEnds), maxListedEnds)] {
 		row := []any{e.number, e.run.task, e.run.number, e.how, e.run.checkpoint}
 		if res := e.run.resultLocked(e.how); len(res) > 0 {
 			row = append(row, res)
--- a/standin/worker/site.go
+++ b/standin/worker/site.go
@@ -36,6 +36,8 @@
 	Began      time.Time // when the work began; zero if it has not
 	Ended      time.Time // zero while the run is in progress
 	How        string    // one of the End constants
+	// LacksLabel is whether the worker lacks the label that the run's step requires.
+	LacksLabel bool
 	// CrashesWorker is whether the run crashes its worker, if it gets that far.
 	CrashesWorker bool
 	// Excess is whether the start brought the worker over its capacity, and CapacityAge how long
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -112,17 +112,21 @@
 	down         bool
 	drainEnd     time.Time     // when the worker leaves; zero unless it is draining
 	heartbeatNow chan struct{} // closed and replaced to trigger a heartbeat
+	// conns holds the incarnation that each connection belongs to, by the address of its other end.
+	conns map[string]*incarnation
 }
 
 // incarnation is one incarnation of a worker.
 type incarnation struct {
-	id        string
-	born      int64 // start time in Unix milliseconds, unique in the site
-	start     time.Time
-	clockRate float64
-	seq       uint64 // sequence number of the last heartbeat
-	fence     int64  // highest fencing token seen
-	leaseEnd  int64  // on the worker's clock, in milliseconds
+	id   string
+	born int64 // start time in Unix milliseconds, unique in the site
+	// hardwareType is Settings.HardwareType, or as set by SetHardwareType before the start.
+	hardwareType string
+	start        time.Time
+	clockRate    float64
+	seq          uint64 // sequence number of the last heartbeat
+	fence        int64  // highest fencing token seen
+	leaseEnd     int64  // on the worker's clock, in milliseconds
 	// sentLeaseEnd is what leaseEnd would be if no lease counted from a late execution of its call.
 	sentLeaseEnd int64
 	leaseTimer   *time.Timer
@@ -145,7 +149,7 @@
 
 // New returns a worker without runs.
 func New(site *Site, cfg Settings, client *http.Client, log zerolog.Logger) *Worker {
-	w := &Worker{site: site, cfg: cfg.withDefaults(), client: client, log: log, heartbeatNow: make(chan struct{})}
+	w := &Worker{site: site, cfg: cfg.withDefaults(), client: client, log: log, heartbeatNow: make(chan struct{}), conns: make(map[string]*incarnation)}
 	seed := fnv.New64()
 	_, _ = seed.Write([]byte(cfg.Name))
 	w.random = rand.New(rand.NewPCG(seed.Sum64(), 0)) //nolint:gosec // the injected faults are to be repeatable
@@ -187,7 +191,8 @@
 	}
 	w.incarnation = &incarnation{
 		id: fmt.Sprintf("%s-%d", w.cfg.Name, w.idCount), born: w.site.nextBornLocked(), start: time.Now(), clockRate: w.cfg.ClockRate,
-		runs: make(map[string]*run), lastRun: make(map[string]int64), endsChanged: make(chan struct{}),
+		hardwareType: w.cfg.HardwareType,
+		runs:         make(map[string]*run), lastRun: make(map[string]int64), endsChanged: make(chan struct{}),
 	}
 	w.down = false
 	w.drainEnd = time.Time{}
@@ -225,6 +230,14 @@
 	w.startLocked(newID)
 }
 
+// SetHardwareType sets the hardware type of the next incarnation, which is the first label in its
+// heartbeats.
+func (w *Worker) SetHardwareType(label string) {
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	w.cfg.HardwareType = label
+}
+
 // Drain makes the worker report that it is draining, and leave after d.
 func (w *Worker) Drain(d time.Duration) {
 	w.site.mu.Lock()
@@ -340,7 +353,7 @@
 	}
 	heartbeat := map[string]any{
 		"Backend": w.cfg.Pool, "Addr": w.cfg.Address, "Zone": w.cfg.DataCentre, "Version": "v1", "Slots": 8,
-		"State": state, "ColdLeftMs": 0, "Labels": []string{w.cfg.HardwareType, w.cfg.Rack}, "Machine": w.cfg.Name,
+		"State": state, "ColdLeftMs": 0, "Labels": []string{inc.hardwareType, w.cfg.Rack}, "Machine": w.cfg.Name,
 		"Capacity": w.capacityLocked(),
 		"ClockMs":  inc.clockLocked(), "Seq": inc.seq, "born": inc.born,
 	}
--- a/transport/httpcall/httpcall.go
+++ b/transport/httpcall/httpcall.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 type Request struct {
 	Method  string
 	URL     string
+	Host    string // in the Host header, if it differs from that of URL; connections are pooled by the latter
 	Header  http.Header
 	Body    []byte
 	Timeout time.Duration // of the whole call, including reading the reply's body; 0 for none but ctx's
@@ -65,6 +67,7 @@
 	if err != nil {
 		return Reply{}, &Error{Err: err}
 	}
+	req.Host = cmp.Or(r.Host, req.Host)
 	for k, v := range r.Header {
 		req.Header[k] = v
 	}
