Take no list that may lack ends for a proof that a run was never started

Cause: a worker lists 500 ends at a time, and nothing noticed that a list had as many. A new planner repeats the starts of the runs that the list lacks, the worker refuses those that have ended as old, and the planner took the next list without the run, or the refusal itself, for the proof that it was never started.

Change: the adapter says that a list may lack ends (HoldReply.MoreEnds); the agent gives such a list no number, as it does while results are not stored, so that no stop is confirmed by it; the planner gives up runs of a former incarnation only on a list with a number, and takes a refusal as old for no proof. Ends are sorted by number. The stand-in's workers list 500 ends at a time.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -39,6 +39,8 @@
 	Targets  int           `long:"targets" default:"6" description:"number of target processes, each with a worker"`
 	Callers  int           `long:"callers" default:"8" description:"number of callers; the first claims its guarantee"`
 	Cuts     bool          `long:"planner-cuts" description:"inject no faults but cuts of the process that plans, with refused connections"`
+	Restarts bool          `long:"worker-restarts" description:"inject no faults but restarts of workers behind cuts, of which some have other labels then"`
+	ManyEnds bool          `long:"many-ends" description:"inject no fault but one change of the planner, beside more ends than a worker lists at a time"`
 	Faults   bool          `long:"faults" description:"print the faults of each run"`
 }
 
@@ -94,7 +96,7 @@
 			}
 			r, err := soak.Run(ctx, soak.Config{
 				Binary: o.Binary, Dir: dir, Seed: seed, Length: o.Length, Finish: o.Finish,
-				Entries: o.Entries, Targets: o.Targets, Callers: o.Callers, PlannerCuts: o.Cuts,
+				Entries: o.Entries, Targets: o.Targets, Callers: o.Callers, PlannerCuts: o.Cuts, WorkerRestarts: o.Restarts, ManyEnds: o.ManyEnds,
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/coordination/agent/acknowledge_test.go
+++ b/coordination/agent/acknowledge_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,33 @@
 		})
 	}
 }
+
+// Guards against a list that counts as complete although it has as many ends as the worker lists at a
+// time: planners take a run that it lacks for one that was never started. The stop of such a run is
+// confirmed only by a list with all ends.
+func TestListThatMayLackEnds(t *testing.T) {
+	withAgent(t, func(r *harness) {
+		r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+		r.worker.withLock(func(w *fakeWorker) {
+			w.listLimit = 2
+			for i := range int64(5) {
+				w.ended = append(w.ended, &agentrpc.RunEnd{Number: i + 1, Task: fmt.Sprintf("j.0.0.%d", i), Run: 1, How: "done"})
+			}
+		})
+		time.Sleep(maxCallTime)
+		out, err := r.agent.Order(r.c.Context(), &agentrpc.OrderRequest{Epoch: 1, Fence: 1, Life: r.incarnation, Orders: []*agentrpc.Order{
+			{Order: &agentrpc.Order_Stop{Stop: &agentrpc.Stop{Task: "j.0.0.4", Run: 1}}},
+		}})
+		r.c.Assert(err, qt.IsNil)
+		confirmedBy := out.GetResults()[0].GetLook()
+		for _, recorded := range []int64{0, 2, 4} {
+			r.watch(&agentrpc.WatchRequest{SeenEnd: recorded, LeaseCapMillis: 1 << 40})
+			r.worker.withLock(func(w *fakeWorker) { w.ended = w.ended[min(recorded, 2):] })
+			time.Sleep(maxCallTime)
+			reply := r.watch(&agentrpc.WatchRequest{LeaseCapMillis: 1 << 40})
+			complete := recorded == 4
+			r.c.Check(reply.GetLook() >= confirmedBy, qt.Equals, complete, qt.Commentf("%v", reply))
+			r.c.Check(reply.GetEnded(), qt.HasLen, map[bool]int{false: 2, true: 1}[complete])
+		}
+	})
+}
--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -95,11 +95,11 @@
 	running            []*agentrpc.RunStatus
 	ended              []*agentrpc.RunEnd
 	storedResults      map[string]struct{} // keys of the objects that hold results
-	resultPending      bool                // the last hold returned ends that are not listed yet, because a result could not be stored
+	endsMissing        bool                // ended lacks ends: a result could not be stored, or the worker may have more than it lists at a time
 	revision           uint64
 	answeredHoldSeq    int64 // number of the last hold whose answer was recorded
 	holdSeq            int64 // number of the last hold sent; the planner gets hold numbers as WatchReply.look and OrderResult.look
-	listHoldSeq        int64 // number of the last hold that returned running and all of ended
+	listHoldSeq        int64 // number of the last hold that returned running and all ends
 	notifyAtHoldSeq    int64 // watchers are notified when listHoldSeq reaches it, even if the lists are unchanged
 	// unknownStarts holds the starts whose outcome is unknown.
 	unknownStarts map[runKey]struct{}
--- a/coordination/agent/agent_test.go
+++ b/coordination/agent/agent_test.go
@@ -32,6 +32,7 @@
 	id           string // calls that name another worker get ErrOtherIncarnation
 	born         int64
 	ended        []*agentrpc.RunEnd
+	listLimit    int // how many ends it lists at a time; 0 for all
 	running      []*agentrpc.RunStatus
 	holds        []agent.HoldRequest
 	starts       []agent.StartRequest
@@ -72,6 +73,9 @@
 		}
 	}
 	reply := agent.HoldReply{Clock: w.clock(), Born: w.born, Running: w.running, Ended: ended}
+	if w.listLimit > 0 && len(ended) >= w.listLimit {
+		reply.Ended, reply.MoreEnds = ended[:w.listLimit], true
+	}
 	w.mu.Unlock()
 	if unresponsive {
 		<-ctx.Done()
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -48,7 +48,7 @@
 		CallHeader: callHeader(inc, a.state.fence),
 		Until:      a.leaseUntilLocked(), RecordedEnd: a.endToDiscardLocked(), Wait: holdWait,
 	}
-	endsPending := a.state.resultPending || len(a.state.ended) > 0 && r.RecordedEnd == 0
+	endsPending := (a.state.endsMissing || len(a.state.ended) > 0) && r.RecordedEnd == 0
 	// The worker is to answer at once to confirm a new fencing token, or to show
 	// whether it answers again.
 	immediate := a.state.confirmedFence != a.state.fence || a.state.holdFailed
@@ -171,8 +171,8 @@
 	a.state.confirmedFence = max(a.state.confirmedFence, r.Fence)
 	changed = changed || !a.state.runsKnown || !sameRuns(a.state.running, reply.Running) || !sameEnds(a.state.ended, reply.Ended)
 	a.state.runsKnown = true
-	a.state.resultPending = len(reply.Ended) < listedEnds
-	if !a.state.resultPending {
+	a.state.endsMissing = reply.MoreEnds || len(reply.Ended) < listedEnds
+	if !a.state.endsMissing {
 		// A list without some of the ends does not show whether a run has ended.
 		changed = changed || a.state.notifyAtHoldSeq > a.state.listHoldSeq && a.state.notifyAtHoldSeq <= seq
 		a.state.listHoldSeq = seq
--- a/coordination/agent/watch.go
+++ b/coordination/agent/watch.go
@@ -129,7 +129,7 @@
 	out.Crashes = a.crashReportsLocked()
 	if out.Listed {
 		out.Running, out.UncertainEnds = a.state.running, a.state.uncertainEnds
-		if !a.state.resultPending {
+		if !a.state.endsMissing {
 			out.Look = a.state.listHoldSeq
 		}
 		for _, e := range a.state.ended {
--- a/coordination/agent/worker.go
+++ b/coordination/agent/worker.go
@@ -60,7 +60,10 @@
 	Clock   WorkerTime
 	Born    int64 // start time of the worker, Unix milliseconds; 0 if not reported
 	Running []*agentrpc.RunStatus
-	Ended   []*agentrpc.RunEnd
+	Ended   []*agentrpc.RunEnd // in the order of their numbers
+	// MoreEnds is set if Ended may lack ends, because it has as many as the worker lists at a time. The
+	// others are listed once these are discarded.
+	MoreEnds bool
 }
 
 // StartRequest starts a run.
--- a/coordination/planner/harness_test.go
+++ b/coordination/planner/harness_test.go
@@ -37,6 +37,10 @@
 	lastEnd         int64                          // number of the last end
 	poll            int64                          // number of the last poll
 	dropsOrders     bool                           // orders to the worker are lost
+	listLimit       int                            // how many ends it lists at a time; 0 for all
+	keepsEnds       int                            // number of acknowledgements that it doesn't get
+	refusesOld      bool                           // it refuses runs that are not higher than in lastRun
+	lastRun         map[string]int                 // highest run of each task that was stopped or has ended
 	startedAt       map[string]time.Time           // of the running tasks
 	crashedAt       time.Time                      // zero unless it has crashed
 	next            *simWorker                     // its next incarnation, if it has crashed
@@ -85,7 +89,7 @@
 			Life: &agentrpc.Life{Worker: fmt.Sprintf("%s-%d", name, born), Born: born}, Pool: testPool,
 			Cpu: 128_000, MemoryMb: 262_144, Accelerators: 8, Labels: []string{"a", rack}, Rack: rack,
 		},
-		running: make(map[string]*agentrpc.RunStatus), startedAt: make(map[string]time.Time),
+		running: make(map[string]*agentrpc.RunStatus), startedAt: make(map[string]time.Time), lastRun: make(map[string]int),
 	}
 }
 
@@ -138,6 +142,10 @@
 	}
 	for name, ack := range b.EndAcks {
 		w := h.workers[name]
+		if w.keepsEnds > 0 {
+			w.keepsEnds--
+			continue
+		}
 		kept := w.ended[:0]
 		for _, e := range w.ended {
 			if e.GetNumber() > ack.End {
@@ -156,12 +164,16 @@
 		if _, ok := w.running[o.Task]; ok {
 			w.endRun(o.Task, endStopped)
 		}
+		w.lastRun[o.Task] = max(w.lastRun[o.Task], o.Run)
 		res.Look = w.poll + 1
 		return res
 	}
 	if _, ok := w.running[o.Task]; ok {
 		return res
 	}
+	if w.refusesOld && o.Run <= w.lastRun[o.Task] {
+		return &agentrpc.OrderResult{Outcome: agentrpc.Outcome_REFUSED, Reason: reasonStaleRun}
+	}
 	w.running[o.Task] = &agentrpc.RunStatus{Task: o.Task, Run: int64(o.Run)}
 	w.startedAt[o.Task] = h.now
 	h.starts = append(h.starts, fmt.Sprintf("%s %d %s", o.Task, o.Run, target))
@@ -172,6 +184,7 @@
 func (w *simWorker) endRun(task, how string) {
 	w.lastEnd++
 	w.ended = append(w.ended, &agentrpc.RunEnd{Number: w.lastEnd, Task: task, Run: w.running[task].GetRun(), How: how, Result: []byte("result")})
+	w.lastRun[task] = max(w.lastRun[task], int(w.running[task].GetRun()))
 	delete(w.running, task)
 }
 
@@ -188,6 +201,9 @@
 			w.poll++
 		}
 		r := &agentrpc.WatchReply{Worker: w.worker, Listed: true, Look: w.poll, Ended: w.ended}
+		if w.listLimit > 0 && len(w.ended) >= w.listLimit {
+			r.Ended, r.Look = w.ended[:w.listLimit], 0
+		}
 		if ago := h.now.Sub(w.formerCrashedAt); w.crash != nil && ago <= crashReportTime {
 			w.crash.AgoMillis = ago.Milliseconds()
 			r.Crashes = []*agentrpc.Crash{w.crash}
--- a/coordination/planner/orders.go
+++ b/coordination/planner/orders.go
@@ -62,7 +62,7 @@
 
 // neverStarted reports whether a run that a former planner has recorded has certainly not
 // started and never will: the worker has confirmed this planner's fencing token and does not
-// list the run, and this planner has not ordered it.
+// list the run, with all its ends, and this planner has not ordered it.
 func (p *Planner) neverStarted(t *target, r *run) bool {
 	return r.startQueuedAt.IsZero() && r.confirmedAt.IsZero() && r.firstListedAt.IsZero() &&
 		t.runsKnown && t.poll > 0 && r.incarnation == t.incarnation()
@@ -188,9 +188,8 @@
 			r.stopPoll = res.GetLook()
 		}
 	case o.Stop:
-	case res.GetOutcome() == agentrpc.Outcome_UNKNOWN && res.GetReason() == reasonStaleRun:
-		// The agent reports this refusal as UNKNOWN if an earlier attempt may have started the
-		// run. Either the run has ended, which the next list shows, or it was stopped before
+	case res.GetReason() == reasonStaleRun && r.confirmedAt.IsZero():
+		// Either the run has ended, which a list shows, perhaps not the next one, or it was stopped before
 		// it started, which the stop confirms.
 		p.stopGang(r, "the worker has seen this run before")
 	case res.GetOutcome() == agentrpc.Outcome_DONE:
@@ -213,8 +212,8 @@
 	}
 }
 
-// startRefused handles the refusal of a start order: the order has not started the run
-// and never will.
+// startRefused handles the refusal of a start order, other than with reasonStaleRun: the order has
+// not started the run and never will.
 func (p *Planner) startRefused(t *target, r *run, reason string, now time.Time) {
 	if !r.confirmedAt.IsZero() {
 		// An earlier order has started the run, and only the resent one was refused.
--- a/coordination/planner/proof_test.go
+++ b/coordination/planner/proof_test.go
@@ -100,6 +100,10 @@
 			in.Running = running
 		}},
 		{name: "started again under its ID, the run is not listed", change: func(_ *harness, in *agentrpc.WatchReply) { next("t00-1", 9, in) }, lost: true},
+		{name: "started again under its ID, the list may lack ends", change: func(_ *harness, in *agentrpc.WatchReply) {
+			next("t00-1", 9, in)
+			in.Look = 0
+		}},
 		{name: "another worker has answered", change: func(_ *harness, in *agentrpc.WatchReply) { next("t00-9", 9, in) }, lost: true},
 		{name: "the worker is gone", change: func(_ *harness, in *agentrpc.WatchReply) { in.Worker.Gone = true }, lost: true},
 		{name: "its end", change: func(_ *harness, in *agentrpc.WatchReply) {
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -20,7 +20,7 @@
 	silentFor time.Duration // time without an answer of the worker, when last reported
 	leavesAt  time.Time     // when a draining worker may be gone; zero if unknown
 	coldUntil time.Time     // when the worker stops being slow after its start; zero if it was not slow
-	poll      int64         // number of the poll that the last list is from; 0 if the list lacks ends
+	poll      int64         // number of the poll that the last list is from; 0 if the list may lack ends
 	lastEnd   int64         // highest run end that has been handled
 	// awaitsLapse is set while the next end may not be acknowledged; see isOfGivenUpRun.
 	awaitsLapse bool
@@ -212,8 +212,8 @@
 //
 // A start order that was in flight when a worker restarted under the same ID can reach the
 // new incarnation. Such a run is removed only once the new incarnation has confirmed a
-// higher fencing token and does not list the run. If it lists the run, the run has
-// started there.
+// higher fencing token and has returned all ends, and does not list the run. If it lists the
+// run, the run has started there.
 func (p *Planner) resolveFormerRuns(t *target, in *agentrpc.WatchReply, now time.Time) {
 	current := t.incarnation()
 	for r := range t.runs {
@@ -230,6 +230,8 @@
 			if !p.meetsRequirement(t, unit{step: r.task.step, kind: p.kindOf(r.task.step.occ.job)}) {
 				p.stopGang(r, "the next incarnation of its worker may not run it")
 			}
+		case in.GetLook() == 0:
+			// The run may have an end that is not listed yet.
 		default:
 			p.loseRun(r, "worker started again under its ID", now)
 		}
--- a/soak/check.go
+++ b/soak/check.go
@@ -38,6 +38,7 @@
 //
 //   - twice: a task ran twice at once, or again after it was done
 //   - gang: a gang began incomplete, or a member worked on after another had ended
+//   - label: a run started on a worker without the label that its step requires
 //   - budget: a task that crashes its workers was started too often
 //   - capacity: a start brought a worker over its capacity
 //   - unasked: the task of a run was not submitted or not accepted, or the payload differs
@@ -66,6 +67,7 @@
 	size := func(n job.TaskName) int { return gangSize(jobs, n) }
 	addViolations("twice", worker.CheckOnce(records, size, now))
 	addViolations("gang", worker.CheckGangs(records, size, now))
+	addViolations("label", worker.CheckLabels(records))
 	addViolations("budget", worker.CheckCrashBudget(records))
 	addViolations("capacity", worker.CheckCapacity(records, capacityBound))
 	addViolations("unasked", checkSubmitted(jobs, records))
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -89,6 +89,7 @@
 			s.records[2].How = worker.EndCrashed
 			s.h.jobs["steps"].state = "failed"
 		}},
+		{"starts on a worker without the label", "label", func(s *observations) { s.records[0].LacksLabel = true }},
 		{"runs after it was done", "twice", func(s *observations) {
 			s.records = append(s.records, record("claim.0.0.0", "w1", 50, 51, worker.EndDone))
 		}},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -40,6 +40,12 @@
 	// faultPlannerCut cuts the process that plans off from the store and all other processes, with
 	// refused connections. It goes on beside its worker.
 	faultPlannerCut faultKind = "planner cut off"
+	// faultWorkerReborn cuts a worker off from its target, and starts it again under its ID behind the
+	// cut, in some runs with another label.
+	faultWorkerReborn faultKind = "worker reborn"
+	// faultManyEnds kills the process that plans shortly before more tasks end on a worker than it
+	// lists at a time.
+	faultManyEnds faultKind = "many ends"
 )
 
 var faultKinds = []faultKind{
@@ -118,21 +124,34 @@
 	plannerCutVariants
 )
 
-// plannerCutStream is the stream of a seed from which cuts of the planner are drawn. They have one
-// of their own, so that the other faults of a seed stay the same. Callers use the lower streams.
-const plannerCutStream = 1 << 32
+// The streams of a seed from which cuts of the planner, restarts of workers and the labels of jobs are
+// drawn. They have some of their own, so that the other draws of a seed stay the same. Callers use the
+// lower streams.
+const (
+	plannerCutStream = 1 << 32
+	restartStream    = 2 << 32
+	labelStream      = 3 << 32
+)
 
 // faultsOf draws the faults of a run and returns them in the order of their starts.
 func faultsOf(cfg Config) []fault {
-	cuts := randomOf(cfg.Seed, plannerCutStream)
-	if cfg.PlannerCuts {
+	cuts, restarts := randomOf(cfg.Seed, plannerCutStream), randomOf(cfg.Seed, restartStream)
+	switch {
+	case cfg.PlannerCuts:
 		return drawPlannerCuts(cuts, cfg.Length)
+	case cfg.WorkerRestarts:
+		return drawRestarts(restarts, cfg.Length)
+	case cfg.ManyEnds:
+		return drawManyEnds(restarts, cfg.Length)
 	}
 	out := drawFaults(randomOf(cfg.Seed, 0), cfg.Length)
 	if cuts.Float64() < plannerCutShare {
 		out = append(out, drawPlannerCut(cuts, randDuration(cuts, 0, cfg.Length)))
-		sortFaults(out)
 	}
+	if restarts.Float64() < restartShare {
+		out = append(out, drawRestart(restarts, randDuration(restarts, 0, cfg.Length)))
+	}
+	sortFaults(out)
 	return out
 }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"slices"
 	"syscall"
 	"time"
@@ -30,7 +31,7 @@
 )
 
 // inject starts a fault and returns the function that ends it.
-func (s *site) inject(f fault) (end func()) {
+func (s *site) inject(ctx context.Context, f fault) (end func()) {
 	all := slices.Concat(s.entries, s.targets)
 	selected := all[f.selector%len(all)]
 	target := s.targets[f.selector%len(s.targets)]
@@ -82,6 +83,10 @@
 		}
 	case faultPlannerCut:
 		return s.cutOffPlanner(f)
+	case faultWorkerReborn:
+		return s.reborn(f)
+	case faultManyEnds:
+		s.manyEnds(ctx, f)
 	case faultIsolate:
 		return callAll([]func(){setLink(target.store, f.variant), setLink(target.agent, f.variant)})
 	default:
--- a/soak/load.go
+++ b/soak/load.go
@@ -28,6 +28,8 @@
 	abandonShare = 0.3
 	// crashShare is the share of jobs whose first task crashes the workers that start it.
 	crashShare = 0.04
+	// labelShare is the share of jobs that require a hardware type, of the callers that have such jobs.
+	labelShare = 0.7
 	// thinkTimeMax is the longest pause between two jobs of a caller.
 	thinkTimeMax = 1200 * time.Millisecond
 	// pollInterval is the pause between two lookups of a job.
@@ -40,7 +42,8 @@
 type client struct {
 	site          *site
 	random        *rand.Rand
-	usesGuarantee bool // its jobs use the guarantee of its workspace
+	usesGuarantee bool       // its jobs use the guarantee of its workspace
+	labels        *rand.Rand // source of the jobs that require a hardware type; nil for none
 	api           *caller.Client
 	transport     *http.Transport
 }
@@ -83,6 +86,11 @@
 		queue, step = queueLong, caller.Step{Tasks: 1 + c.random.IntN(2), Accelerators: accelerators, Gang: true, Checkpointable: c.random.IntN(2) == 0}
 		work = randDuration(c.random, 500*time.Millisecond, 4*time.Second)
 	}
+	if c.labels != nil && c.labels.Float64() < labelShare {
+		queue = queueFill
+		step = caller.Step{Tasks: 1 + c.labels.IntN(2), Accelerators: accelerators, Label: hardwareTypes[c.labels.IntN(len(hardwareTypes))]}
+		work = randDuration(c.labels, 50*time.Millisecond, 400*time.Millisecond)
+	}
 	step.EstimateMillis = int64(float64(work.Milliseconds()) * (0.5 + c.random.Float64()))
 	j.Steps = []caller.Step{step}
 	if queue.Name == queueFill.Name && c.random.IntN(3) == 0 {
--- a/soak/run.go
+++ b/soak/run.go
@@ -27,6 +27,13 @@
 	// PlannerCuts makes cuts of the process that plans the only faults of the run. No data centre
 	// is evacuated, so that its worker has runs in most cases.
 	PlannerCuts bool
+	// WorkerRestarts makes restarts of workers behind cuts the only faults of the run. Workers are of two
+	// hardware types, which may change with a restart, and some jobs require one. No data centre is
+	// evacuated.
+	WorkerRestarts bool
+	// ManyEnds makes one change of the process that plans beside more ends than a worker lists at a time
+	// the only fault of the run. No data centre is evacuated.
+	ManyEnds bool
 	// Finish is how long accepted jobs may take after the last fault.
 	Finish time.Duration
 }
@@ -83,11 +90,14 @@
 	var wg sync.WaitGroup
 	for i := range cfg.Callers {
 		c := s.newClient(randomOf(cfg.Seed, uint64(i)+1), i == 0) //nolint:gosec // not negative
+		if cfg.WorkerRestarts && i > 0 {
+			c.labels = randomOf(cfg.Seed, labelStream+uint64(i)) //nolint:gosec // not negative
+		}
 		wg.Go(func() { c.run(loadCtx, runCtx) })
 	}
 	prober := s.newClient(randomOf(cfg.Seed, uint64(cfg.Callers)+1), false) //nolint:gosec // not negative
 	wg.Go(func() { prober.probeConfig(loadCtx) })
-	if !cfg.PlannerCuts {
+	if !cfg.PlannerCuts && !cfg.WorkerRestarts && !cfg.ManyEnds {
 		wg.Go(func() { s.evacuateInTurn(loadCtx) })
 	}
 	peakMemory := 0
@@ -151,7 +161,7 @@
 		wg.Go(func() {
 			recordEnd := s.history.recordFault(f)
 			defer recordEnd()
-			end := s.inject(f)
+			end := s.inject(ctx, f)
 			defer end()
 			select {
 			case <-ctx.Done():
--- a/soak/site.go
+++ b/soak/site.go
@@ -78,8 +78,9 @@
 	wg       sync.WaitGroup
 	cleanups []func()
 
-	mu       sync.Mutex // guards versions and their writes
+	mu       sync.Mutex // guards versions and their writes, and hardware
 	versions []configVersion
+	hardware []string // hardware type of each worker, from its next incarnation on
 }
 
 func newSite(ctx context.Context, cfg Config, h *history) (*site, error) {
@@ -194,14 +195,14 @@
 	settings := worker.Settings{
 		Name: workerName(i), Pool: poolName, DataCentre: dataCentreName(i), Rack: fmt.Sprintf("r%d", i/workersPerRack+1),
 		// Address is not used: the target reaches its worker through a link.
-		Accelerators: accelerators, Address: "127.0.0.1:1", ReportAddress: m.report.Address(), HeartbeatInterval: heartbeatInterval, LeaseMax: leaseMax,
+		HardwareType: s.cfg.hardwareTypeOf(i), Accelerators: accelerators, Address: "127.0.0.1:1", ReportAddress: m.report.Address(), HeartbeatInterval: heartbeatInterval, LeaseMax: leaseMax,
 		StopTime: stopTime, GangWait: gangWait, NoAdmissionCheck: i%2 == 1,
 	}
 	if i%2 == 0 {
 		settings.ClockRate = slowClockRate
 	}
 	w := worker.New(s.workerSite, settings, &http.Client{}, zerolog.Nop())
-	s.workers = append(s.workers, w)
+	s.workers, s.hardware = append(s.workers, w), append(s.hardware, settings.HardwareType)
 	address, err := s.serve(ctx, "127.0.0.1:0", w)
 	if err != nil {
 		return err
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -27,14 +27,15 @@
 
 // Step is a step of a job. All its tasks are equal.
 type Step struct {
-	Tasks          int   `json:"Count"`
-	CPU            int   `json:"Cpu,omitempty"` // thousandths of a core
-	MemoryMB       int   `json:"MemMb,omitempty"`
-	Accelerators   int   `json:"Gpu,omitempty"`
-	EstimateMillis int64 `json:"EstMs,omitempty"`
-	After          []int `json:"After,omitempty"`
-	Gang           bool  `json:"Gang,omitempty"`
-	Checkpointable bool  `json:"Checkpointable,omitempty"`
+	Tasks          int    `json:"Count"`
+	CPU            int    `json:"Cpu,omitempty"` // thousandths of a core
+	MemoryMB       int    `json:"MemMb,omitempty"`
+	Accelerators   int    `json:"Gpu,omitempty"`
+	EstimateMillis int64  `json:"EstMs,omitempty"`
+	After          []int  `json:"After,omitempty"`
+	Gang           bool   `json:"Gang,omitempty"`
+	Checkpointable bool   `json:"Checkpointable,omitempty"`
+	Label          string `json:"Requires,omitempty"` // that the workers must have; empty for none
 }
 
 // Response is a complete response of an entry.
