Forget crashes rather than fail a job of many tasks

A job of 400 tasks on one worker was shown as failed after the worker had crashed once and the planner had changed: the crash is recorded for each task, and a new planner adds it again where the former one had forgotten it to get space in the row for new runs. The row then exceeds the store's limit.

The planner now forgets the crashes that tasks are not suspected of before it gives up an occurrence whose row is too long, as it did before only if nothing of it ran.

TestCrashUnderManyTasks fails before.

--- a/coordination/planner/row_size.go
+++ b/coordination/planner/row_size.go
@@ -37,10 +37,14 @@
 	return n
 }
 
-// recordWithin returns the write of an occurrence's row. An occurrence whose row would be too long
-// for the store ends as failed.
+// recordWithin returns the write of an occurrence's row. If the row would be too long for the store,
+// crashes that the tasks are not suspected of are forgotten: one crash of a worker is recorded for each
+// task that ran there. An occurrence whose row is still too long ends as failed.
 func (p *Planner) recordWithin(o *occurrence, now time.Time) table.Write {
 	w, omitted := o.record()
+	if len(w.Value) > table.MaxValueBytes && p.forgetCrashes(o) {
+		w, omitted = o.record()
+	}
 	if len(w.Value) > table.MaxValueBytes {
 		p.failUnrecordable(o, tooLargeReason(o), now)
 		w, omitted = o.record()
--- a/coordination/planner/row_size_test.go
+++ b/coordination/planner/row_size_test.go
@@ -28,6 +28,40 @@
 	}
 }
 
+// Guards against a job of many tasks that fails because a worker crashes once: the crash is recorded for
+// each of the tasks that ran there, which takes more space than the row has. A new planner learns of the
+// crash again, although the former one had to forget it to start the tasks.
+func TestCrashUnderManyTasks(t *testing.T) {
+	const tasks = 400
+	h := newHarness(t, 2)
+	h.workers["t00"] = newSimWorker("t00", h.now.UnixMilli(), "r0")
+	h.workers["t01"].worker.Draining = true // The tasks run on the other worker.
+	h.report(h.names...)
+	j := newJob("j1", "long", job.Step{Tasks: tasks, CPU: 100, EstimateMillis: 60_000})
+	h.addJob(j)
+	for range 5 {
+		h.advance(time.Second)
+	}
+	qt.Assert(t, h.workers["t00"].running, qt.HasLen, tasks)
+	h.workers["t01"].worker.Draining = false
+	h.crash("t00")
+	for range 6 {
+		h.advance(time.Second)
+	}
+	h.takeOver(j)
+	for range 3 {
+		h.advance(time.Second)
+	}
+	qt.Assert(t, h.stateOf("j1"), qt.Equals, job.Running)
+	for i := range tasks {
+		h.finishTask(fmt.Sprintf("j1.0.0.%d", i))
+	}
+	for range 3 {
+		h.advance(time.Second)
+	}
+	qt.Check(t, h.stateOf("j1"), qt.Equals, job.Completed)
+}
+
 // Guards against a job whose long checkpoints make its row too long for the store, so that nothing
 // of the site is recorded any more (the harness fails for such a row), and against one that gets
 // no runs any more because checkpoints take the space of its row.
