--- a/matrix/next_incarnation_test.go
+++ b/matrix/next_incarnation_test.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// cutWorker cuts the worker of a target off from its process. If it starts again before healWorker, its
+// first heartbeat fails, so that it answers calls for a while before the agent knows of it.
+func (s *Site) cutWorker(p *proc) {
+	s.net.CutBoth(p.host, workerHostOf(p.host))
+	s.net.SetRefuse(workerHostOf(p.host), p.host, true)
+}
+
+func (s *Site) healWorker(p *proc) {
+	s.net.Reset(p.host, workerHostOf(p.host))
+	s.net.SetRefuse(workerHostOf(p.host), p.host, false)
+	s.net.HealBoth(p.host, workerHostOf(p.host))
+}
+
 // play restarts the worker and returns its next incarnation and the earliest time at which a heartbeat
 // of that can have arrived.
 func (c restartBehindCut) play(s *Site) (incarnation string, reportedAt time.Time) {
@@ -87,10 +100,7 @@
 	s.markAffected(workerHostOf(p.host), p.host)
 	began := time.Now()
 	at := func(d time.Duration) { time.Sleep(time.Until(began.Add(d))) }
-	s.net.CutBoth(p.host, workerHostOf(p.host))
-	// The first heartbeat of the next incarnation fails, so that it answers calls for a while before the
-	// agent knows of it.
-	s.net.SetRefuse(workerHostOf(p.host), p.host, true)
+	s.cutWorker(p)
 	at(100 * time.Millisecond)
 	for i := range targetCount {
 		s.startRequest(planRequest(fmt.Sprintf("behind-%d", i), 1, slotCount, c.runTime))
@@ -99,9 +109,7 @@
 	w.Restart(false)
 	incarnation, reportedAt = incarnationID(w.Incarnation()), time.Now().Add(worker.DefaultHeartbeatInterval)
 	at(c.healAt)
-	s.net.Reset(p.host, workerHostOf(p.host))
-	s.net.SetRefuse(workerHostOf(p.host), p.host, false)
-	s.net.HealBoth(p.host, workerHostOf(p.host))
+	s.healWorker(p)
 	if c.targetRestartsAt > 0 {
 		at(c.targetRestartsAt)
 		s.replace(p)
--- a/matrix/site_test.go
+++ b/matrix/site_test.go
@@ -168,6 +168,7 @@
 	set.Name = fmt.Sprintf("e%d", i+1)
 	set.DataCentre = fmt.Sprintf("dc%d", i+1)
 	set.CallerAddress, set.OperatorAddress = entryHost(i)+":1", entryHost(i)+":3"
+	set.RouteAddress = entryHost(i) + ":4"
 	set.Platform = "http://" + platformHost + ":80"
 	set.Bounds, set.Policy.Admission = processBounds(), true
 	return &proc{name: set.Name, host: entryHost(i), run: func(ctx context.Context, n process.Network) error {
@@ -215,6 +216,8 @@
 		WithKind(operator.NewKind("home", "ask", operator.ClassShort).WithIdempotent(true).WithLimit(runLimit)).
 		WithKind(operator.NewKind("home", "order", operator.ClassShort).WithLimit(runLimit)).
 		WithKind(operator.NewKind("home", "plan", operator.ClassLong).WithIdempotent(true).WithLimit(time.Hour)).
+		WithKind(operator.NewKind("home", "tasks", operator.ClassFill).WithIdempotent(true).WithLimit(time.Hour).
+			WithRoute(operator.Route{Host: taskQueue.Host, Prefix: taskQueue.Prefix, Public: true})).
 		WithKind(operator.NewKind("guest", "batch", operator.ClassFill).WithIdempotent(true).WithLimit(time.Hour))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,6 +25,14 @@
 	plannerCutCallers = 2 * DefaultCallers
 )
 
+// Lengths, seeds and callers of the runs in CI with restarts of workers, and with many ends.
+const (
+	restartLength   = 20 * time.Second
+	restartSeed     = 300
+	manyEndsSeed    = 200
+	manyEndsCallers = 3
+)
+
 // regressions are the seeds of runs that have failed, each with the cause.
 var regressions = []struct {
 	seed  uint64
@@ -83,6 +91,18 @@
 	}
 }
 
+// Guards against tasks that are done again, or run without the label that they require, because a worker
+// starts again under its ID behind a cut and carries out calls for its former incarnation.
+func TestWorkersStartAgainBehindCuts(t *testing.T) {
+	runConfig(t, Config{Binary: buildBinary(t), Seed: restartSeed, Length: restartLength, Callers: 2 * DefaultCallers, WorkerRestarts: true})
+}
+
+// Guards against tasks that are done again because their ends are not in the first list that a new
+// planner gets: the worker has more of them than it lists at a time.
+func TestPlannerChangesBesideManyEnds(t *testing.T) {
+	runConfig(t, Config{Binary: buildBinary(t), Seed: manyEndsSeed, Length: DefaultLength, Callers: manyEndsCallers, ManyEnds: true})
+}
+
 // Guards against failures that earlier runs found. Only the newest regression runs
 // unless SOAK_REGRESSIONS is true.
 func TestRegressions(t *testing.T) {
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -118,12 +119,49 @@
 	}
 }
 
-// call calls a worker, which may lose the response.
-func call(w *Worker, name, body string) {
+// call calls a worker and returns the response, or nil if the worker loses it.
+func call(w *Worker, name, body string) (rec *httptest.ResponseRecorder) {
 	defer func() {
-		if r := recover(); r != nil && r != any(http.ErrAbortHandler) {
-			panic(r)
+		if r := recover(); r != nil {
+			if r != any(http.ErrAbortHandler) {
+				panic(r)
+			}
+			rec = nil
 		}
 	}()
-	w.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/medlargrade/"+name, strings.NewReader(body)))
+	rec = httptest.NewRecorder()
+	w.ServeHTTP(rec, httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/medlargrade/"+name, strings.NewReader(body)))
+	return rec
+}
+
+// Guards against a stand-in that is more forgiving than a worker: it lists 500 ends at a time, those with
+// the lowest numbers, and a connection to it ends with its incarnation.
+func TestListsAndConnectionsAreLimited(t *testing.T) {
+	const ends = 700
+	site := NewSite(func(string) (job.Job, bool) { return job.Job{}, false })
+	w := New(site, Settings{Name: "w"}, nil, zerolog.Nop())
+	for i := range ends {
+		call(w, "run-start", fmt.Sprintf(`{"Task":"j.0.0.%d","Run":1,"UntilMs":9000}`, i))
+	}
+	site.mu.Lock()
+	for _, r := range w.incarnation.runs {
+		w.endLocked(r, EndDone)
+	}
+	site.mu.Unlock()
+	listed := func(seen int) (first, count int) {
+		rec := call(w, "hold", fmt.Sprintf(`{"LastSeen":%d}`, seen))
+		var out struct{ Ended [][]any }
+		qt.Assert(t, json.Unmarshal(rec.Body.Bytes(), &out), qt.IsNil)
+		number, ok := out.Ended[0][0].(float64)
+		qt.Assert(t, ok, qt.IsTrue)
+		return int(number), len(out.Ended)
+	}
+	first, count := listed(0)
+	qt.Check(t, []int{first, count}, qt.DeepEquals, []int{1, 500})
+	first, count = listed(500)
+	qt.Check(t, []int{first, count}, qt.DeepEquals, []int{501, 200})
+
+	w.Restart(false)
+	qt.Check(t, call(w, "hold", `{}`), qt.IsNil)
+	qt.Check(t, call(w, "hold", `{}`), qt.IsNotNil, qt.Commentf("on a new connection"))
 }
