Stop a followed run by an order, not by giving it up

A run that is listed by the next incarnation of its worker, which may not run it, is stopped. If a new planner learned of the run only after lists of that incarnation, it took the run for one that was never started, since nothing had confirmed it, and gave it up while it was at work: its task would have been started elsewhere beside it. The run is confirmed now when it is followed.

A case of TestFollowedRunMeetsItsRequirement fails without the change.

--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -54,9 +54,9 @@
 }
 
 // recordFailedHoldLocked records a hold that got no answer; silent is set if its time was over. Watchers
-// are notified if the
-// worker's address has no listener, so that nothing is placed there before it answers again. That
-// ends no run: only the next incarnation, or the lapse of the leases, shows that the worker has ended.
+// are notified if the worker's address has no listener, so that nothing is placed there before it answers
+// again. That ends no run: only the next incarnation, or the lapse of the leases, shows that the worker
+// has ended.
 func (a *Agent) recordFailedHoldLocked(notListening, silent bool) {
 	if a.state.failingSince.IsZero() {
 		a.state.failingSince, a.state.silent = time.Now(), silent
--- a/coordination/agent/registration.go
+++ b/coordination/agent/registration.go
@@ -144,13 +144,15 @@
 		a.cfg.Metrics.GetOrCreateCounter(`medlargrade_foreign_heartbeats_total`).Inc()
 		return
 	}
-	clock, clockAt := c.heartbeat.Clock, c.receivedAt
+	startedAt := c.receivedAt.Add(-sinceStart(c.heartbeat.Clock))
 	if reply.Clock > 0 {
-		clock, clockAt = reply.Clock, time.Now()
+		startedAt = time.Now().Add(-sinceStart(reply.Clock))
 	}
-	a.recordCrashLocked(clockAt.Add(-time.Duration(clock) * time.Millisecond))
+	a.recordCrashLocked(startedAt)
 	a.registerLocked(c)
-	a.state.recordClock(clock)
+	if reply.Clock > 0 {
+		a.state.recordClock(reply.Clock)
+	}
 }
 
 // identificationOf returns what the result of a call to an incarnation tells about it. A worker
--- a/coordination/planner/proof_test.go
+++ b/coordination/planner/proof_test.go
@@ -19,17 +19,21 @@
 		name   string
 		change func(next *agentrpc.Worker)
 		kept   bool
+		late   bool // a new planner learns of the run after the lists of the next incarnation
 	}{
 		{name: "the same label and pool", change: func(*agentrpc.Worker) {}, kept: true},
 		{name: "another label", change: func(next *agentrpc.Worker) { next.Labels = []string{"a"} }},
 		{name: "another pool", change: func(next *agentrpc.Worker) { next.Pool = "other" }},
+		{name: "the same, restored late", change: func(*agentrpc.Worker) {}, kept: true, late: true},
+		{name: "another label, restored late", change: func(next *agentrpc.Worker) { next.Labels = []string{"a"} }, late: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			h := newHarness(t, 2)
 			h.workers["t00"].worker.Labels = []string{"b"}
 			h.report(h.names...)
-			h.addJob(newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4, Label: "b", EstimateMillis: 60_000}))
+			j := newJob("j1", "long", job.Step{Tasks: 1, Accelerators: 4, Label: "b", EstimateMillis: 60_000})
+			h.addJob(j)
 			h.advance(time.Second)
 			qt.Assert(t, h.targetOf("j1.0.0.0"), qt.Equals, "t00")
 			w := h.workers["t00"]
@@ -38,6 +42,15 @@
 			next.Life.Born++
 			tt.change(next)
 			w.worker = next
+			if tt.late {
+				h.restartPlanner()
+				h.p.SetLoaded()
+				h.report(h.names...)
+				h.p.AddJob(j, []job.Progress{h.rows["j1/0"]}, h.now)
+				h.report(h.names...)
+				// The run is stopped by an order, not given up: it is at work.
+				qt.Check(t, h.p.taskNamed("j1.0.0.0").runs, qt.HasLen, 1)
+			}
 			for range 3 {
 				h.advance(time.Second)
 			}
--- a/coordination/planner/targets.go
+++ b/coordination/planner/targets.go
@@ -226,6 +226,7 @@
 			p.log.Info().Int("Event", EventRunFollowed).Str("Task", r.task.name).Int("Run", r.number).Str("Target", t.name).
 				Int64("Born", current.Born).Msg("run was started in the next incarnation of its worker")
 			r.incarnation = current
+			p.confirm(r, now)
 			p.markDirty(r.task.step.occ)
 			if !p.meetsRequirement(t, unit{step: r.task.step, kind: p.kindOf(r.task.step.occ.job)}) {
 				p.stopGang(r, "the next incarnation of its worker may not run it")
