Confirm the runs of a crash only where connections were refused

The runs are now reported, and confirmed only if the worker's address refused connections after the calls had failed and it was not silent before. Runs that are not confirmed count among the four crashes of all kinds.

--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -15,9 +15,6 @@
 	crashReportTime = 30 * time.Second
 	// maxReportedCrashes bounds the crashes in a reply.
 	maxReportedCrashes = 4
-	// crashNoticeTime is the time within which a crash is noticed if the worker is not cut off: its
-	// connections on the same VM break at once.
-	crashNoticeTime = 20 * time.Millisecond
 )
 
 // crash is the end of an incarnation of the worker that had not announced it.
@@ -82,8 +79,9 @@
 }
 
 // runsAtCrashLocked returns what the worker may have run when its calls began to fail:
-// nothing if the leases have lapsed meanwhile, since the runs may have ended by that. None is
-// confirmed if the worker was silent first: it may have ended later, when its runs were done.
+// nothing if the leases have lapsed meanwhile, since the runs may have ended by that. They are
+// confirmed only if calls failed when the worker ended: its address had no listener then, and it was
+// not silent before. Behind a cut, a run may be done before the worker ends.
 func (a *Agent) runsAtCrashLocked() []*agentrpc.CrashedRun {
 	if a.leasesLapsedLocked() {
 		return nil
@@ -95,7 +93,7 @@
 	var out []*agentrpc.CrashedRun
 	for key, started := range a.state.runStarts {
 		age := max(at.Sub(started), 0)
-		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: !a.state.silent})
+		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: a.state.notListening && !a.state.silent})
 	}
 	for key := range a.state.unknownStarts {
 		if _, ok := a.state.runStarts[key]; !ok {
@@ -108,10 +106,9 @@
 	return out
 }
 
-// recordCrashLocked records the end of the known incarnation of the worker, which a new one that
-// started at the given time replaces, unless it has announced its end. If its calls failed only after
-// that, behind a cut, nobody knows when it ended, and what ran then.
-func (a *Agent) recordCrashLocked(nextStartedAt time.Time) {
+// recordCrashLocked records the end of the known incarnation of the worker, which a new one
+// replaces, unless it has announced its end.
+func (a *Agent) recordCrashLocked() {
 	if a.heartbeat.Incarnation == nil || a.heartbeat.Draining {
 		return
 	}
@@ -122,9 +119,6 @@
 	if c.at.IsZero() {
 		c.at = time.Now()
 	}
-	if nextStartedAt.Before(c.at.Add(-crashNoticeTime)) {
-		c.runs = nil
-	}
 	a.crashes = append(a.crashes, c)
 	a.crashes = a.crashes[max(len(a.crashes)-maxReportedCrashes, 0):]
 	a.log.Warn().Int("Event", EventWorkerCrashed).Str("Worker", c.incarnation.GetWorker()).Int64("Born", c.incarnation.GetBorn()).
--- a/coordination/agent/registration.go
+++ b/coordination/agent/registration.go
@@ -144,11 +144,6 @@
 		a.cfg.Metrics.GetOrCreateCounter(`medlargrade_foreign_heartbeats_total`).Inc()
 		return
 	}
-	startedAt := c.receivedAt.Add(-sinceStart(c.heartbeat.Clock))
-	if reply.Clock > 0 {
-		startedAt = time.Now().Add(-sinceStart(reply.Clock))
-	}
-	a.recordCrashLocked(startedAt)
 	a.registerLocked(c)
 	if reply.Clock > 0 {
 		a.state.recordClock(reply.Clock)
@@ -171,6 +166,7 @@
 
 // registerLocked makes a candidate the known incarnation of the worker.
 func (a *Agent) registerLocked(c candidate) {
+	a.recordCrashLocked()
 	inc := c.heartbeat.Incarnation
 	a.heartbeat, a.reportedDraining, a.deregistered, a.gone = WorkerHeartbeat{Incarnation: inc}, false, false, false
 	a.state = workerState{
--- a/coordination/agent/worker.go
+++ b/coordination/agent/worker.go
@@ -35,9 +35,6 @@
 // WorkerTime is a time on the worker's own clock, in milliseconds; 0 for unknown.
 type WorkerTime int64
 
-// sinceStart returns the time from the start of a worker until its clock shows t.
-func sinceStart(t WorkerTime) time.Duration { return time.Duration(t) * time.Millisecond }
-
 // CallHeader has the fields that are common to all calls to a worker.
 type CallHeader struct {
 	Worker string // ID of the worker that the call is for
