Share the cases of the new matrix tests out among the shards

With the race detector the first of eight processes played all 17 cases on one core, which took about 40 s there while the others had ended. Each case runs in one of the processes now, as the sequences do.

--- a/matrix/cut_list_test.go
+++ b/matrix/cut_list_test.go
@@ -64,7 +64,6 @@
 // Guards against tasks that are done again because a worker has more ends than it lists at a time when
 // the planner changes. The new planner does not know whether a run that the list lacks was started.
 func TestPlannerChangesBesideManyEnds(t *testing.T) {
-	onlyFirstShard(t)
 	const (
 		jobs, tasks = 4, 200
 		runTime     = 8 * time.Second
@@ -87,6 +86,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			if !inShardOf(t.Name()) {
+				return
+			}
 			synctest.Test(t, func(t *testing.T) {
 				s := newSite(t)
 				defer s.close()
@@ -130,9 +132,11 @@
 // Guards against a task that runs without the label that its job requires, because its worker starts
 // again under its ID as one of another kind while the start is under way.
 func TestWorkerStartsAgainWithAnotherLabel(t *testing.T) {
-	onlyFirstShard(t)
 	for _, healAt := range []time.Duration{300 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond} {
 		t.Run(healAt.String(), func(t *testing.T) {
+			if !inShardOf(t.Name()) {
+				return
+			}
 			synctest.Test(t, func(t *testing.T) {
 				s := newSite(t)
 				defer s.close()
--- a/matrix/next_incarnation_test.go
+++ b/matrix/next_incarnation_test.go
@@ -28,7 +28,6 @@
 // out. A start runs a task there that no planner expects, and a hold with the number of an end of the
 // former incarnation discards an end that nobody has seen, so that the task is done again.
 func TestWorkerStartsAgainBehindCut(t *testing.T) {
-	onlyFirstShard(t)
 	tests := []restartBehindCut{
 		{name: "short tasks", runTime: 300 * time.Millisecond, restartAt: 200 * time.Millisecond, healAt: 400 * time.Millisecond},
 		{name: "tasks that last until the heartbeat", runTime: 2 * time.Second, restartAt: 200 * time.Millisecond, healAt: 400 * time.Millisecond},
@@ -47,6 +46,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			if !inShardOf(t.Name()) {
+				return
+			}
 			var incarnation string   // the next one of the worker
 			var reportedAt time.Time // its first heartbeat did not arrive earlier
 			sc := scenario{
--- a/matrix/sequences_test.go
+++ b/matrix/sequences_test.go
@@ -47,7 +47,7 @@
 	}
 	run := func(name string, value int64, from []scenario) {
 		t.Run(name, func(t *testing.T) {
-			if !sequenceInShard(name) {
+			if !inShardOf(name) {
 				return
 			}
 			t.Parallel()
--- a/matrix/shard_test.go
+++ b/matrix/shard_test.go
@@ -100,8 +100,8 @@
 	return (sum/uint64(count)+uint64(seed()))%cellSampling == 0
 }
 
-// sequenceInShard reports whether this process runs a sequence.
-func sequenceInShard(name string) bool {
+// inShardOf reports whether this process runs the test or sequence with a name.
+func inShardOf(name string) bool {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name)) // Write of a hash never fails.
 	index, count := shardOfProcess()
