Confirm the runs of a crash also where connections broke again and again

A second broken connection before the next incarnation answers shows, too, that the worker was down when its calls failed.

--- a/coordination/agent/agent.go
+++ b/coordination/agent/agent.go
@@ -119,6 +119,7 @@
 	uncertainEnds bool
 	failingSince  time.Time // when the first hold since the last answer failed; zero if none has
 	silent        bool      // that hold got no answer in time, so that it doesn't show when the worker ended, if it has
+	failedAgain   bool      // so did a later one, with a broken connection and not because another incarnation answered
 	notListening  bool      // the worker's address has refused connections since the last answer
 	// refusedAt is the worker's clock when notListening was set, at the latest.
 	refusedAt    WorkerTime
--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -80,8 +80,8 @@
 
 // runsAtCrashLocked returns what the worker may have run when its calls began to fail:
 // nothing if the leases have lapsed meanwhile, since the runs may have ended by that. They are
-// confirmed only if calls failed when the worker ended: its address had no listener then, and it was
-// not silent before. Behind a cut, a run may be done before the worker ends.
+// confirmed only if calls failed when the worker ended: its address had no listener then, or broke
+// connections again and again, and it was not silent before. Behind a cut, a run may be done before the worker ends.
 func (a *Agent) runsAtCrashLocked() []*agentrpc.CrashedRun {
 	if a.leasesLapsedLocked() {
 		return nil
@@ -93,7 +93,7 @@
 	var out []*agentrpc.CrashedRun
 	for key, started := range a.state.runStarts {
 		age := max(at.Sub(started), 0)
-		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: a.state.notListening && !a.state.silent})
+		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: (a.state.notListening || a.state.failedAgain) && !a.state.silent})
 	}
 	for key := range a.state.unknownStarts {
 		if _, ok := a.state.runStarts[key]; !ok {
--- a/coordination/agent/hold.go
+++ b/coordination/agent/hold.go
@@ -136,10 +136,13 @@
 	a.state.holdFailed = err != nil
 	a.cfg.Metrics.GetOrCreateCounter(`medlargrade_lease_renewals_total{answered="` + strconv.FormatBool(err == nil) + `"}`).Inc()
 	if err != nil {
-		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening), ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded))
+		silent := ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 		if errors.Is(err, ErrOtherIncarnation) {
 			a.recordOtherAnswerLocked(err)
+		} else if !a.state.failingSince.IsZero() && !silent {
+			a.state.failedAgain = true
 		}
+		a.recordFailedHoldLocked(errors.Is(err, ErrNotListening), silent)
 		// A refused connection alone shows nothing: whoever cuts the worker off may refuse connections
 		// in its place, and a worker whose notice got no answer goes on for some seconds.
 		if a.deregistered && !a.gone && (errors.Is(err, ErrNotListening) && a.runsNothingLocked() || a.leasesLapsedLocked()) {
@@ -156,6 +159,7 @@
 		return false
 	}
 	a.state.failingSince, a.state.notListening, a.state.otherAnswers, a.state.crashedRuns = time.Time{}, false, false, nil
+	a.state.failedAgain = false
 	a.state.recordClock(reply.Clock)
 	if seq < a.state.answeredHoldSeq {
 		// The lists may be older than those of the later hold that was answered before.
