--- a/coordination/agent/crash.go
+++ b/coordination/agent/crash.go
@@ -81,7 +81,8 @@
 // runsAtCrashLocked returns what the worker may have run when its calls began to fail:
 // nothing if the leases have lapsed meanwhile, since the runs may have ended by that. They are
 // confirmed only if calls failed when the worker ended: its address had no listener then, or broke
-// connections again and again, and it was not silent before. Behind a cut, a run may be done before the worker ends.
+// connections again and again, and it was not silent before. Behind a cut, a run may be done before the
+// worker ends.
 func (a *Agent) runsAtCrashLocked() []*agentrpc.CrashedRun {
 	if a.leasesLapsedLocked() {
 		return nil
@@ -90,10 +91,11 @@
 	if at.IsZero() {
 		at = time.Now()
 	}
+	confirmed := (a.state.notListening || a.state.failedAgain) && !a.state.silent
 	var out []*agentrpc.CrashedRun
 	for key, started := range a.state.runStarts {
 		age := max(at.Sub(started), 0)
-		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: (a.state.notListening || a.state.failedAgain) && !a.state.silent})
+		out = append(out, &agentrpc.CrashedRun{Task: key.task, Run: key.run, AgeMillis: age.Milliseconds(), Confirmed: confirmed})
 	}
 	for key := range a.state.unknownStarts {
 		if _, ok := a.state.runStarts[key]; !ok {
--- a/process/network.go
+++ b/process/network.go
@@ -52,8 +52,15 @@
 }
 
 // newClient returns a new client. The method close closes its idle connections.
-func (c *clients) newClient() *http.Client {
-	h := c.network.HTTPClient()
+func (c *clients) newClient() *http.Client { return c.newClientOn(c.network) }
+
+// newWorkerClient returns a new client for a platform.WorkerClient.
+func (c *clients) newWorkerClient() *http.Client {
+	return c.newClientOn(Network{Dial: platform.WorkerDialer(c.network.Dial)})
+}
+
+func (c *clients) newClientOn(n Network) *http.Client {
+	h := n.HTTPClient()
 	c.list = append(c.list, h)
 	return h
 }
@@ -65,14 +72,6 @@
 	}
 }
 
-// newWorkerClient returns a new client for a platform.WorkerClient.
-func (c *clients) newWorkerClient() *http.Client {
-	n := Network{Dial: platform.WorkerDialer(c.network.Dial), Listen: c.network.Listen}
-	h := n.HTTPClient()
-	c.list = append(c.list, h)
-	return h
-}
-
 // HTTPClient returns an HTTP client with its own connection pool.
 func (n Network) HTTPClient() *http.Client {
 	return &http.Client{Transport: &redialTransport{&http.Transport{
